--- /dev/null
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -0,0 +1,364 @@
+#pragma once
+
+#include <geraniumdoor/base/ids.hpp>
+
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace geraniumdoor
+{
+
+/// Identifies one attempt at one stage of one request.
+struct call_key
+{
+    request_id m_request;
+    stage_index m_stage;
+    attempt_number m_attempt;
+
+    auto operator<=>(const call_key&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_request, m_stage, m_attempt);
+    }
+};
+
+enum class call_outcome : std::uint8_t
+{
+    /// The upstream's whole answer is in the result.
+    answered,
+    /// No byte has left for an upstream, and the attempt id is fenced.
+    not_dispatched,
+    /// The call left and failed; the upstream may have run it.
+    failed,
+};
+
+enum class call_reason : std::uint8_t
+{
+    none,
+    no_capacity,
+    no_authority,
+    queue_full,
+    deadline,
+    upstream_error,
+    upstream_timeout,
+    upstream_overloaded,
+    broken_stream,
+    duplicate_attempt,
+    cancelled,
+    node_leaving,
+};
+
+/// Load of the owner's part of a pool, sent with each result.
+struct pool_hint
+{
+    std::uint32_t m_free_slots = 0;
+    std::uint32_t m_total_slots = 0;
+    std::uint32_t m_queue_wait_ms = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_free_slots, m_total_slots, m_queue_wait_ms);
+    }
+};
+
+/// First message on a connection, in both directions.
+struct hello
+{
+    node_id m_node;
+    incarnation m_incarnation;
+    std::uint32_t m_protocol = 1;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_node, m_incarnation, m_protocol);
+    }
+};
+
+/// Coordinator to owner: run one stage on one of the owner's upstreams.
+struct stage_call
+{
+    call_key m_key;
+    pool_id m_pool;
+    pipeline_id m_pipeline;
+    workspace_id m_workspace;
+    std::uint32_t m_priority = 1;
+    std::uint32_t m_weight = 1;
+    /// Time left for this stage when the message was sent, in milliseconds.
+    std::uint32_t m_budget_ms = 0;
+    bool m_idempotent = true;
+    bool m_streamed = false;
+    /// Set for non-idempotent calls: the owner dispatches an attempt id at most once.
+    attempt_id m_attempt_id;
+    std::string m_operation;
+    std::string m_input;
+    /// Tokens that the caller already has, when a broken stream is resumed.
+    std::vector<std::string> m_delivered;
+    /// Upstreams that earlier attempts used.
+    std::vector<upstream_id> m_excluded;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_key, m_pool, m_pipeline, m_workspace, m_priority, m_weight, m_budget_ms,
+                m_idempotent, m_streamed, m_attempt_id, m_operation, m_input, m_delivered,
+                m_excluded);
+    }
+};
+
+/// Owner to coordinator: one token of a streamed answer.
+struct stage_chunk
+{
+    call_key m_key;
+    incarnation m_owner_incarnation;
+    /// Position in the whole answer, counting delivered tokens of earlier attempts.
+    std::uint32_t m_index = 0;
+    std::string m_token;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_key, m_owner_incarnation, m_index, m_token);
+    }
+};
+
+/// Owner to coordinator: the end of a call. Exactly one for each stage_call.
+struct stage_result
+{
+    call_key m_key;
+    incarnation m_owner_incarnation;
+    call_outcome m_outcome = call_outcome::failed;
+    call_reason m_reason = call_reason::none;
+    upstream_id m_upstream;
+    incarnation m_upstream_incarnation;
+    std::string m_output;
+    /// Number of tokens of the whole answer, for streamed calls.
+    std::uint32_t m_tokens = 0;
+    /// Time from dispatch to the end of the answer, in microseconds.
+    std::uint32_t m_upstream_us = 0;
+    /// Time that the owner suggests to wait before a repeat, in milliseconds.
+    std::uint32_t m_retry_after_ms = 0;
+    pool_hint m_hint;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_key, m_owner_incarnation, m_outcome, m_reason, m_upstream,
+                m_upstream_incarnation, m_output, m_tokens, m_upstream_us,
+                m_retry_after_ms, m_hint);
+    }
+};
+
+/// Coordinator to owner: nobody waits for this call any more.
+struct stage_cancel
+{
+    call_key m_key;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_key);
+    }
+};
+
+/// Coordinator to owner: was this attempt dispatched? The owner fences it when it was
+/// not.
+struct attempt_query
+{
+    attempt_id m_attempt_id;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_attempt_id);
+    }
+};
+
+enum class attempt_state : std::uint8_t
+{
+    dispatched,
+    fenced,
+};
+
+struct attempt_status
+{
+    attempt_id m_attempt_id;
+    attempt_state m_state = attempt_state::dispatched;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_attempt_id, m_state);
+    }
+};
+
+/// Owner of an upstream, as told to the other nodes.
+struct owned_upstream
+{
+    upstream_id m_upstream;
+    pool_id m_pool;
+    data_centre_id m_data_centre;
+    ownership_epoch m_epoch;
+    std::uint32_t m_limit = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_upstream, m_pool, m_data_centre, m_epoch, m_limit);
+    }
+};
+
+/// Owner to all nodes: the upstreams that it owns now. Replaces its earlier announcement.
+struct ownership_announce
+{
+    node_id m_owner;
+    incarnation m_incarnation;
+    /// Grows with each announcement of an incarnation, so that a late one is dropped.
+    std::uint64_t m_sequence = 0;
+    std::vector<owned_upstream> m_upstreams;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_owner, m_incarnation, m_sequence, m_upstreams);
+    }
+};
+
+/// Holder to guarantor: promise not to revoke this lease version for the time to live.
+struct lease_extend
+{
+    lease_id m_lease;
+    std::uint64_t m_row_version = 0;
+    /// Echoed in the grant, so that the holder knows when it asked.
+    std::uint64_t m_request = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_lease, m_row_version, m_request);
+    }
+};
+
+struct lease_grant
+{
+    lease_id m_lease;
+    std::uint64_t m_row_version = 0;
+    std::uint64_t m_request = 0;
+    bool m_granted = false;
+    /// The guarantor is stopping and never revokes this version.
+    bool m_final = false;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_lease, m_row_version, m_request, m_granted, m_final);
+    }
+};
+
+/// State of one upstream handed over with a lease.
+struct transferred_upstream
+{
+    owned_upstream m_owned;
+    incarnation m_upstream_incarnation;
+    /// Calls that the old holder still has in progress; they count against the limit.
+    std::uint32_t m_outstanding = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_owned, m_upstream_incarnation, m_outstanding);
+    }
+};
+
+/// Stopping holder to its successor. The sender dispatches nothing under the lease again.
+struct lease_transfer
+{
+    lease_id m_lease;
+    std::uint64_t m_row_version = 0;
+    std::vector<node_id> m_guarantors;
+    /// Time for which the sender's authority is known to hold, in milliseconds.
+    std::uint32_t m_authority_ms = 0;
+    std::vector<transferred_upstream> m_upstreams;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_lease, m_row_version, m_guarantors, m_authority_ms, m_upstreams);
+    }
+};
+
+struct lease_transfer_ack
+{
+    lease_id m_lease;
+    std::uint64_t m_row_version = 0;
+    bool m_accepted = false;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_lease, m_row_version, m_accepted);
+    }
+};
+
+/// Old holder to its successor: how many calls it still has in progress.
+struct transfer_outstanding
+{
+    lease_id m_lease;
+    upstream_id m_upstream;
+    std::uint32_t m_outstanding = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_lease, m_upstream, m_outstanding);
+    }
+};
+
+struct config_pull
+{
+    config_version m_have;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_have);
+    }
+};
+
+/// Answer to config_pull; empty document when the sender has nothing newer.
+struct config_push
+{
+    config_version m_version;
+    /// Configuration as JSON.
+    std::string m_document;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_version, m_document);
+    }
+};
+
+using node_message =
+    std::variant<hello, stage_call, stage_chunk, stage_result, stage_cancel,
+                 attempt_query, attempt_status, ownership_announce, lease_extend,
+                 lease_grant, lease_transfer, lease_transfer_ack, transfer_outstanding,
+                 config_pull, config_push>;
+
+} // namespace geraniumdoor
+
+template<>
+struct std::hash<geraniumdoor::call_key>
+{
+    std::size_t operator()(const geraniumdoor::call_key& key) const noexcept
+    {
+        const std::size_t request = std::hash<geraniumdoor::request_id>{}(key.m_request);
+        return request ^ (std::size_t{key.m_stage.m_value} << 7) ^
+               (std::size_t{key.m_attempt.m_value} << 13);
+    }
+};
--- /dev/null
+++ b/include/geraniumdoor/net/http_client.hpp
@@ -0,0 +1,70 @@
+#pragma once
+
+#include <geraniumdoor/base/result.hpp>
+#include <geraniumdoor/net/http_types.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <functional>
+#include <memory>
+#include <string_view>
+
+namespace geraniumdoor
+{
+
+/// Lets another part of the process end a call early.
+class http_call_control
+{
+public:
+    /// Closes the connection of the call, which then ends with http_error_kind::aborted.
+    void abort();
+
+    bool aborted() const
+    {
+        return m_aborted;
+    }
+
+private:
+    friend class http_client;
+
+    bool m_aborted = false;
+    std::function<void()> m_close;
+};
+
+struct http_call_options
+{
+    milliseconds m_timeout{3000};
+    /// Use a new connection, so that a stale one cannot make the outcome unknown.
+    bool m_fresh_connection = false;
+    /// Receives each line of the body, without line feed, as it arrives; the body of the
+    /// response is then empty.
+    std::function<void(std::string_view line)> m_on_line;
+    std::shared_ptr<http_call_control> m_control;
+};
+
+/// HTTP/1.1 client that keeps idle connections per endpoint. A connection carries one
+/// call at a time and is reused only after the whole answer was read.
+class http_client
+{
+public:
+    http_client(boost::asio::any_io_executor executor, http_limits limits);
+    ~http_client();
+    http_client(const http_client&) = delete;
+    http_client& operator=(const http_client&) = delete;
+
+    boost::asio::awaitable<result<http_response, http_error>>
+    send(boost::asio::ip::tcp::endpoint endpoint, http_request request,
+         http_call_options options = {});
+
+    /// Closes all idle connections.
+    void close_idle();
+
+private:
+    struct state;
+
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace geraniumdoor
--- /dev/null
+++ b/include/geraniumdoor/net/http_server.hpp
@@ -0,0 +1,87 @@
+#pragma once
+
+#include <geraniumdoor/net/http_types.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <cstddef>
+#include <functional>
+#include <memory>
+#include <string>
+#include <string_view>
+
+namespace geraniumdoor
+{
+
+/// One request on a connection and the means to answer it. The handler answers exactly
+/// once: with respond, or with begin_stream, write_part and end_stream.
+class http_exchange
+{
+public:
+    virtual ~http_exchange() = default;
+
+    virtual const http_request& request() const = 0;
+
+    /// Address of the peer, as text.
+    virtual std::string peer() const = 0;
+
+    virtual boost::asio::awaitable<void> respond(http_response response) = 0;
+
+    /// Starts a chunked response.
+    virtual boost::asio::awaitable<void> begin_stream(unsigned status,
+                                                      std::string content_type) = 0;
+
+    /// Sends one chunk. Returns false when the peer has gone.
+    virtual boost::asio::awaitable<bool> write_part(std::string part) = 0;
+
+    virtual boost::asio::awaitable<void> end_stream() = 0;
+
+    /// Closes the connection without an answer. Stand-ins use it to lose answers.
+    virtual void drop() = 0;
+
+    /// The callback runs once if the peer closes the connection before the answer is
+    /// sent.
+    virtual void on_peer_closed(std::function<void()> callback) = 0;
+};
+
+using http_handler = std::function<boost::asio::awaitable<void>(http_exchange&)>;
+
+/// HTTP/1.1 server on one address. Runs on the executor's thread.
+class http_server
+{
+public:
+    http_server(boost::asio::any_io_executor executor,
+                boost::asio::ip::tcp::endpoint endpoint, http_limits limits,
+                http_handler handler);
+    ~http_server();
+    http_server(const http_server&) = delete;
+    http_server& operator=(const http_server&) = delete;
+
+    /// Binds and starts to accept. Throws boost::system::system_error if the address
+    /// cannot be bound.
+    void start();
+
+    /// Answers further requests with "Connection: close" and closes idle connections; new
+    /// connections are still served.
+    void begin_drain();
+
+    /// Closes the listening socket. Running exchanges go on.
+    void stop_accepting();
+
+    /// Closes all connections.
+    void close();
+
+    std::size_t connection_count() const;
+
+    /// Number of exchanges that are not answered yet.
+    std::size_t active_count() const;
+
+private:
+    struct state;
+
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace geraniumdoor
