--- a/include/geraniumdoor/net/http_client.hpp
+++ b/include/geraniumdoor/net/http_client.hpp
@@ -9,6 +9,7 @@
 
 #include <functional>
 #include <memory>
+#include <string>
 #include <string_view>
 
 namespace geraniumdoor
--- /dev/null
+++ b/src/net/http_client.cpp
@@ -0,0 +1,291 @@
+#include <geraniumdoor/net/http_client.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace geraniumdoor
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+constexpr std::size_t idle_per_endpoint = 64;
+
+using stream_ptr = std::shared_ptr<beast::tcp_stream>;
+using response_parser = http::response_parser<http::string_body>;
+
+bool is_open_and_quiet(beast::tcp_stream& stream)
+{
+    char byte = 0;
+    beast::error_code error;
+    auto& socket = stream.socket();
+    socket.non_blocking(true, error);
+    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    return error == asio::error::would_block;
+}
+
+http_error make_error(beast::error_code error, bool sent,
+                      const http_call_options& options)
+{
+    http_error result;
+    result.m_sent = sent;
+    result.m_detail = error.message();
+    if (options.m_control && options.m_control->aborted())
+    {
+        result.m_kind = http_error_kind::aborted;
+    }
+    else if (error == beast::error::timeout)
+    {
+        result.m_kind = http_error_kind::timeout;
+    }
+    else if (error == http::error::body_limit || error == http::error::header_limit)
+    {
+        result.m_kind = http_error_kind::too_large;
+    }
+    else if (error.category() == make_error_code(http::error::bad_version).category() &&
+             error != http::error::end_of_stream && error != http::error::partial_message)
+    {
+        result.m_kind = http_error_kind::malformed;
+    }
+    else
+    {
+        result.m_kind = sent ? http_error_kind::closed : http_error_kind::connect_failed;
+    }
+    return result;
+}
+
+http::request<http::string_body> to_message(const tcp::endpoint& endpoint,
+                                            http_request request)
+{
+    http::request<http::string_body> message;
+    message.version(11);
+    message.method_string(request.m_method);
+    message.target(request.m_target);
+    message.set(http::field::host, endpoint.address().to_string());
+    for (const auto& [name, value] : request.m_fields)
+    {
+        message.set(name, value);
+    }
+    message.body() = std::move(request.m_body);
+    message.prepare_payload();
+    return message;
+}
+
+/// Passes whole lines to the callback and keeps the rest of the text.
+void take_lines(std::string& text, const std::function<void(std::string_view)>& on_line)
+{
+    std::size_t start = 0;
+    for (auto end = text.find('\n'); end != std::string::npos;
+         end = text.find('\n', start))
+    {
+        on_line(std::string_view{text}.substr(start, end - start));
+        start = end + 1;
+    }
+    text.erase(0, start);
+}
+
+asio::awaitable<beast::error_code> read_lines(beast::tcp_stream& stream,
+                                              beast::flat_buffer& buffer,
+                                              response_parser& parser,
+                                              const http_call_options& options)
+{
+    std::string pending;
+    while (!parser.is_done())
+    {
+        const auto [error, size] =
+            co_await http::async_read_some(stream, buffer, parser, use_tuple);
+        if (error)
+        {
+            co_return error;
+        }
+        pending += std::exchange(parser.get().body(), {});
+        take_lines(pending, options.m_on_line);
+    }
+    if (!pending.empty())
+    {
+        options.m_on_line(pending);
+    }
+    co_return beast::error_code{};
+}
+
+http_response to_response(http::response<http::string_body> message)
+{
+    http_response response;
+    response.m_status = message.result_int();
+    for (const auto& field : message)
+    {
+        response.m_fields.emplace_back(field.name_string(), field.value());
+    }
+    response.m_body = std::move(message.body());
+    return response;
+}
+
+} // namespace
+
+void http_call_control::abort()
+{
+    m_aborted = true;
+    if (m_close)
+    {
+        m_close();
+    }
+}
+
+struct http_client::state : std::enable_shared_from_this<http_client::state>
+{
+    state(asio::any_io_executor executor, http_limits limits)
+        : m_executor{std::move(executor)}, m_limits{limits}
+    {
+    }
+
+    stream_ptr take_idle(const tcp::endpoint& endpoint);
+    void keep_idle(const tcp::endpoint& endpoint, stream_ptr stream);
+    asio::awaitable<std::pair<beast::error_code, bool>>
+    exchange(beast::tcp_stream& stream, bool connected, const tcp::endpoint& endpoint,
+             const http::request<http::string_body>& message, response_parser& parser,
+             const http_call_options& options);
+
+    asio::any_io_executor m_executor;
+    http_limits m_limits;
+    std::map<tcp::endpoint, std::deque<stream_ptr>> m_idle;
+};
+
+stream_ptr http_client::state::take_idle(const tcp::endpoint& endpoint)
+{
+    auto& idle = m_idle[endpoint];
+    while (!idle.empty())
+    {
+        stream_ptr stream = std::move(idle.back());
+        idle.pop_back();
+        if (is_open_and_quiet(*stream))
+        {
+            return stream;
+        }
+    }
+    return nullptr;
+}
+
+void http_client::state::keep_idle(const tcp::endpoint& endpoint, stream_ptr stream)
+{
+    auto& idle = m_idle[endpoint];
+    if (idle.size() < idle_per_endpoint)
+    {
+        stream->expires_never();
+        idle.push_back(std::move(stream));
+    }
+}
+
+/// Returns the error and whether any byte of the request may have left.
+asio::awaitable<std::pair<beast::error_code, bool>>
+http_client::state::exchange(beast::tcp_stream& stream, bool connected,
+                             const tcp::endpoint& endpoint,
+                             const http::request<http::string_body>& message,
+                             response_parser& parser, const http_call_options& options)
+{
+    if (!connected)
+    {
+        const auto [error] = co_await stream.async_connect(endpoint, use_tuple);
+        if (error)
+        {
+            co_return std::pair{error, false};
+        }
+        beast::error_code ignored;
+        stream.socket().set_option(tcp::no_delay{true}, ignored);
+    }
+    const auto [write_error, written] =
+        co_await http::async_write(stream, message, use_tuple);
+    if (write_error)
+    {
+        co_return std::pair{write_error, true};
+    }
+    beast::flat_buffer buffer;
+    if (!options.m_on_line)
+    {
+        const auto [error, size] =
+            co_await http::async_read(stream, buffer, parser, use_tuple);
+        co_return std::pair{error, true};
+    }
+    const beast::error_code error = co_await read_lines(stream, buffer, parser, options);
+    co_return std::pair{error, true};
+}
+
+http_client::http_client(asio::any_io_executor executor, http_limits limits)
+    : m_state{std::make_shared<state>(std::move(executor), limits)}
+{
+}
+
+http_client::~http_client()
+{
+    close_idle();
+}
+
+asio::awaitable<result<http_response, http_error>>
+http_client::send(tcp::endpoint endpoint, http_request request, http_call_options options)
+{
+    const auto self = m_state;
+    if (options.m_control && options.m_control->aborted())
+    {
+        co_return http_error{http_error_kind::aborted, false,
+                             "aborted before it was sent"};
+    }
+    stream_ptr stream = options.m_fresh_connection ? nullptr : self->take_idle(endpoint);
+    const bool connected = stream != nullptr;
+    if (!connected)
+    {
+        stream = std::make_shared<beast::tcp_stream>(self->m_executor);
+    }
+    if (options.m_control)
+    {
+        options.m_control->m_close = [stream]
+        {
+            stream->close();
+        };
+    }
+    stream->expires_after(options.m_timeout);
+    const auto message = to_message(endpoint, std::move(request));
+    response_parser parser;
+    parser.header_limit(static_cast<std::uint32_t>(self->m_limits.m_header_bytes));
+    parser.body_limit(self->m_limits.m_body_bytes);
+    const auto [error, sent] =
+        co_await self->exchange(*stream, connected, endpoint, message, parser, options);
+    if (options.m_control)
+    {
+        options.m_control->m_close = nullptr;
+    }
+    if (error)
+    {
+        stream->close();
+        co_return make_error(error, sent, options);
+    }
+    if (parser.get().keep_alive())
+    {
+        self->keep_idle(endpoint, std::move(stream));
+    }
+    co_return to_response(parser.release());
+}
+
+void http_client::close_idle()
+{
+    for (auto& [endpoint, idle] : m_state->m_idle)
+    {
+        for (const auto& stream : idle)
+        {
+            stream->close();
+        }
+    }
+    m_state->m_idle.clear();
+}
+
+} // namespace geraniumdoor
