--- a/include/geraniumdoor/request/coordinator_actions.hpp
+++ b/include/geraniumdoor/request/coordinator_actions.hpp
@@ -20,6 +20,9 @@
     workspace_id m_workspace;
     /// Time of the caller's deadline on this process's clock.
     time_point m_deadline;
+    /// Wall-clock time of arrival in seconds since 1970; decides only how long a claim
+    /// is kept.
+    std::int64_t m_received_unix_s = 0;
     /// Key given by the caller, if any.
     std::optional<std::string> m_idempotency_key;
     /// Input of the first stage, as JSON text.
--- /dev/null
+++ b/include/geraniumdoor/request/owner_selection.hpp
@@ -0,0 +1,82 @@
+#pragma once
+
+#include <geraniumdoor/base/random.hpp>
+#include <geraniumdoor/base/table.hpp>
+#include <geraniumdoor/cluster/messages.hpp>
+#include <geraniumdoor/config/configuration.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+namespace geraniumdoor
+{
+
+/// The upstreams of one pool that one owner holds, and what is known of their load.
+struct pool_owner
+{
+    node_id m_owner;
+    std::vector<owned_upstream> m_upstreams;
+    /// Sum of the limits of the upstreams.
+    std::uint32_t m_limit = 0;
+    pool_hint m_hint;
+    bool m_has_hint = false;
+    /// Calls sent by this coordinator and not answered yet.
+    std::uint32_t m_outstanding = 0;
+    /// Calls sent since the hint; the hint does not count them.
+    std::uint32_t m_sent_since_hint = 0;
+};
+
+struct announced_owner
+{
+    incarnation m_incarnation;
+    std::uint64_t m_sequence = 0;
+    std::vector<pool_id> m_pools;
+};
+
+/// Owners of the upstreams of each pool, as the owners announced them.
+struct owner_routes
+{
+    table<node_id, announced_owner> m_owners;
+    table<pool_id, std::vector<pool_owner>> m_pools;
+    /// Data centres that receive no new work.
+    std::vector<data_centre_id> m_closed;
+};
+
+/// What one routing decision has to respect.
+struct owner_query
+{
+    pool_id m_pool;
+    const std::vector<upstream_id>* m_excluded_upstreams = nullptr;
+    const std::vector<node_id>* m_excluded_owners = nullptr;
+};
+
+struct owner_choice
+{
+    node_id m_owner;
+    /// Owners that were looked at and not taken.
+    std::uint32_t m_rejected = 0;
+};
+
+/// Applies an announcement. Returns false when it is older than the one held.
+bool apply_announcement(owner_routes& routes, const ownership_announce& announce);
+
+void forget_owner(owner_routes& routes, const node_id& owner);
+
+/// Chooses the better of two random owners of the pool that have an upstream which is
+/// neither excluded nor in a closed data centre. Returns nothing when there is none.
+/// Source: Mitzenmacher, "The power of two choices in randomized load balancing",
+/// IEEE Transactions on Parallel and Distributed Systems 12(10), 2001.
+std::optional<owner_choice> choose_owner(const owner_routes& routes,
+                                         const owner_query& query, random_source& random);
+
+void note_call_sent(owner_routes& routes, const pool_id& pool, const node_id& owner);
+
+/// Records the end of a call; the hint is absent when the owner was lost.
+void note_call_end(owner_routes& routes, const pool_id& pool, const node_id& owner,
+                   const std::optional<pool_hint>& hint);
+
+/// Mean queue wait over the owners of the pool, weighted by their limits.
+milliseconds expected_wait(const owner_routes& routes, const pool_id& pool);
+
+} // namespace geraniumdoor
