--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -188,12 +188,15 @@
 struct attempt_status
 {
     attempt_id m_attempt_id;
+    /// Incarnation of the answering process. "fenced" says nothing about calls that an
+    /// earlier process under the same node id received.
+    incarnation m_owner_incarnation;
     attempt_state m_state = attempt_state::dispatched;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_attempt_id, m_state);
+        archive(m_attempt_id, m_owner_incarnation, m_state);
     }
 };
 
--- /dev/null
+++ b/src/request/stage_budget.cpp
@@ -0,0 +1,120 @@
+#include <geraniumdoor/request/stage_budget.hpp>
+
+#include <algorithm>
+
+namespace geraniumdoor
+{
+
+namespace
+{
+
+constexpr unsigned bins = 200;
+constexpr double shortest_ms = 0.1;
+constexpr double longest_ms = 100000;
+constexpr seconds decay_period{5};
+constexpr double median = 0.5;
+constexpr double reserved_quantile = 0.9;
+
+duration from_ms(double length)
+{
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double, std::milli>{length});
+}
+
+} // namespace
+
+response_histogram::response_histogram()
+    : m_bins{boost::histogram::make_histogram_with(weights{},
+                                                   axis{bins, shortest_ms, longest_ms})}
+{
+}
+
+void response_histogram::add(duration time)
+{
+    m_bins(std::clamp(to_ms(time), shortest_ms, longest_ms * 0.999));
+    m_weight += 1;
+}
+
+void response_histogram::decay()
+{
+    m_bins *= 0.5;
+    m_weight *= 0.5;
+}
+
+std::optional<duration> response_histogram::quantile(double share) const
+{
+    if (m_weight < min_weight)
+    {
+        return std::nullopt;
+    }
+    double seen = 0;
+    for (int bin = 0; bin < static_cast<int>(bins); ++bin)
+    {
+        seen += m_bins.at(bin);
+        if (seen >= share * m_weight)
+        {
+            return from_ms(m_bins.axis().value(bin + 1));
+        }
+    }
+    return from_ms(longest_ms);
+}
+
+void note_stage_time(stage_times& times, const pipeline_id& pipeline, stage_index stage,
+                     duration response, duration upstream)
+{
+    auto& row = times.m_rows[{pipeline, stage}];
+    row.m_response.add(response);
+    row.m_upstream.add(upstream);
+}
+
+void decay_stage_times(stage_times& times, time_point now)
+{
+    if (now - times.m_decayed < decay_period)
+    {
+        return;
+    }
+    times.m_decayed = now;
+    for (auto& [key, row] : times.m_rows)
+    {
+        row.m_response.decay();
+        row.m_upstream.decay();
+    }
+}
+
+std::optional<duration> response_quantile(const stage_times& times,
+                                          const pipeline_id& pipeline, stage_index stage,
+                                          double share)
+{
+    const auto at = times.m_rows.find({pipeline, stage});
+    return at == times.m_rows.end() ? std::nullopt
+                                    : at->second.m_response.quantile(share);
+}
+
+duration stage_budget(const stage_times& times, const pipeline_config& pipeline,
+                      stage_index stage, duration left)
+{
+    const auto count = static_cast<std::uint32_t>(pipeline.m_stages.size());
+    duration reserved{};
+    for (std::uint32_t later = stage.m_value + 1; later < count; ++later)
+    {
+        reserved += response_quantile(times, pipeline.m_id, {later}, reserved_quantile)
+                        .value_or(duration{});
+    }
+    return std::max(left - reserved, left / (count - stage.m_value));
+}
+
+duration expected_work(const stage_times& times, const pipeline_config& pipeline)
+{
+    duration work{};
+    for (std::uint32_t stage = 0; stage < pipeline.m_stages.size(); ++stage)
+    {
+        const auto at = times.m_rows.find({pipeline.m_id, stage_index{stage}});
+        if (at != times.m_rows.end())
+        {
+            work += at->second.m_upstream.quantile(median).value_or(duration{});
+        }
+    }
+    return work;
+}
+
+} // namespace geraniumdoor
