Add the limit of an upstream and the owner's dispatch

The owner of an upstream must decide alone how many calls it carries and which queued call runs next.

--- /dev/null
+++ b/src/dispatch/dispatcher_answers.cpp
@@ -0,0 +1,184 @@
+#include "dispatcher_internal.hpp"
+
+#include <geraniumdoor/base/invariant.hpp>
+#include <geraniumdoor/base/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumdoor
+{
+
+using namespace dispatcher_detail;
+
+namespace
+{
+
+constexpr double call_length_weight = 0.1;
+
+/// Fails an answer whose tokens were not a whole sequence.
+void check_token_count(const running_row& running, const call_row* call,
+                       upstream_call_end& end)
+{
+    const bool short_answer = call != nullptr && call->m_call.m_streamed &&
+                              end.m_answered && end.m_tokens != call->m_next_token;
+    if (running.m_broken_order || short_answer)
+    {
+        end.m_answered = false;
+        end.m_reason = call_reason::broken_stream;
+    }
+}
+
+void learn_call_length(pool_row& pool, double ms)
+{
+    const double before = pool.m_call_ms > 0 ? pool.m_call_ms : ms;
+    pool.m_call_ms = before + call_length_weight * (ms - before);
+}
+
+void learn_answer(dispatcher_state& state, pool_row& pool, upstream_row& row,
+                  const running_row& running, const upstream_call_end& end,
+                  time_point now)
+{
+    const double ms = to_ms(now - running.m_dispatched);
+    // Long answers take longer without the engine being slow, so that tokens are the
+    // unit of comparison.
+    const double unit_ms = ms / std::max(1U, end.m_tokens);
+    const response_sample sample{unit_ms, pool.m_best_average_ms, running.m_dispatched};
+    learn_call_length(pool, ms);
+    record_answer(row.m_limit, bounds_of(pool.m_config), sample, now, state.m_random);
+    const double average = *row.m_limit.m_average_ms;
+    pool.m_best_average_ms = std::min(pool.m_best_average_ms.value_or(average), average);
+}
+
+void learn_failure(dispatcher_state& state, const pool_row& pool, upstream_row& row,
+                   const running_row& running, call_reason reason, time_point now)
+{
+    const limit_bounds bounds = bounds_of(pool.m_config);
+    const bool whole_timeout = now - running.m_dispatched >= pool.m_config.m_timeout;
+    if (reason == call_reason::upstream_overloaded)
+    {
+        record_overload(row.m_limit, bounds, now);
+    }
+    else if (reason == call_reason::upstream_timeout && whole_timeout &&
+             row.m_heard_at <= running.m_dispatched)
+    {
+        record_silence(row.m_limit, bounds, now, state.m_random);
+    }
+    else
+    {
+        record_error(row.m_limit, bounds, now, state.m_random);
+    }
+}
+
+void learn_end(dispatcher_state& state, upstream_row& row, const running_row& running,
+               const upstream_call_end& end, time_point now)
+{
+    pool_row* pool = state.m_pools.find(running.m_pool);
+    if (pool == nullptr)
+    {
+        return;
+    }
+    if (end.m_upstream_incarnation != incarnation{})
+    {
+        record_incarnation(row.m_limit, bounds_of(pool->m_config),
+                           end.m_upstream_incarnation, now);
+    }
+    if (end.m_answered)
+    {
+        learn_answer(state, *pool, row, running, end, now);
+    }
+    else if (!running.m_abandoned || running.m_broken_order)
+    {
+        learn_failure(state, *pool, row, running, end.m_reason, now);
+    }
+}
+
+void release_slot(dispatcher_state& state, const running_row& running,
+                  const upstream_call_end& end, time_point now)
+{
+    upstream_row* row = state.m_upstreams.find(running.m_upstream);
+    require_invariant(row != nullptr && row->m_outstanding > 0,
+                      "outstanding_matches_calls", running.m_upstream.m_value);
+    --row->m_outstanding;
+    learn_end(state, *row, running, end, now);
+    if (end.m_reason != call_reason::upstream_timeout)
+    {
+        row->m_heard_at = now;
+    }
+    if (pool_row* pool = state.m_pools.find(running.m_pool))
+    {
+        pool->m_free_slots = std::min(pool->m_free_slots + 1, pool->m_total_slots);
+    }
+}
+
+stage_result result_of(const running_row& running, upstream_call_end&& end,
+                       time_point now)
+{
+    stage_result result;
+    result.m_outcome = end.m_answered ? call_outcome::answered : call_outcome::failed;
+    result.m_reason = end.m_answered ? call_reason::none : end.m_reason;
+    result.m_upstream = running.m_upstream;
+    result.m_upstream_incarnation = end.m_upstream_incarnation;
+    result.m_output = std::move(end.m_output);
+    result.m_tokens = end.m_tokens;
+    const auto took =
+        std::chrono::duration_cast<microseconds>(now - running.m_dispatched);
+    result.m_upstream_us = static_cast<std::uint32_t>(took.count());
+    return result;
+}
+
+} // namespace
+
+void on_upstream_token(dispatcher_state& state, upstream_call_id id, std::uint32_t index,
+                       std::string token, time_point now,
+                       std::vector<dispatcher_action>& actions)
+{
+    running_row* running = state.m_running.find(id);
+    if (running == nullptr || running->m_abandoned)
+    {
+        return;
+    }
+    if (upstream_row* row = state.m_upstreams.find(running->m_upstream))
+    {
+        row->m_heard_at = now;
+    }
+    call_row& call = state.m_calls.at(running->m_key);
+    if (index < call.m_next_token)
+    {
+        return;
+    }
+    if (index > call.m_next_token)
+    {
+        log_event{"token_gap"}
+            .add("request", to_string(running->m_key.m_request))
+            .add("index", index)
+            .add("expected", call.m_next_token);
+        running->m_broken_order = true;
+        abort_running(state, id, actions);
+        return;
+    }
+    ++call.m_next_token;
+    actions.push_back(
+        send_chunk{call.m_from, {running->m_key, state.m_self, index, std::move(token)}});
+}
+
+void on_upstream_end(dispatcher_state& state, upstream_call_end end, time_point now,
+                     std::vector<dispatcher_action>& actions)
+{
+    const running_row* found = state.m_running.find(end.m_id);
+    require_invariant(found != nullptr, "one_end_for_each_upstream_call");
+    const running_row running = *found;
+    state.m_running.erase(end.m_id);
+    const auto call = state.m_calls.find(running.m_key);
+    const bool waits = call != state.m_calls.end() && call->second.m_running == end.m_id;
+    check_token_count(running, waits ? &call->second : nullptr, end);
+    release_slot(state, running, end, now);
+    if (waits)
+    {
+        finish_call(state, running.m_key, result_of(running, std::move(end), now),
+                    actions);
+    }
+    drain_queue(state, running.m_pool, now, actions);
+}
+
+} // namespace geraniumdoor
--- /dev/null
+++ b/src/dispatch/dispatcher_route.cpp
@@ -0,0 +1,307 @@
+#include "dispatcher_internal.hpp"
+
+#include <geraniumdoor/base/invariant.hpp>
+#include <geraniumdoor/base/log.hpp>
+
+#include <algorithm>
+#include <array>
+#include <numeric>
+
+namespace geraniumdoor::dispatcher_detail
+{
+
+namespace
+{
+
+/// Bounds the time of one pass when the free upstreams are excluded for many calls.
+constexpr std::size_t most_deferred = 8;
+
+/// Outcome of one look at all upstreams of a pool.
+struct choice
+{
+    upstream_row* m_row = nullptr;
+    const char* m_reason = "least_loaded";
+    /// Number of rejected upstreams for each rejection.
+    std::array<std::uint32_t, 6> m_rejected{};
+    std::uint32_t m_free_slots = 0;
+    std::uint32_t m_total_slots = 0;
+};
+
+std::uint32_t rejected_for(const choice& made, rejection reason)
+{
+    return made.m_rejected[static_cast<std::size_t>(reason)];
+}
+
+bool is_excluded(const stage_call& call, const upstream_id& id)
+{
+    const auto& excluded = call.m_excluded;
+    return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
+}
+
+rejection judge(const upstream_row& row, const stage_call& call, time_point now)
+{
+    if (row.m_authority_until <= now)
+    {
+        return rejection::no_authority;
+    }
+    if (row.m_gone || row.m_data_centre_out || row.m_reported_leaving ||
+        row.m_record.m_leaving)
+    {
+        return rejection::withdrawn;
+    }
+    if (!call.m_excluded.empty() && is_excluded(call, row.m_record.m_id))
+    {
+        return rejection::excluded;
+    }
+    if (counted_outstanding(row, now) < usable_limit(row.m_limit, now))
+    {
+        return rejection::none;
+    }
+    return row.m_limit.m_silent ? rejection::backing_off : rejection::busy;
+}
+
+/// Compares outstanding / limit without division.
+bool is_less_loaded(const upstream_row& a, const upstream_row& b, time_point now)
+{
+    const std::uint64_t left =
+        std::uint64_t{counted_outstanding(a, now)} * b.m_limit.m_limit;
+    const std::uint64_t right =
+        std::uint64_t{counted_outstanding(b, now)} * a.m_limit.m_limit;
+    return left < right;
+}
+
+void add_slots(choice& made, const upstream_row& row, time_point now)
+{
+    const std::uint32_t usable = usable_limit(row.m_limit, now);
+    made.m_free_slots += usable - std::min(usable, counted_outstanding(row, now));
+    made.m_total_slots += usable;
+}
+
+void consider(choice& made, upstream_row& row, const stage_call& call, time_point now)
+{
+    const rejection verdict = judge(row, call, now);
+    if (verdict != rejection::no_authority && verdict != rejection::withdrawn)
+    {
+        add_slots(made, row, now);
+    }
+    if (verdict != rejection::none)
+    {
+        ++made.m_rejected[static_cast<std::size_t>(verdict)];
+    }
+    else if (made.m_row == nullptr || is_less_loaded(row, *made.m_row, now))
+    {
+        made.m_row = &row;
+    }
+}
+
+void prefer_known_prefix(choice& made, dispatcher_state& state, const pool_row& pool,
+                         const stage_call& call, const std::vector<std::uint64_t>& hashes,
+                         time_point now)
+{
+    for (auto hash = hashes.rbegin(); hash != hashes.rend(); ++hash)
+    {
+        const auto served = pool.m_prefixes.m_last_served.find(*hash);
+        if (served == pool.m_prefixes.m_last_served.end())
+        {
+            continue;
+        }
+        upstream_row* row = state.m_upstreams.find(served->second);
+        if (row != nullptr && judge(*row, call, now) == rejection::none)
+        {
+            made.m_row = row;
+            made.m_reason = "known_prefix";
+            return;
+        }
+    }
+}
+
+choice choose_upstream(dispatcher_state& state, pool_row& pool, const stage_call& call,
+                       time_point now)
+{
+    choice made;
+    const std::size_t count = pool.m_upstreams.size();
+    // A random start spreads calls over upstreams with equal load.
+    std::size_t at =
+        count == 0 ? 0 : uniform_below(state.m_random, static_cast<std::uint32_t>(count));
+    for (std::size_t seen = 0; seen < count; ++seen)
+    {
+        auto& entry = *(state.m_upstreams.begin() +
+                        static_cast<std::ptrdiff_t>(pool.m_upstreams[at]));
+        consider(made, entry.m_row, call, now);
+        at = at + 1 == count ? 0 : at + 1;
+    }
+    pool.m_free_slots = made.m_free_slots;
+    pool.m_total_slots = made.m_total_slots;
+    return made;
+}
+
+void require_dispatchable(const upstream_row& row, const limit_bounds& bounds,
+                          time_point now)
+{
+    const std::string& id = row.m_record.m_id.m_value;
+    require_invariant(now < row.m_authority_until, "dispatch_needs_authority", id);
+    require_invariant(!row.m_record.m_leaving && !row.m_reported_leaving && !row.m_gone,
+                      "no_dispatch_to_leaving_upstream", id);
+    require_invariant(!row.m_data_centre_out, "no_dispatch_into_out_data_centre", id);
+    const std::uint32_t after = counted_outstanding(row, now) + 1;
+    require_invariant(after <= row.m_limit.m_limit, "outstanding_within_limit", id);
+    const bool cold = row.m_limit.m_limit <= bounds.m_cold || row.m_limit.m_silent;
+    require_invariant(!cold || after <= bounds.m_cold, "cold_limit", id);
+}
+
+void log_route(const call_row& call, const choice& made)
+{
+    const auto& rejected = made.m_rejected;
+    log_event{"route"}
+        .add("request", to_string(call.m_call.m_key.m_request))
+        .add("stage", call.m_call.m_key.m_stage)
+        .add("attempt", call.m_call.m_key.m_attempt)
+        .add("upstream", made.m_row->m_record.m_id)
+        .add("reason", made.m_reason)
+        .add("rejected", std::accumulate(rejected.begin(), rejected.end(), 0U));
+}
+
+milliseconds timeout_of(const call_row& call, const pool_row& pool, time_point now)
+{
+    const milliseconds longest = pool.m_config.m_timeout;
+    if (!call.m_call.m_idempotent)
+    {
+        // The outcome is needed for the claim even after the deadline.
+        return longest;
+    }
+    const auto left = std::chrono::ceil<milliseconds>(call.m_deadline - now);
+    return std::min(longest, left);
+}
+
+void start_call(dispatcher_state& state, pool_row& pool, call_row& call,
+                const choice& made, time_point now,
+                std::vector<dispatcher_action>& actions)
+{
+    upstream_row& row = *made.m_row;
+    require_dispatchable(row, bounds_of(pool.m_config), now);
+    const upstream_call_id id{++state.m_last_call};
+    if (row.m_outstanding == 0)
+    {
+        row.m_heard_at = now;
+    }
+    ++row.m_outstanding;
+    pool.m_free_slots -= std::min(1U, pool.m_free_slots);
+    call.m_running = id;
+    call.m_next_token = static_cast<std::uint32_t>(call.m_call.m_delivered.size());
+    running_row running;
+    running.m_key = call.m_call.m_key;
+    running.m_upstream = row.m_record.m_id;
+    running.m_pool = call.m_call.m_pool;
+    running.m_dispatched = now;
+    state.m_running.put(id, std::move(running));
+    log_route(call, made);
+    actions.push_back(start_upstream_call{id, row.m_record.m_id, row.m_record.m_endpoint,
+                                          pool.m_config.m_kind,
+                                          timeout_of(call, pool, now), call.m_call});
+}
+
+/// Returns whether the attempt may be dispatched; otherwise the call was answered.
+bool claim_attempt(dispatcher_state& state, const call_row& call,
+                   std::vector<dispatcher_action>& actions)
+{
+    if (call.m_call.m_idempotent)
+    {
+        return true;
+    }
+    const bool first = settle_attempt(state.m_attempts, call.m_call.m_attempt_id,
+                                      attempt_state::dispatched, attempt_expiry(call));
+    if (!first)
+    {
+        stage_result result;
+        result.m_reason = call_reason::duplicate_attempt;
+        finish_call(state, call.m_call.m_key, std::move(result), actions);
+    }
+    return first;
+}
+
+bool can_wait(const choice& made)
+{
+    return rejected_for(made, rejection::busy) > 0;
+}
+
+call_reason refusal_of(const choice& made)
+{
+    const bool others = rejected_for(made, rejection::withdrawn) > 0 ||
+                        rejected_for(made, rejection::backing_off) > 0 ||
+                        rejected_for(made, rejection::excluded) > 0;
+    return others ? call_reason::no_capacity : call_reason::no_authority;
+}
+
+enum class attempt_end : std::uint8_t
+{
+    settled,
+    excluded_now,
+    all_busy,
+};
+
+attempt_end try_dispatch(dispatcher_state& state, pool_row& pool, call_row& call,
+                         time_point now, std::vector<dispatcher_action>& actions)
+{
+    const call_key key = call.m_call.m_key;
+    if (call.m_deadline <= now)
+    {
+        refuse_call(state, key, call_reason::deadline, actions);
+        return attempt_end::settled;
+    }
+    choice made = choose_upstream(state, pool, call.m_call, now);
+    if (made.m_row == nullptr)
+    {
+        if (can_wait(made))
+        {
+            return made.m_free_slots > 0 ? attempt_end::excluded_now
+                                         : attempt_end::all_busy;
+        }
+        refuse_call(state, key, refusal_of(made), actions);
+        return attempt_end::settled;
+    }
+    std::vector<std::uint64_t> hashes;
+    if (pool.m_config.m_kind == stage_kind::generate)
+    {
+        hashes = prefix_hashes(call.m_call.m_input);
+        prefer_known_prefix(made, state, pool, call.m_call, hashes, now);
+        record_prefix(pool.m_prefixes, hashes, made.m_row->m_record.m_id);
+    }
+    if (claim_attempt(state, call, actions))
+    {
+        start_call(state, pool, call, made, now, actions);
+    }
+    return attempt_end::settled;
+}
+
+} // namespace
+
+void drain_queue(dispatcher_state& state, const pool_id& id, time_point now,
+                 std::vector<dispatcher_action>& actions)
+{
+    pool_row* pool = state.m_pools.find(id);
+    std::vector<call_key> deferred;
+    while (pool != nullptr && deferred.size() < most_deferred)
+    {
+        const auto key = pop_call(pool->m_queue);
+        if (!key)
+        {
+            break;
+        }
+        auto& call = state.m_calls.at(*key);
+        const attempt_end end = try_dispatch(state, *pool, call, now, actions);
+        if (end != attempt_end::settled)
+        {
+            deferred.push_back(*key);
+        }
+        if (end == attempt_end::all_busy)
+        {
+            break;
+        }
+    }
+    for (auto key = deferred.rbegin(); key != deferred.rend(); ++key)
+    {
+        push_call_front(pool->m_queue, place_of(state.m_calls.at(*key).m_call), *key);
+    }
+}
+
+} // namespace geraniumdoor::dispatcher_detail
