--- /dev/null
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -0,0 +1,219 @@
+#pragma once
+
+#include <geraniumdoor/base/ids.hpp>
+#include <geraniumdoor/config/configuration.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace geraniumdoor
+{
+
+/// Largest datagram, in bytes, so that it fits one Ethernet frame.
+constexpr std::size_t max_datagram_bytes = 1200;
+
+/// Most member updates in one datagram.
+constexpr std::size_t max_piggybacked_updates = 10;
+
+/// Writes a text of at most 255 bytes with one length byte, where cereal's own form
+/// takes eight. Throws std::length_error when a longer text is saved.
+struct short_text
+{
+    std::string& m_text;
+
+    template<class Archive>
+    void save(Archive& archive) const
+    {
+        constexpr std::size_t longest = 255;
+        if (m_text.size() > longest)
+        {
+            throw std::length_error("text in a datagram is longer than 255 bytes");
+        }
+        archive(static_cast<std::uint8_t>(m_text.size()));
+        for (const char c : m_text)
+        {
+            archive(static_cast<std::uint8_t>(c));
+        }
+    }
+
+    template<class Archive>
+    void load(Archive& archive)
+    {
+        std::uint8_t size = 0;
+        archive(size);
+        m_text.clear();
+        for (std::uint8_t at = 0; at < size; ++at)
+        {
+            std::uint8_t c = 0;
+            archive(c);
+            m_text.push_back(static_cast<char>(c));
+        }
+    }
+};
+
+/// Numeric IP address and port of a node.
+struct node_address
+{
+    std::string m_ip;
+    std::uint16_t m_port = 0;
+
+    auto operator<=>(const node_address&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(short_text{m_ip}, m_port);
+    }
+};
+
+enum class member_state : std::uint8_t
+{
+    alive,
+    /// Announced its stop and still serves.
+    leaving,
+    suspect,
+    /// Does not answer; it may be cut off and still run.
+    dead,
+    /// Sent a leave message: the process has ended its work.
+    left,
+};
+
+/// What one node says or has heard of a member.
+struct member_update
+{
+    node_id m_node;
+    incarnation m_incarnation;
+    /// Counts the statements of one incarnation about itself. A refutation raises it and
+    /// leaves the incarnation alone, because a higher incarnation proves a restart.
+    std::uint32_t m_revision = 0;
+    member_state m_state = member_state::alive;
+    /// Stays set while a leaving member is suspected.
+    bool m_leaving = false;
+    data_centre_id m_data_centre;
+    region_id m_region;
+    node_address m_peer;
+    node_address m_caller;
+    node_address m_admin;
+    /// Requests that the node could take in addition; a hint.
+    std::uint32_t m_free_capacity = 0;
+
+    bool operator==(const member_update&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(short_text{m_node.m_value}, m_incarnation, m_revision, m_state, m_leaving,
+                short_text{m_data_centre.m_value}, short_text{m_region.m_value}, m_peer,
+                m_caller, m_admin, m_free_capacity);
+    }
+};
+
+/// A data centre taken out or brought back without the table service.
+struct urgent_state
+{
+    data_centre_id m_data_centre;
+    data_centre_state m_state = data_centre_state::in;
+    config_version m_base;
+    std::uint64_t m_counter = 0;
+    change_id m_change;
+
+    bool operator==(const urgent_state&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(short_text{m_data_centre.m_value}, m_state, m_base, m_counter,
+                short_text{m_change.m_value});
+    }
+};
+
+/// Whether a replaces b: the later (base version, counter) does, then "out" before "in",
+/// then the larger change id. Precondition: both name the same data centre.
+bool supersedes(const urgent_state& a, const urgent_state& b);
+
+/// Part that all datagrams share.
+struct gossip
+{
+    member_update m_sender;
+    config_version m_config;
+    std::vector<urgent_state> m_urgent;
+    std::vector<member_update> m_updates;
+
+    bool operator==(const gossip&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_sender, m_config, m_urgent, m_updates);
+    }
+};
+
+/// Asks a node for an ack.
+struct ping
+{
+    std::uint64_t m_sequence = 0;
+    /// Node that is meant; empty when only its address is known. Another node that has
+    /// taken over the address does not answer.
+    node_id m_target;
+    /// Asks for the part of the member list that follows m_after, in order of node id.
+    bool m_wants_members = false;
+    node_id m_after;
+    gossip m_gossip;
+
+    bool operator==(const ping&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_sequence, short_text{m_target.m_value}, m_wants_members,
+                short_text{m_after.m_value}, m_gossip);
+    }
+};
+
+/// Asks a node to ping another one and to pass on its ack.
+struct ping_req
+{
+    std::uint64_t m_sequence = 0;
+    node_id m_target;
+    node_address m_target_address;
+    gossip m_gossip;
+
+    bool operator==(const ping_req&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_sequence, short_text{m_target.m_value}, m_target_address, m_gossip);
+    }
+};
+
+/// Answers a ping, or passes on the ack of a ping_req.
+struct ack
+{
+    std::uint64_t m_sequence = 0;
+    /// Node that answered the ping.
+    node_id m_node;
+    incarnation m_incarnation;
+    /// Set when the updates are the requested part of the member list.
+    bool m_is_member_page = false;
+    /// Set when the part is the last one.
+    bool m_last_page = false;
+    gossip m_gossip;
+
+    bool operator==(const ack&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_sequence, short_text{m_node.m_value}, m_incarnation, m_is_member_page,
+                m_last_page, m_gossip);
+    }
+};
+
+using datagram = std::variant<ping, ping_req, ack>;
+
+} // namespace geraniumdoor
--- /dev/null
+++ b/tests/cluster/codec_test.cpp
@@ -0,0 +1,139 @@
+#include "testing.hpp"
+
+#include <geraniumdoor/base/random.hpp>
+#include <geraniumdoor/cluster/codec.hpp>
+
+#include <rapidcheck.h>
+
+using namespace geraniumdoor;
+
+namespace
+{
+
+stage_call sample_call()
+{
+    stage_call call;
+    call.m_key.m_request = request_id{node_id{"n1"}, incarnation{7}, 3};
+    call.m_pool = pool_id{"llm"};
+    call.m_input = "input";
+    call.m_delivered = {"a", "b"};
+    call.m_excluded = {upstream_id{"u1"}};
+    return call;
+}
+
+datagram sample_datagram()
+{
+    ping message;
+    message.m_target = node_id{"n2"};
+    message.m_gossip.m_sender.m_node = node_id{"n1"};
+    message.m_gossip.m_sender.m_peer = node_address{"127.0.0.1", 7000};
+    message.m_gossip.m_urgent.push_back(
+        urgent_state{data_centre_id{"a"}, data_centre_state::out, config_version{4}, 1,
+                     change_id{"c"}});
+    message.m_gossip.m_updates.resize(max_piggybacked_updates);
+    return message;
+}
+
+std::string body_of(const node_message& message)
+{
+    return value_of(encode_frame(message)).substr(frame_header_bytes);
+}
+
+codec_fault fault_of(std::string_view body)
+{
+    const auto decoded = decode_frame_body(body);
+    cr_assert(not is_ok(decoded));
+    return error_of(decoded).m_fault;
+}
+
+} // namespace
+
+// Guards against messages that change on the way, and against a peer that crashes a node
+// or makes it allocate with bytes that are not a message.
+TestSuite(codec);
+
+Test(codec, a_message_arrives_as_it_was_sent)
+{
+    const auto decoded = decode_frame_body(body_of(sample_call()));
+    cr_assert(is_ok(decoded));
+    EXPECT_EQUAL(body_of(value_of(decoded)), body_of(sample_call()));
+    const datagram sent = sample_datagram();
+    const auto received = decode_datagram(value_of(encode_datagram(sent)));
+    cr_assert(is_ok(received));
+    EXPECT_EQUAL(value_of(received), sent);
+}
+
+Test(codec, every_truncation_is_an_error)
+{
+    const std::string body = body_of(sample_call());
+    const std::string bytes = value_of(encode_datagram(sample_datagram()));
+    for (std::size_t size = 0; size < body.size(); ++size)
+    {
+        cr_expect(not is_ok(decode_frame_body(std::string_view{body}.substr(0, size))));
+    }
+    for (std::size_t size = 0; size < bytes.size(); ++size)
+    {
+        cr_expect(not is_ok(decode_datagram(std::string_view{bytes}.substr(0, size))));
+    }
+}
+
+Test(codec, a_length_beyond_the_body_is_refused_before_it_is_allocated)
+{
+    std::string text = body_of(config_push{config_version{1}, "document"});
+    const std::size_t length_at = text.size() - std::string{"document"}.size() - 8;
+    for (std::size_t at = 0; at < 6; ++at)
+    {
+        text[length_at + at] = '\xff';
+    }
+    EXPECT_EQUAL(fault_of(text), codec_fault::malformed);
+    std::string list = body_of(ownership_announce{node_id{"n"}, {}, 1, {}});
+    list[list.size() - 5] = '\x7f';
+    EXPECT_EQUAL(fault_of(list), codec_fault::malformed);
+}
+
+Test(codec, unknown_versions_types_enumerators_and_trailing_bytes_are_named)
+{
+    std::string body = body_of(attempt_status{attempt_id{"a"}, attempt_state::fenced});
+    EXPECT_EQUAL(fault_of(body + "x"), codec_fault::trailing_bytes);
+    body.back() = '\x02';
+    EXPECT_EQUAL(fault_of(body), codec_fault::malformed);
+    body[1] = '\x7f';
+    EXPECT_EQUAL(fault_of(body), codec_fault::unknown_type);
+    body[0] = '\x09';
+    EXPECT_EQUAL(fault_of(body), codec_fault::unknown_version);
+    EXPECT_EQUAL(fault_of(""), codec_fault::truncated);
+}
+
+Test(codec, oversized_messages_are_refused_on_both_sides)
+{
+    const config_push large{config_version{1}, std::string(max_frame_body_bytes, 'x')};
+    EXPECT_EQUAL(error_of(encode_frame(large)).m_fault, codec_fault::too_large);
+    const std::array<unsigned char, frame_header_bytes> header{0, 0x40, 0, 1};
+    EXPECT_EQUAL(error_of(decode_frame_header(header)).m_fault, codec_fault::too_large);
+    ping wide;
+    wide.m_gossip.m_sender.m_node = node_id{std::string(256, 'n')};
+    EXPECT_EQUAL(error_of(encode_datagram(wide)).m_fault, codec_fault::too_large);
+}
+
+Test(codec, changed_and_random_bytes_never_crash)
+{
+    const bool holds = rc::check(
+        [](std::vector<std::uint8_t> noise, std::uint32_t seed)
+        {
+            const std::string random{noise.begin(), noise.end()};
+            (void)decode_frame_body(std::string{'\x01', '\x01'} + random);
+            (void)decode_datagram(std::string{'\x01', '\x00', '\x01'} + random);
+            random_source source{seed};
+            std::string body = body_of(sample_call());
+            std::string bytes = value_of(encode_datagram(sample_datagram()));
+            for (std::string* changed : {&body, &bytes})
+            {
+                const auto size = static_cast<std::uint32_t>(changed->size());
+                (*changed)[uniform_below(source, size)] =
+                    static_cast<char>(uniform_below(source, 256));
+            }
+            (void)decode_frame_body(body);
+            (void)decode_datagram(bytes);
+        });
+    cr_expect(holds);
+}
