--- a/include/geraniumdoor/net/http_types.hpp
+++ b/include/geraniumdoor/net/http_types.hpp
@@ -53,8 +53,8 @@
 /// Limits on what a peer may send or keep open.
 struct http_limits
 {
-    std::size_t m_header_bytes = 16 * 1024;
-    std::size_t m_body_bytes = 1024 * 1024;
+    std::size_t m_header_bytes = std::size_t{16} * 1024;
+    std::size_t m_body_bytes = std::size_t{1024} * 1024;
     std::size_t m_connections = 2000;
     /// Time to receive one whole request, once its first byte has come.
     milliseconds m_receive_timeout{10'000};
--- /dev/null
+++ b/programs/gdcall_main.cpp
@@ -0,0 +1,240 @@
+#include "program_support.hpp"
+
+#include <geraniumdoor/net/http_client.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/json.hpp>
+#include <cxxopts.hpp>
+
+#include <fstream>
+#include <iostream>
+#include <optional>
+#include <sstream>
+
+using namespace geraniumdoor;
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+using tcp = asio::ip::tcp;
+
+struct call_options
+{
+    std::vector<std::string> m_hosts;
+    std::string m_pipeline;
+    std::string m_workspace;
+    std::string m_input;
+    std::string m_key;
+    std::optional<std::uint32_t> m_deadline_ms;
+    bool m_stream = false;
+};
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options{"gdcall", "Sends one pipeline request and prints the answer."};
+    options.add_options()("host", "caller address of any entry host, IP:PORT; repeatable",
+                          cxxopts::value<std::vector<std::string>>(), "IP:PORT")(
+        "pipeline", "pipeline to run", cxxopts::value<std::string>(), "NAME")(
+        "workspace", "workspace of the caller", cxxopts::value<std::string>(), "NAME")(
+        "input", "input of the first stage, as JSON",
+        cxxopts::value<std::string>()->default_value("null"), "JSON")(
+        "key", "idempotency key", cxxopts::value<std::string>()->default_value(""), "KEY")(
+        "deadline-ms", "deadline; the pipeline's own when absent",
+        cxxopts::value<std::uint32_t>(), "MS")("stream", "print tokens as they arrive")(
+        "version", "print the version and exit")("help", "print this text and exit");
+    return options;
+}
+
+std::optional<tcp::endpoint> parse_address(const std::string& text)
+{
+    const auto colon = text.rfind(':');
+    if (colon == std::string::npos)
+    {
+        return std::nullopt;
+    }
+    boost::system::error_code error;
+    const auto address = asio::ip::make_address(text.substr(0, colon), error);
+    const int port = std::atoi(text.c_str() + colon + 1);
+    constexpr int max_port = 65535;
+    if (error || port < 1 || port > max_port)
+    {
+        return std::nullopt;
+    }
+    return tcp::endpoint{address, static_cast<unsigned short>(port)};
+}
+
+/// Addresses of an answer to GET /v1/addresses, in its order.
+std::vector<tcp::endpoint> decode_addresses(const std::string& body)
+{
+    std::vector<tcp::endpoint> addresses;
+    boost::system::error_code error;
+    const json::value document = json::parse(body, error);
+    const json::object* object = error ? nullptr : document.if_object();
+    const json::value* rows = object ? object->if_contains("addresses") : nullptr;
+    if (rows == nullptr || !rows->is_array())
+    {
+        return addresses;
+    }
+    for (const auto& row : rows->get_array())
+    {
+        const std::string ip{row.at("ip").as_string()};
+        const auto port = row.at("port").as_int64();
+        if (const auto address = parse_address(ip + ':' + std::to_string(port)))
+        {
+            addresses.push_back(*address);
+        }
+    }
+    return addresses;
+}
+
+http_request make_request(const call_options& options)
+{
+    http_request request;
+    request.m_method = "POST";
+    request.m_target = "/v1/pipelines/" + percent_encode(options.m_pipeline);
+    request.m_fields.emplace_back("Content-Type", "application/json");
+    request.m_fields.emplace_back("X-Workspace", options.m_workspace);
+    if (!options.m_key.empty())
+    {
+        request.m_fields.emplace_back("Idempotency-Key", options.m_key);
+    }
+    if (options.m_deadline_ms)
+    {
+        request.m_fields.emplace_back("X-Deadline-Ms",
+                                      std::to_string(*options.m_deadline_ms));
+    }
+    if (options.m_stream)
+    {
+        request.m_fields.emplace_back("Accept", "application/x-ndjson");
+    }
+    request.m_body = "{\"input\":" + options.m_input + "}";
+    return request;
+}
+
+/// Asks the hosts in turn for addresses.
+asio::awaitable<std::vector<tcp::endpoint>> find_addresses(http_client& http,
+                                                           const call_options& options)
+{
+    for (const auto& host : options.m_hosts)
+    {
+        const auto address = parse_address(host);
+        if (!address)
+        {
+            std::cerr << "gdcall: --host " << host << " is not IP:PORT\n";
+            continue;
+        }
+        http_request request;
+        request.m_target = "/v1/addresses";
+        http_call_options call;
+        call.m_timeout = milliseconds{1000};
+        const auto answer = co_await http.send(*address, request, call);
+        if (is_ok(answer) && value_of(answer).m_status == 200)
+        {
+            co_return decode_addresses(value_of(answer).m_body);
+        }
+        std::cerr << "gdcall: no address answer from " << host << '\n';
+    }
+    co_return std::vector<tcp::endpoint>{};
+}
+
+void print_line(std::string_view line)
+{
+    std::cout << line << '\n' << std::flush;
+}
+
+/// Whether another address may be tried: nothing of the request has left.
+bool may_try_next(const result<http_response, http_error>& answer)
+{
+    return !is_ok(answer) && !error_of(answer).m_sent;
+}
+
+asio::awaitable<void> call(http_client& http, const call_options& options, int& status)
+{
+    const auto addresses = co_await find_addresses(http, options);
+    for (const auto& address : addresses)
+    {
+        http_request request = make_request(options);
+        http_call_options call;
+        call.m_timeout = milliseconds{options.m_deadline_ms.value_or(30'000) + 1000};
+        call.m_fresh_connection = true;
+        if (options.m_stream)
+        {
+            call.m_on_line = print_line;
+        }
+        const auto answer = co_await http.send(address, request, call);
+        if (may_try_next(answer))
+        {
+            continue;
+        }
+        if (!is_ok(answer))
+        {
+            std::cerr << "gdcall: " << to_text(error_of(answer).m_kind) << ": "
+                      << error_of(answer).m_detail << '\n';
+            co_return;
+        }
+        print_line(value_of(answer).m_body);
+        status = value_of(answer).m_status == 200 ? exit_ok : exit_failed;
+        co_return;
+    }
+    std::cerr << "gdcall: no entry host could be reached\n";
+}
+
+int run(const cxxopts::ParseResult& arguments)
+{
+    for (const char* name : {"host", "pipeline", "workspace"})
+    {
+        if (arguments.count(name) == 0)
+        {
+            std::cerr << "gdcall: the option --" << name << " is required\n";
+            return exit_usage;
+        }
+    }
+    call_options options;
+    options.m_hosts = arguments["host"].as<std::vector<std::string>>();
+    options.m_pipeline = arguments["pipeline"].as<std::string>();
+    options.m_workspace = arguments["workspace"].as<std::string>();
+    options.m_input = arguments["input"].as<std::string>();
+    options.m_key = arguments["key"].as<std::string>();
+    options.m_stream = arguments.count("stream") != 0;
+    if (arguments.count("deadline-ms") != 0)
+    {
+        options.m_deadline_ms = arguments["deadline-ms"].as<std::uint32_t>();
+    }
+    asio::io_context io{1};
+    http_client http{io.get_executor(), {}};
+    int status = exit_failed;
+    asio::co_spawn(io, call(http, options, status), asio::detached);
+    io.run();
+    return status;
+}
+
+} // namespace
+
+int main(int count, char** values)
+{
+    try
+    {
+        auto options = make_options();
+        const auto arguments = options.parse(count, values);
+        if (arguments.count("help") != 0)
+        {
+            std::cout << options.help();
+            return exit_ok;
+        }
+        if (arguments.count("version") != 0)
+        {
+            std::cout << "gdcall " << GD_VERSION << '\n';
+            return exit_ok;
+        }
+        return run(arguments);
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << "gdcall: " << error.what() << "; see --help\n";
+        return exit_usage;
+    }
+}
--- /dev/null
+++ b/src/daemon/entry_node.hpp
@@ -0,0 +1,119 @@
+#pragma once
+
+#include "caller_session.hpp"
+
+#include <geraniumdoor/base/timer_service.hpp>
+#include <geraniumdoor/cluster/membership.hpp>
+#include <geraniumdoor/config/daemon_settings.hpp>
+#include <geraniumdoor/dispatch/dispatcher.hpp>
+#include <geraniumdoor/dispatch/ownership.hpp>
+#include <geraniumdoor/metrics/metric_registry.hpp>
+#include <geraniumdoor/net/http_client.hpp>
+#include <geraniumdoor/net/http_server.hpp>
+#include <geraniumdoor/net/node_transport.hpp>
+#include <geraniumdoor/platform/host_list_client.hpp>
+#include <geraniumdoor/platform/table_client.hpp>
+#include <geraniumdoor/platform/upstream_client.hpp>
+#include <geraniumdoor/request/coordinator.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <functional>
+#include <memory>
+#include <unordered_map>
+#include <vector>
+
+namespace geraniumdoor
+{
+
+/// Which module a call to the table service was made for.
+enum class table_user : std::uint8_t
+{
+    coordinator,
+    ownership,
+    config,
+};
+
+/// All parts of one entry daemon. Makes no decisions: it passes events to the modules and
+/// carries out their actions. Everything runs on the thread of the executor.
+class entry_node
+{
+public:
+    entry_node(boost::asio::io_context& io, daemon_settings settings, incarnation started);
+    ~entry_node();
+    entry_node(const entry_node&) = delete;
+    entry_node& operator=(const entry_node&) = delete;
+
+    /// Binds all addresses. Throws boost::system::system_error if one cannot be bound.
+    void start();
+
+    /// Starts the planned stop. The callback runs when everything is closed.
+    void begin_stop(std::function<void()> on_stopped);
+
+private:
+    // Construction and periodic work.
+    node_transport_callbacks make_callbacks();
+    void subscribe_timers();
+    void schedule_tick();
+    void tick_all(time_point now);
+    boost::asio::awaitable<void> poll_host_list();
+    boost::asio::awaitable<void> poll_load(upstream_id upstream, endpoint address);
+    void poll_loads();
+
+    // Events from other nodes.
+    void on_message(const node_id& peer, incarnation peer_incarnation, node_message message);
+    void on_not_sent(const node_id& peer, node_message message);
+    void on_lost(const node_id& peer);
+    template<class Message>
+    void receive(const node_id& peer, Message& message);
+    void publish_members();
+
+    // Actions of the modules.
+    void run(const coordinator_actions& actions);
+    void run(const std::vector<dispatcher_action>& actions);
+    void run(const std::vector<ownership_action>& actions);
+    void run(const membership_actions& actions);
+
+    // Calls to the platform and to upstreams.
+    boost::asio::awaitable<void> run_transaction(table_transaction transaction,
+                                                 table_user user);
+    boost::asio::awaitable<void> run_read(table_read read, table_user user);
+    boost::asio::awaitable<void> run_scan(table_scan scan);
+    boost::asio::awaitable<void> run_upstream_call(start_upstream_call call);
+
+    // HTTP.
+    boost::asio::awaitable<void> serve_caller(http_exchange& exchange);
+    boost::asio::awaitable<void> serve_pipeline(http_exchange& exchange);
+    boost::asio::awaitable<void> send_stream(http_exchange& exchange, request_id id,
+                                             std::shared_ptr<caller_session> session);
+    boost::asio::awaitable<void> send_whole(http_exchange& exchange,
+                                            std::shared_ptr<caller_session> session);
+    boost::asio::awaitable<void> serve_admin(http_exchange& exchange);
+    void note_answer(const pipeline_request& request, const pipeline_answer& answer,
+                     time_point started);
+
+    boost::asio::io_context& m_io;
+    daemon_settings m_settings;
+    incarnation m_incarnation;
+    random_source m_random;
+    timer_service m_timers;
+    boost::asio::steady_timer m_tick_timer;
+    metric_registry m_metrics;
+    http_client m_http;
+    table_client m_table;
+    host_list_client m_host_list;
+    upstream_client m_upstreams;
+    node_transport m_transport;
+    http_server m_caller_server;
+    http_server m_admin_server;
+    membership_state m_membership;
+    dispatcher_state m_dispatcher;
+    ownership_state m_ownership;
+    coordinator m_coordinator;
+    std::unordered_map<request_id, std::shared_ptr<caller_session>> m_sessions;
+    std::uint64_t m_last_request = 0;
+    std::function<void()> m_on_stopped;
+};
+
+} // namespace geraniumdoor
