Add leases and the ownership of upstreams

Each upstream needs one owner at a time although nodes pause, links break and the table service loses answers. Plain node ids as guarantors were ruled out, because a restarted guarantor would not know the promises of its predecessor, so lease_extend and lease_transfer carry incarnations.

--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -229,6 +229,21 @@
     }
 };
 
+/// Process that alone, with the other guarantors, may revoke a lease.
+struct lease_guarantor
+{
+    node_id m_node;
+    incarnation m_incarnation;
+
+    auto operator<=>(const lease_guarantor&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_node, m_incarnation);
+    }
+};
+
 /// Holder to guarantor: promise not to revoke this lease version for the time to live.
 struct lease_extend
 {
@@ -236,11 +251,17 @@
     std::uint64_t m_row_version = 0;
     /// Echoed in the grant, so that the holder knows when it asked.
     std::uint64_t m_request = 0;
+    /// Incarnation named in the row. A restarted guarantor refuses, because it doesn't
+    /// know what its predecessor promised.
+    incarnation m_guarantor_incarnation;
+    /// Length of the promise in milliseconds.
+    std::uint32_t m_time_to_live_ms = 0;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_lease, m_row_version, m_request);
+        archive(m_lease, m_row_version, m_request, m_guarantor_incarnation,
+                m_time_to_live_ms);
     }
 };
 
@@ -280,7 +301,10 @@
 {
     lease_id m_lease;
     std::uint64_t m_row_version = 0;
-    std::vector<node_id> m_guarantors;
+    /// Incarnation of the successor that is meant.
+    incarnation m_successor_incarnation;
+    /// Guarantors of every row version that may be in force.
+    std::vector<lease_guarantor> m_guarantors;
     /// Time for which the sender's authority is known to hold, in milliseconds.
     std::uint32_t m_authority_ms = 0;
     std::vector<transferred_upstream> m_upstreams;
@@ -288,7 +312,8 @@
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_lease, m_row_version, m_guarantors, m_authority_ms, m_upstreams);
+        archive(m_lease, m_row_version, m_successor_incarnation, m_guarantors,
+                m_authority_ms, m_upstreams);
     }
 };
 
--- /dev/null
+++ b/src/dispatch/ownership_publish.cpp
@@ -0,0 +1,136 @@
+#include "ownership_internal.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// What the dispatcher and the other nodes learn of ownership.
+
+namespace geraniumdoor::ownership_detail
+{
+
+namespace
+{
+
+/// Stands for an unknown number of calls of a lost owner: blocks the upstream.
+constexpr std::uint32_t unknown_outstanding = 1U << 20;
+/// A revocation waits this much longer than the time to live, which covers that part of
+/// the calls in progress.
+constexpr milliseconds covered_by_revocation{1000};
+
+handed_over abandoned_calls(const ownership_state& state)
+{
+    const milliseconds longest = state.m_settings.m_longest_call;
+    handed_over from;
+    from.m_outstanding = unknown_outstanding;
+    from.m_longest_call = std::max(milliseconds{0}, longest - covered_by_revocation);
+    return from;
+}
+
+std::optional<handed_over> origin_of(ownership_state& state, const upstream_id& upstream,
+                                     const owner_row& row)
+{
+    const auto handed = state.m_handed.find(upstream);
+    if (handed != state.m_handed.end())
+    {
+        const handed_over from = handed->second;
+        state.m_handed.erase(handed);
+        return from;
+    }
+    if (row.m_drained)
+    {
+        return std::nullopt;
+    }
+    return abandoned_calls(state);
+}
+
+time_point authority_over(const owner_record& owner, const held_lease& lease)
+{
+    return owner.m_release ? time_point{} : authority_until(lease);
+}
+
+void publish_loss(ownership_state& state, actions& out)
+{
+    std::vector<upstream_id> lost;
+    for (const auto& [upstream, until] : state.m_published)
+    {
+        const auto owner = state.m_owners.find(upstream);
+        if (owner == state.m_owners.end() ||
+            find_held(state, owner->second.m_row.m_lease) == nullptr)
+        {
+            lost.push_back(upstream);
+        }
+    }
+    for (const upstream_id& upstream : lost)
+    {
+        state.m_published.erase(upstream);
+        out.push_back(authority_change{upstream, time_point{}});
+    }
+}
+
+void publish_upstream(ownership_state& state, const upstream_id& upstream,
+                      const owner_record& owner, const held_lease& lease, actions& out)
+{
+    const auto [published, gained] = state.m_published.try_emplace(upstream);
+    if (gained)
+    {
+        out.push_back(upstream_gained{upstream, origin_of(state, upstream, owner.m_row)});
+    }
+    const time_point until = authority_over(owner, lease);
+    if (gained || published->second != until)
+    {
+        published->second = until;
+        out.push_back(authority_change{upstream, until});
+    }
+}
+
+} // namespace
+
+void publish(ownership_state& state, actions& out)
+{
+    publish_loss(state, out);
+    for (const auto& [upstream, owner] : state.m_owners)
+    {
+        if (const held_lease* lease = find_held(state, owner.m_row.m_lease))
+        {
+            publish_upstream(state, upstream, owner, *lease, out);
+        }
+    }
+    // What was handed over counts only for the owner row that came with it.
+    state.m_handed.clear();
+}
+
+void announce(ownership_state& state, const dispatcher_state& dispatcher, actions& out)
+{
+    ownership_announce fresh;
+    fresh.m_owner = state.m_settings.m_node;
+    fresh.m_incarnation = state.m_settings.m_incarnation;
+    for (const auto& [upstream, until] : state.m_published)
+    {
+        const owner_record& owner = state.m_owners.at(upstream);
+        const held_lease* lease = find_held(state, owner.m_row.m_lease);
+        const upstream_row* row = dispatcher.m_upstreams.find(upstream);
+        if (owner.m_release || lease == nullptr || lease->m_transfer || row == nullptr)
+        {
+            continue;
+        }
+        fresh.m_upstreams.push_back({upstream, row->m_record.m_pool,
+                                     row->m_record.m_data_centre, owner.m_row.m_epoch,
+                                     row->m_limit.m_limit});
+    }
+    const auto& before = state.m_announced.m_upstreams;
+    const bool same = std::equal(
+        before.begin(), before.end(), fresh.m_upstreams.begin(), fresh.m_upstreams.end(),
+        [](const owned_upstream& a, const owned_upstream& b)
+        {
+            return a.m_upstream == b.m_upstream && a.m_epoch == b.m_epoch;
+        });
+    if (same)
+    {
+        return;
+    }
+    fresh.m_sequence = state.m_announced.m_sequence + 1;
+    state.m_announced = std::move(fresh);
+    out.push_back(send_announce{state.m_announced});
+}
+
+} // namespace geraniumdoor::ownership_detail
