Run requests through claims, budgets, retries and admission

The coordinator refused every non-idempotent stage until claims existed. It now claims such a stage before the call, queries the owner after a broken connection, retries and hedges idempotent stages within the retry budget, resumes streams, and refuses on entry what the path cannot carry. Deleting rows that are in doubt was ruled out, since operators need them.

--- a/include/geraniumdoor/request/claims.hpp
+++ b/include/geraniumdoor/request/claims.hpp
@@ -68,8 +68,6 @@
     bool m_read_in_flight = false;
     /// Time of the next read, or of the one in flight.
     time_point m_read_at;
-    /// An entry in doubt is kept so long for a late result.
-    time_point m_keep_until;
     std::vector<claim_follow_up> m_follow_ups;
 };
 
@@ -157,11 +155,10 @@
 void insert_checked_claim(claims& state, const attempt_id& claim, time_point now,
                           claim_effects effects);
 
-/// Stores the end of a held claim: done with the output, in_doubt, or withdrawn. A claim
-/// in doubt may still become done or withdrawn when a late result arrives.
+/// Stores the end of a held claim: done with the output, in_doubt, or withdrawn. Repeats
+/// the write until it is confirmed.
 void settle_claim(claims& state, const attempt_id& claim, claim_state end,
-                  const std::string& output, std::vector<claim_follow_up> follow_ups,
-                  time_point now);
+                  const std::string& output, std::vector<claim_follow_up> follow_ups);
 
 /// The request ended without a held claim. Withdraws what may have been written.
 void release_claim(claims& state, const attempt_id& claim);
--- a/src/request/claim_steps.cpp
+++ b/src/request/claim_steps.cpp
@@ -183,7 +183,7 @@
             state.m_deletes.push_back(follow_up.m_key);
         }
     }
-    if (stored == claim_state::done || stored == claim_state::withdrawn)
+    if (stored != claim_state::running)
     {
         forget(state, claim);
     }
--- a/src/request/claims.cpp
+++ b/src/request/claims.cpp
@@ -12,9 +12,6 @@
 namespace
 {
 
-/// A late result may still settle a claim in doubt for this time; owners forget attempts
-/// 30 s after the deadline of the call.
-constexpr seconds doubt_keep{60};
 /// A table service that takes longer for one call counts as down.
 constexpr milliseconds longest_table_call{500};
 constexpr milliseconds read_retry_period{200};
@@ -23,7 +20,7 @@
 
 attempt_id add_entry(claims& state, const std::string& key, const claim_row& row)
 {
-    const attempt_id claim{state.m_node.m_value + '.' +
+    attempt_id claim{state.m_node.m_value + '.' +
                            std::to_string(state.m_incarnation.m_value) + '.' +
                            std::to_string(++state.m_last_claim)};
     claim_entry entry;
@@ -107,29 +104,12 @@
     }
 }
 
-void forget_old_doubts(claims& state, time_point now)
-{
-    std::vector<attempt_id> old;
-    for (const auto& [claim, entry] : state.m_entries)
-    {
-        if (entry.m_stored == claim_state::in_doubt &&
-            entry.m_write == claim_write::none && now >= entry.m_keep_until)
-        {
-            old.push_back(claim);
-        }
-    }
-    for (const auto& claim : old)
-    {
-        state.m_entries.erase(claim);
-    }
-}
-
 } // namespace
 
 attempt_id check_claim(claims& state, const std::string& key, const claim_row& row,
                        time_point now, claim_effects effects)
 {
-    const auto claim = add_entry(state, key, row);
+    auto claim = add_entry(state, key, row);
     if (!refuse_while_down(state, claim, now, effects))
     {
         auto& entry = *state.m_entries.find(claim);
@@ -142,7 +122,7 @@
 attempt_id insert_claim(claims& state, const std::string& key, const claim_row& row,
                         time_point now, claim_effects effects)
 {
-    const auto claim = add_entry(state, key, row);
+    auto claim = add_entry(state, key, row);
     state.m_entries.find(claim)->m_step = claim_step::checked;
     insert_checked_claim(state, claim, now, effects);
     return claim;
@@ -163,8 +143,7 @@
 }
 
 void settle_claim(claims& state, const attempt_id& claim, claim_state end,
-                  const std::string& output, std::vector<claim_follow_up> follow_ups,
-                  time_point now)
+                  const std::string& output, std::vector<claim_follow_up> follow_ups)
 {
     auto* entry = state.m_entries.find(claim);
     if (entry == nullptr)
@@ -177,7 +156,6 @@
     entry->m_row.m_state = end;
     entry->m_row.m_output = output;
     entry->m_follow_ups = std::move(follow_ups);
-    entry->m_keep_until = now + doubt_keep;
     queue_write(state, claim, *entry);
 }
 
@@ -304,7 +282,6 @@
         note_service_down(state, now);
     }
     refuse_held_up(state, writes_hang, now, effects);
-    forget_old_doubts(state, now);
     for (auto& [claim, entry] : state.m_entries)
     {
         if (is_read_due(entry, now))
--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -1,6 +1,7 @@
+#include "request_steps.hpp"
+
 #include <geraniumdoor/base/invariant.hpp>
 #include <geraniumdoor/base/log.hpp>
-#include <geraniumdoor/request/coordinator.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -11,313 +12,301 @@
 namespace
 {
 
-constexpr std::uint32_t max_early_tokens = 256;
-constexpr std::uint32_t max_attempts = 4;
-constexpr milliseconds default_retry_after{500};
-
-const stage_config& current_stage(const active_request& row)
-{
-    return row.m_pipeline->m_stages[row.m_stage.m_value];
-}
-
-bool is_last_stage(const active_request& row)
-{
-    return row.m_stage.m_value + 1 == row.m_pipeline->m_stages.size();
-}
-
-bool is_streamed(const active_request& row)
+void on_answered(request_context context, active_request& row, const stage_result& result)
 {
-    return row.m_request.m_streamed && is_last_stage(row);
+    const auto* attempt = find_attempt(row, row.m_stage, result.m_key.m_attempt);
+    const auto response = context.m_now - attempt->m_sent;
+    note_stage_time(context.m_state.m_times, row.m_pipeline->m_id, row.m_stage, response,
+                    microseconds{result.m_upstream_us});
+    row.m_reports.push_back({current_stage(row).m_name, result.m_upstream,
+                             row.m_last_attempt, result.m_upstream_us});
 }
 
-void cancel_attempts(coordinator& state, active_request& row,
-                     coordinator_actions& actions)
+void on_plain_answer(request_context context, active_request& row,
+                     const stage_result& result)
 {
-    for (const auto& attempt : row.m_attempts)
+    on_answered(context, row, result);
+    remove_attempt(context, row, result.m_key.m_attempt, result.m_hint);
+    cancel_attempts(context, row);
+    if (is_streamed(row) && row.m_stream.m_delivered.size() != result.m_tokens)
     {
-        const call_key key{row.m_request.m_id, row.m_stage, attempt.m_number};
-        actions.push_back(send_stage_cancel{attempt.m_owner, {key}});
-        note_call_end(state.m_routes, current_stage(row).m_pool, attempt.m_owner, {});
+        end_request(context, row, answer_code::incomplete,
+                    "the stream has more tokens than its end says");
+        return;
     }
-    row.m_attempts.clear();
+    finish_stage(context, row, result.m_output);
 }
 
-void finish(coordinator& state, active_request& row, answer_code code,
-            const std::string& message, coordinator_actions& actions)
+/// Result of an attempt at an idempotent stage.
+void on_plain_result(request_context context, active_request& row,
+                     const stage_result& result)
 {
-    cancel_attempts(state, row, actions);
-    pipeline_answer answer;
-    answer.m_id = row.m_request.m_id;
-    answer.m_code = code;
-    answer.m_message = message;
-    answer.m_tokens = static_cast<std::uint32_t>(row.m_tokens.size());
-    answer.m_stages = std::move(row.m_reports);
-    if (code == answer_code::ok)
+    if (result.m_outcome == call_outcome::answered &&
+        wait_for_tokens(context, row, result))
     {
-        answer.m_ran = ran_state::ran;
-        answer.m_output = std::move(row.m_input);
+        return;
     }
-    else
+    const node_id owner = find_attempt(row, row.m_stage, result.m_key.m_attempt)->m_owner;
+    if (result.m_outcome == call_outcome::answered)
     {
-        answer.m_retry_after = default_retry_after;
+        on_plain_answer(context, row, result);
+        return;
     }
-    const request_id id = answer.m_id;
-    actions.push_back(reply_final{std::move(answer)});
-    state.m_requests.erase(id);
-}
-
-void send_attempt(coordinator& state, active_request& row, time_point now,
-                  coordinator_actions& actions)
-{
-    const auto& stage = current_stage(row);
-    const owner_query query{stage.m_pool, &row.m_used_upstreams, &row.m_refusing_owners};
-    const auto choice = choose_owner(state.m_routes, query, state.m_random);
-    if (!choice || row.m_last_attempt >= max_attempts)
+    remove_attempt(context, row, result.m_key.m_attempt, result.m_hint);
+    row.m_last_reason = result.m_reason;
+    row.m_retry_hint = milliseconds{result.m_retry_after_ms};
+    if (result.m_outcome == call_outcome::failed)
     {
-        finish(state, row,
-               row.m_last_attempt == 0 ? answer_code::overloaded
-                                       : answer_code::upstream_failed,
-               "no upstream of stage " + stage.m_name + " is left to try", actions);
+        row.m_used_upstreams.push_back(result.m_upstream);
+        retry_or_end(context, row);
         return;
     }
-    const attempt_number number{++row.m_last_attempt};
-    log_event{"route"}
-        .add("request", to_string(row.m_request.m_id))
-        .add("stage", row.m_stage)
-        .add("attempt", number)
-        .add("owner", choice->m_owner)
-        .add("reason", number.m_value == 1 ? "first" : "retry")
-        .add("rejected", choice->m_rejected);
-    const auto left =
-        std::chrono::duration_cast<milliseconds>(row.m_request.m_deadline - now);
-    stage_call call;
-    call.m_key = {row.m_request.m_id, row.m_stage, number};
-    call.m_pool = stage.m_pool;
-    call.m_pipeline = row.m_pipeline->m_id;
-    call.m_workspace = row.m_request.m_workspace;
-    call.m_priority = row.m_priority;
-    call.m_weight = row.m_weight;
-    call.m_budget_ms =
-        static_cast<std::uint32_t>(std::max<std::int64_t>(left.count(), 1));
-    call.m_idempotent = stage.m_idempotent;
-    call.m_streamed = is_streamed(row);
-    call.m_operation = stage.m_operation;
-    call.m_input = row.m_input;
-    call.m_delivered = row.m_tokens;
-    call.m_excluded = row.m_used_upstreams;
-    row.m_attempts.push_back({number, choice->m_owner, now, row.m_request.m_deadline});
-    note_call_sent(state.m_routes, stage.m_pool, choice->m_owner);
-    actions.push_back(send_stage_call{choice->m_owner, std::move(call)});
+    row.m_refusing_owners.push_back(owner);
+    if (row.m_attempts.empty())
+    {
+        resend_or_end(context, row);
+    }
 }
 
-void start_stage(coordinator& state, active_request& row, time_point now,
-                 coordinator_actions& actions)
+void lose_plain_attempt(request_context context, active_request& row,
+                        attempt_number number)
 {
-    row.m_last_attempt = 0;
-    row.m_used_upstreams.clear();
-    row.m_refusing_owners.clear();
-    row.m_stage_started = now;
-    if (!current_stage(row).m_idempotent)
+    const auto* attempt = find_attempt(row, row.m_stage, number);
+    if (attempt == nullptr)
     {
-        finish(state, row, answer_code::claims_unavailable, "claims cannot be written",
-               actions);
         return;
     }
-    send_attempt(state, row, now, actions);
+    row.m_refusing_owners.push_back(attempt->m_owner);
+    remove_attempt(context, row, number, {});
+    row.m_last_reason = call_reason::none;
+    retry_or_end(context, row);
 }
 
-void deliver_tokens(active_request& row, coordinator_actions& actions)
+/// Attempts of the row at the owner.
+std::vector<attempt_number> attempts_at(const active_request& row, const node_id& owner)
 {
-    for (auto next = row.m_early_tokens.begin();
-         next != row.m_early_tokens.end() && next->first == row.m_tokens.size();
-         next = row.m_early_tokens.erase(next))
+    std::vector<attempt_number> numbers;
+    for (const auto& attempt : row.m_attempts)
     {
-        row.m_tokens.push_back(next->second);
-        actions.push_back(
-            reply_part{row.m_request.m_id, next->first, std::move(next->second)});
+        if (attempt.m_owner == owner)
+        {
+            numbers.push_back(attempt.m_number);
+        }
     }
+    return numbers;
 }
 
-active_attempt* find_attempt(active_request& row, stage_index stage,
-                             attempt_number number)
+void lose_node(request_context context, const node_id& node)
 {
-    const auto at = std::find_if(row.m_attempts.begin(), row.m_attempts.end(),
-                                 [&](const active_attempt& attempt)
-                                 {
-                                     return attempt.m_number == number;
-                                 });
-    return row.m_stage != stage || at == row.m_attempts.end() ? nullptr : &*at;
+    for (auto& [id, row] : context.m_state.m_requests)
+    {
+        for (const auto number : attempts_at(row, node))
+        {
+            if (is_guarded_call_out(row))
+            {
+                start_query(context, row);
+            }
+            else
+            {
+                lose_plain_attempt(context, row, number);
+            }
+        }
+    }
 }
 
-void on_answered(coordinator& state, active_request& row, const stage_result& result,
-                 time_point now, coordinator_actions& actions)
+void end_late(request_context context, active_request& row)
 {
-    cancel_attempts(state, row, actions);
-    row.m_reports.push_back({current_stage(row).m_name, result.m_upstream,
-                             row.m_last_attempt, result.m_upstream_us});
-    row.m_input = result.m_output;
-    if (is_last_stage(row))
+    if (row.m_phase != request_phase::running &&
+        is_waiting(context.m_state.m_claims, row.m_guarded.m_claim))
     {
-        const bool whole = !is_streamed(row) || row.m_tokens.size() == result.m_tokens;
-        finish(state, row, whole ? answer_code::ok : answer_code::incomplete,
-               whole ? "" : "tokens are missing", actions);
+        end_request(context, row, answer_code::in_progress,
+                    "the same request is still running");
         return;
     }
-    ++row.m_stage.m_value;
-    start_stage(state, row, now, actions);
+    end_request(context, row, answer_code::deadline_exceeded, "the deadline has passed");
 }
 
-} // namespace
+/// Gives up on attempts whose owner is silent.
+void give_up_attempts(request_context context, active_request& row)
+{
+    const auto attempts = row.m_attempts;
+    for (const auto& attempt : attempts)
+    {
+        if (row.m_ended || context.m_now < attempt.m_give_up)
+        {
+            continue;
+        }
+        const call_key key{row.m_request.m_id, row.m_stage, attempt.m_number};
+        context.m_actions.push_back(send_stage_cancel{attempt.m_owner, {key}});
+        lose_plain_attempt(context, row, attempt.m_number);
+    }
+}
 
-coordinator make_coordinator(const node_id& node, incarnation started, std::uint64_t seed)
+void tick_stream(request_context context, active_request& row)
 {
-    coordinator state;
-    state.m_node = node;
-    state.m_incarnation = started;
-    state.m_random = random_source{seed};
-    return state;
+    if (row.m_stream.m_result && context.m_now >= row.m_stream.m_result_until)
+    {
+        const auto result = *row.m_stream.m_result;
+        row.m_used_upstreams.push_back(result.m_upstream);
+        remove_attempt(context, row, result.m_key.m_attempt, result.m_hint);
+        retry_or_end(context, row);
+    }
 }
 
-void start_request(coordinator& state, const pipeline_request& request, time_point now,
-                   coordinator_actions& actions)
+void tick_request(request_context context, active_request& row)
 {
-    require_invariant(state.m_requests.find(request.m_id) == nullptr,
-                      "request_ids_are_unique", to_string(request.m_id));
-    const auto* pipeline = find_pipeline(state.m_config, request.m_pipeline);
-    require_invariant(pipeline != nullptr && !pipeline->m_stages.empty(),
-                      "pipelines_are_known", request.m_pipeline.m_value);
-    active_request row;
-    row.m_request = request;
-    row.m_pipeline = std::make_shared<const pipeline_config>(*pipeline);
-    row.m_input = request.m_input;
-    if (const auto* workspace = find_workspace(state.m_config, request.m_workspace))
+    if (!row.m_ended && context.m_now >= row.m_request.m_deadline)
     {
-        row.m_priority = workspace->m_priority;
-        row.m_weight = workspace->m_weight;
+        end_late(context, row);
+    }
+    if (is_guarded_call_out(row))
+    {
+        tick_guarded(context, row);
+        return;
+    }
+    if (!row.m_ended && context.m_now >= row.m_resend_at)
+    {
+        resend_or_end(context, row);
+    }
+    if (!row.m_ended && !is_guarded_call_out(row))
+    {
+        tick_stream(context, row);
+        give_up_attempts(context, row);
+    }
+    if (!row.m_ended)
+    {
+        hedge_if_due(context, row);
     }
-    start_stage(state, state.m_requests.put(request.m_id, std::move(row)), now, actions);
 }
 
-void on_stage_chunk(coordinator& state, const stage_chunk& chunk, time_point,
+} // namespace
+
+void on_stage_chunk(coordinator& state, const stage_chunk& chunk, time_point now,
                     coordinator_actions& actions)
 {
+    const request_context context{state, now, actions};
     auto* row = state.m_requests.find(chunk.m_key.m_request);
     if (row == nullptr ||
-        find_attempt(*row, chunk.m_key.m_stage, chunk.m_key.m_attempt) == nullptr ||
-        !is_streamed(*row) || chunk.m_index < row->m_tokens.size() ||
-        chunk.m_index >= row->m_tokens.size() + max_early_tokens)
+        find_attempt(*row, chunk.m_key.m_stage, chunk.m_key.m_attempt) == nullptr)
     {
         ++state.m_counters.m_dropped_chunks;
         return;
     }
-    row->m_early_tokens.try_emplace(chunk.m_index, chunk.m_token);
-    deliver_tokens(*row, actions);
+    add_token(context, *row, chunk);
+    if (const auto waiting = row->m_stream.m_result)
+    {
+        on_plain_result(context, *row, *waiting);
+    }
+    close_event(context);
 }
 
 void on_stage_result(coordinator& state, const stage_result& result, time_point now,
                      coordinator_actions& actions)
 {
-    auto* row = state.m_requests.find(result.m_key.m_request);
-    auto* attempt =
-        row == nullptr ? nullptr
-                       : find_attempt(*row, result.m_key.m_stage, result.m_key.m_attempt);
-    if (attempt == nullptr)
+    const request_context context{state, now, actions};
+    const auto& key = result.m_key;
+    auto* row = state.m_requests.find(key.m_request);
+    if (row == nullptr || find_attempt(*row, key.m_stage, key.m_attempt) == nullptr)
     {
         ++state.m_counters.m_superseded_results;
         return;
     }
-    const node_id owner = attempt->m_owner;
-    row->m_attempts.erase(row->m_attempts.begin() + (attempt - row->m_attempts.data()));
-    note_call_end(state.m_routes, current_stage(*row).m_pool, owner, result.m_hint);
-    if (result.m_outcome == call_outcome::answered)
+    const milliseconds wait{result.m_hint.m_queue_wait_ms};
+    note_pool_wait(state.m_admission, current_stage(*row).m_pool, wait);
+    if (is_guarded_call_out(*row))
     {
-        on_answered(state, *row, result, now, actions);
-        return;
-    }
-    if (result.m_outcome == call_outcome::not_dispatched)
-    {
-        row->m_refusing_owners.push_back(owner);
+        if (result.m_outcome == call_outcome::answered)
+        {
+            on_answered(context, *row, result);
+        }
+        on_guarded_result(context, *row, result);
     }
     else
     {
-        row->m_used_upstreams.push_back(result.m_upstream);
-    }
-    if (row->m_attempts.empty())
-    {
-        ++state.m_counters.m_retries;
-        send_attempt(state, *row, now, actions);
+        on_plain_result(context, *row, result);
     }
+    close_event(context);
 }
 
-void on_attempt_status(coordinator&, const attempt_status&, time_point,
-                       coordinator_actions&)
+void on_attempt_status(coordinator& state, const attempt_status& status, time_point now,
+                       coordinator_actions& actions)
 {
-}
-
-void on_node_lost(coordinator& state, const node_id& node, time_point now,
-                  coordinator_actions& actions)
-{
-    std::vector<request_id> hit;
+    const request_context context{state, now, actions};
     for (auto& [id, row] : state.m_requests)
     {
-        const auto lost = std::erase_if(row.m_attempts,
-                                        [&](const active_attempt& attempt)
-                                        {
-                                            return attempt.m_owner == node;
-                                        });
-        if (lost != 0)
+        const bool asked = is_guarded_call_out(row) && row.m_guarded.m_querying &&
+                           guarded_attempt_id(row, row.m_attempts.front().m_number) ==
+                               status.m_attempt_id;
+        if (asked)
         {
-            note_call_end(state.m_routes, current_stage(row).m_pool, node, {});
-            row.m_refusing_owners.push_back(node);
-            hit.push_back(id);
-        }
-    }
-    for (const auto& id : hit)
-    {
-        auto* row = state.m_requests.find(id);
-        if (row != nullptr && row->m_attempts.empty())
-        {
-            send_attempt(state, *row, now, actions);
+            on_guarded_status(context, row, status);
+            break;
         }
     }
+    close_event(context);
+}
+
+void on_node_lost(coordinator& state, const node_id& node, time_point now,
+                  coordinator_actions& actions)
+{
+    const request_context context{state, now, actions};
+    lose_node(context, node);
+    close_event(context);
 }
 
-void on_table_transaction_end(coordinator&, const table_transaction_end&, time_point,
-                              coordinator_actions&)
+void on_table_transaction_end(coordinator& state, const table_transaction_end& end,
+                              time_point now, coordinator_actions& actions)
 {
+    const request_context context{state, now, actions};
+    on_claim_transaction_end(state.m_claims, end, now, effects_of(context));
+    close_event(context);
 }
 
-void on_table_read_end(coordinator&, const table_read_end&, time_point,
-                       coordinator_actions&)
+void on_table_read_end(coordinator& state, const table_read_end& end, time_point now,
+                       coordinator_actions& actions)
 {
+    const request_context context{state, now, actions};
+    on_claim_read_end(state.m_claims, end, now, effects_of(context));
+    close_event(context);
 }
 
-void on_caller_gone(coordinator& state, const request_id& id, time_point,
+void on_caller_gone(coordinator& state, const request_id& id, time_point now,
                     coordinator_actions& actions)
 {
+    const request_context context{state, now, actions};
     if (auto* row = state.m_requests.find(id))
     {
-        cancel_attempts(state, *row, actions);
-        state.m_requests.erase(id);
+        abandon_request(context, *row);
     }
+    close_event(context);
+}
+
+void on_process_seen(coordinator& state, const node_id& node, incarnation started)
+{
+    on_holder_seen(state.m_claims, node, started);
 }
 
 void on_ownership_announce(coordinator& state, const ownership_announce& announce,
                            time_point, coordinator_actions&)
 {
+    on_holder_seen(state.m_claims, announce.m_owner, announce.m_incarnation);
     apply_announcement(state.m_routes, announce);
 }
 
 void on_owner_gone(coordinator& state, const node_id& node, time_point now,
                    coordinator_actions& actions)
 {
+    const request_context context{state, now, actions};
     forget_owner(state.m_routes, node);
-    on_node_lost(state, node, now, actions);
+    on_holder_gone(state.m_claims, node);
+    lose_node(context, node);
+    close_event(context);
 }
 
 void set_configuration(coordinator& state, const configuration& config, time_point)
 {
     state.m_config = config;
+    set_admission_configuration(state.m_admission, config);
     state.m_routes.m_closed.clear();
     for (const auto& data_centre : config.m_data_centres)
     {
@@ -330,19 +319,16 @@
 
 void tick(coordinator& state, time_point now, coordinator_actions& actions)
 {
-    std::vector<request_id> late;
-    for (const auto& [id, row] : state.m_requests)
-    {
-        if (now >= row.m_request.m_deadline)
-        {
-            late.push_back(id);
-        }
-    }
-    for (const auto& id : late)
+    const request_context context{state, now, actions};
+    adjust_shares(state.m_admission, now);
+    decay_stage_times(state.m_times, now);
+    tick_claims(state.m_claims, now, effects_of(context));
+    apply_claim_events(context);
+    for (auto& [id, row] : state.m_requests)
     {
-        finish(state, *state.m_requests.find(id), answer_code::deadline_exceeded,
-               "the deadline has passed", actions);
+        tick_request(context, row);
     }
+    close_event(context);
 }
 
 } // namespace geraniumdoor
--- /dev/null
+++ b/src/request/request_end.cpp
@@ -0,0 +1,178 @@
+#include "request_steps.hpp"
+
+#include <geraniumdoor/base/invariant.hpp>
+#include <geraniumdoor/base/log.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumdoor
+{
+
+namespace
+{
+
+constexpr milliseconds base_retry_after{500};
+/// Time beyond the pool's timeout in which the owner's result is still expected.
+constexpr seconds result_grace{5};
+
+milliseconds jittered_retry_after(coordinator& state, const active_request& row)
+{
+    const auto base = std::max(base_retry_after, row.m_retry_hint);
+    const double factor = 0.5 + uniform_unit(state.m_random);
+    return milliseconds{static_cast<std::int64_t>(to_ms(base) * factor)};
+}
+
+/// A call that is out, or an insert without confirmed effect, makes the effects unknown.
+bool are_effects_unknown(const coordinator& state, const active_request& row)
+{
+    return row.m_guarded.m_unknown || is_guarded_call_out(row) ||
+           may_be_inserted(state.m_claims, row.m_guarded.m_claim);
+}
+
+ran_state ran_of(const coordinator& state, const active_request& row, answer_code code)
+{
+    if (code == answer_code::in_progress)
+    {
+        return ran_state::in_progress;
+    }
+    if (are_effects_unknown(state, row))
+    {
+        return ran_state::unknown;
+    }
+    if (row.m_guarded.m_ran || code == answer_code::ok)
+    {
+        return ran_state::ran;
+    }
+    require_invariant(row.m_guarded.m_sent == row.m_guarded.m_fenced,
+                      "not_run_answers_are_true", to_string(row.m_request.m_id));
+    return ran_state::not_run;
+}
+
+pipeline_answer make_answer(coordinator& state, active_request& row, answer_code code,
+                            const std::string& message)
+{
+    pipeline_answer answer;
+    answer.m_id = row.m_request.m_id;
+    answer.m_code = code;
+    answer.m_ran = ran_of(state, row, code);
+    answer.m_message = message;
+    answer.m_tokens = static_cast<std::uint32_t>(row.m_stream.m_delivered.size());
+    answer.m_replayed = row.m_replayed;
+    answer.m_stages = row.m_reports;
+    if (code == answer_code::ok)
+    {
+        answer.m_output = row.m_input;
+    }
+    else
+    {
+        answer.m_retry_after = jittered_retry_after(state, row);
+    }
+    return answer;
+}
+
+/// Asks the owner to drop the call. The attempt stays: its result settles the claim.
+void cancel_guarded_call(request_context context, active_request& row)
+{
+    for (const auto& attempt : row.m_attempts)
+    {
+        const call_key key{row.m_request.m_id, row.m_stage, attempt.m_number};
+        context.m_actions.push_back(send_stage_cancel{attempt.m_owner, {key}});
+    }
+    const auto* pool = find_pool(context.m_state.m_config, current_stage(row).m_pool);
+    const auto timeout = pool != nullptr ? pool->m_timeout : milliseconds{0};
+    const auto from = std::max(context.m_now, row.m_request.m_deadline);
+    row.m_linger_until = from + timeout + result_grace;
+}
+
+/// Withdraws a claim under which no call is out.
+void drop_claim(request_context context, active_request& row)
+{
+    auto& claims = context.m_state.m_claims;
+    const auto& claim = row.m_guarded.m_claim;
+    if (is_held(claims, claim))
+    {
+        settle_claim(claims, claim, claim_state::withdrawn, {}, {});
+    }
+    else if (row.m_phase != request_phase::running)
+    {
+        release_claim(claims, claim);
+    }
+}
+
+void stop_calls(request_context context, active_request& row)
+{
+    row.m_resend_at = time_point::max();
+    if (is_guarded_call_out(row))
+    {
+        cancel_guarded_call(context, row);
+        return;
+    }
+    drop_claim(context, row);
+    cancel_attempts(context, row);
+}
+
+void log_end(const active_request& row, const pipeline_answer& answer)
+{
+    log_event{"request_end"}
+        .add("request", to_string(row.m_request.m_id))
+        .add("code", static_cast<unsigned>(answer.m_code))
+        .add("ran", static_cast<unsigned>(answer.m_ran))
+        .add("stage", row.m_stage)
+        .add("message", answer.m_message);
+}
+
+} // namespace
+
+void end_request(request_context context, active_request& row, answer_code code,
+                 const std::string& message)
+{
+    require_invariant(!row.m_ended, "one_final_answer", to_string(row.m_request.m_id));
+    row.m_ended = true;
+    auto answer = make_answer(context.m_state, row, code, message);
+    log_end(row, answer);
+    stop_calls(context, row);
+    if (!row.m_internal)
+    {
+        context.m_actions.push_back(reply_final{std::move(answer)});
+    }
+}
+
+void abandon_request(request_context context, active_request& row)
+{
+    if (!row.m_ended)
+    {
+        row.m_ended = true;
+        stop_calls(context, row);
+    }
+}
+
+void cancel_attempts(request_context context, active_request& row)
+{
+    auto& routes = context.m_state.m_routes;
+    for (const auto& attempt : row.m_attempts)
+    {
+        const call_key key{row.m_request.m_id, row.m_stage, attempt.m_number};
+        context.m_actions.push_back(send_stage_cancel{attempt.m_owner, {key}});
+        note_call_end(routes, current_stage(row).m_pool, attempt.m_owner, {});
+    }
+    row.m_attempts.clear();
+}
+
+void erase_ended(coordinator& state)
+{
+    std::vector<request_id> ended;
+    for (const auto& [id, row] : state.m_requests)
+    {
+        if (row.m_ended && row.m_attempts.empty())
+        {
+            ended.push_back(id);
+        }
+    }
+    for (const auto& id : ended)
+    {
+        state.m_requests.erase(id);
+    }
+}
+
+} // namespace geraniumdoor
--- /dev/null
+++ b/src/request/token_stream.cpp
@@ -0,0 +1,72 @@
+#include "request_steps.hpp"
+
+#include <geraniumdoor/base/invariant.hpp>
+
+#include <utility>
+
+namespace geraniumdoor
+{
+
+namespace
+{
+
+/// Tokens ahead of a gap that are buffered.
+constexpr std::uint32_t max_early_tokens = 256;
+/// Tokens that a result has overtaken arrive within this time, or are lost.
+constexpr milliseconds longest_token_delay{200};
+
+void deliver(request_context context, active_request& row)
+{
+    auto& stream = row.m_stream;
+    for (auto next = stream.m_early.begin();
+         next != stream.m_early.end() && next->first == stream.m_delivered.size();
+         next = stream.m_early.erase(next))
+    {
+        require_invariant(next->first == stream.m_delivered.size(), "parts_are_in_order",
+                          to_string(row.m_request.m_id));
+        stream.m_delivered.push_back(next->second);
+        context.m_actions.push_back(
+            reply_part{row.m_request.m_id, next->first, std::move(next->second)});
+    }
+}
+
+bool is_wanted(const active_request& row, const stage_chunk& chunk)
+{
+    const auto& stream = row.m_stream;
+    return !row.m_ended && is_streamed(row) &&
+           chunk.m_index >= stream.m_delivered.size() &&
+           chunk.m_index < stream.m_delivered.size() + max_early_tokens;
+}
+
+} // namespace
+
+void add_token(request_context context, active_request& row, const stage_chunk& chunk)
+{
+    const bool wanted =
+        is_wanted(row, chunk) &&
+        row.m_stream.m_early.try_emplace(chunk.m_index, chunk.m_token).second;
+    if (!wanted)
+    {
+        ++context.m_state.m_counters.m_dropped_chunks;
+        return;
+    }
+    deliver(context, row);
+}
+
+bool wait_for_tokens(request_context context, active_request& row,
+                     const stage_result& result)
+{
+    auto& stream = row.m_stream;
+    if (!is_streamed(row) || stream.m_delivered.size() >= result.m_tokens)
+    {
+        return false;
+    }
+    if (!stream.m_result)
+    {
+        stream.m_result = result;
+        stream.m_result_until = context.m_now + longest_token_delay;
+    }
+    return true;
+}
+
+} // namespace geraniumdoor
