Add the clients of the platform services and their codecs

The daemon needs the table service, the host list and the upstreams, whose answers may be lost, cut or belong to another call. Decoding inside the coroutines was ruled out, because it could not be fuzzed without a server. The codecs and the stream reader are pure functions and a plain class; the clients only send and translate.

--- /dev/null
+++ b/src/platform/upstream_client.cpp
@@ -0,0 +1,262 @@
+#include <geraniumdoor/base/log.hpp>
+#include <geraniumdoor/net/http_client.hpp>
+#include <geraniumdoor/platform/upstream_client.hpp>
+#include <geraniumdoor/platform/upstream_codec.hpp>
+
+#include <boost/asio/ip/tcp.hpp>
+
+#include <optional>
+#include <utility>
+
+namespace geraniumdoor
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr unsigned status_ok = 200;
+constexpr unsigned status_too_many_requests = 429;
+constexpr unsigned status_unavailable = 503;
+
+std::optional<asio::ip::tcp::endpoint> to_tcp(const endpoint& address)
+{
+    boost::system::error_code error;
+    const auto ip = asio::ip::make_address(address.m_ip, error);
+    if (error)
+    {
+        return std::nullopt;
+    }
+    return asio::ip::tcp::endpoint{ip, address.m_port};
+}
+
+upstream_call_end failed_end(const start_upstream_call& call, call_reason reason)
+{
+    upstream_call_end end;
+    end.m_id = call.m_id;
+    end.m_reason = reason;
+    return end;
+}
+
+void log_rejected(const start_upstream_call& call, std::string_view detail)
+{
+    log_event{"upstream_answer_rejected"}
+        .add("upstream", call.m_upstream)
+        .add("request", to_string(call.m_call.m_key.m_request))
+        .add("stage", call.m_call.m_key.m_stage)
+        .add("attempt", call.m_call.m_key.m_attempt)
+        .add("detail", detail);
+}
+
+call_reason reason_of(const http_error& error)
+{
+    switch (error.m_kind)
+    {
+    case http_error_kind::timeout:
+        return call_reason::upstream_timeout;
+    case http_error_kind::aborted:
+        return call_reason::cancelled;
+    default:
+        return call_reason::upstream_error;
+    }
+}
+
+call_reason reason_of_status(unsigned status)
+{
+    const bool overloaded =
+        status == status_unavailable || status == status_too_many_requests;
+    return overloaded ? call_reason::upstream_overloaded : call_reason::upstream_error;
+}
+
+http_request run_request(std::string body)
+{
+    http_request request{"POST", "/v1/run", {}, std::move(body)};
+    request.m_fields.emplace_back("Content-Type", "application/json");
+    return request;
+}
+
+http_call_options run_options(const start_upstream_call& call,
+                              std::shared_ptr<http_call_control> control)
+{
+    http_call_options options;
+    options.m_timeout = call.m_timeout;
+    options.m_fresh_connection = not call.m_call.m_idempotent;
+    options.m_control = std::move(control);
+    return options;
+}
+
+/// A stream that broke after its echo can be resumed, unlike a call that failed at once.
+call_reason reason_of_broken(const stream_reader& reader, const http_error& error)
+{
+    if (error.m_kind == http_error_kind::closed &&
+        reader.state() == stream_state::running)
+    {
+        return call_reason::broken_stream;
+    }
+    return reason_of(error);
+}
+
+} // namespace
+
+upstream_client::upstream_client(http_client& http) : m_http{http} {}
+
+asio::awaitable<upstream_call_end> upstream_client::run(start_upstream_call call,
+                                                        token_callback on_token)
+{
+    auto control = std::make_shared<http_call_control>();
+    m_running.put(call.m_id, control);
+    auto end = co_await run_with(call, std::move(on_token), std::move(control));
+    m_running.erase(call.m_id);
+    co_return end;
+}
+
+void upstream_client::abort(upstream_call_id id)
+{
+    if (auto* control = m_running.find(id))
+    {
+        const control_pointer keep = *control;
+        keep->abort();
+    }
+}
+
+asio::awaitable<upstream_call_end>
+upstream_client::run_with(const start_upstream_call& call, token_callback on_token,
+                          control_pointer control)
+{
+    auto body = encode_run(call.m_call);
+    if (not is_ok(body))
+    {
+        log_rejected(call, error_of(body).m_detail);
+        co_return failed_end(call, call_reason::upstream_error);
+    }
+    if (call.m_kind == stage_kind::generate)
+    {
+        co_return co_await run_stream(call, value_of(std::move(body)),
+                                      std::move(on_token), std::move(control));
+    }
+    co_return co_await run_whole(call, value_of(std::move(body)), std::move(control));
+}
+
+asio::awaitable<upstream_call_end>
+upstream_client::run_whole(const start_upstream_call& call, std::string body,
+                           control_pointer control)
+{
+    const auto address = to_tcp(call.m_endpoint);
+    if (not address)
+    {
+        co_return failed_end(call, call_reason::upstream_error);
+    }
+    auto response = co_await m_http.send(*address, run_request(std::move(body)),
+                                         run_options(call, std::move(control)));
+    if (not is_ok(response))
+    {
+        co_return failed_end(call, reason_of(error_of(response)));
+    }
+    const http_response& answer = value_of(response);
+    if (answer.m_status != status_ok)
+    {
+        co_return failed_end(call, reason_of_status(answer.m_status));
+    }
+    auto decoded = decode_run_answer(answer.m_body);
+    if (not is_ok(decoded) ||
+        value_of(decoded).m_echo != expected_echo(call.m_call.m_key))
+    {
+        log_rejected(call, is_ok(decoded) ? "the echo is of another call"
+                                          : error_of(decoded).m_detail);
+        // The connection is idle by now. An answer of another call means that it cannot
+        // be trusted, and the HTTP client does not tell which one it was.
+        m_http.close_idle();
+        co_return failed_end(call, call_reason::upstream_error);
+    }
+    upstream_call_end end;
+    end.m_id = call.m_id;
+    end.m_answered = true;
+    end.m_upstream_incarnation = value_of(decoded).m_incarnation;
+    end.m_output = std::move(value_of(decoded).m_output);
+    co_return end;
+}
+
+asio::awaitable<upstream_call_end>
+upstream_client::run_stream(const start_upstream_call& call, std::string body,
+                            token_callback on_token, control_pointer control)
+{
+    const auto address = to_tcp(call.m_endpoint);
+    if (not address)
+    {
+        co_return failed_end(call, call_reason::upstream_error);
+    }
+    stream_reader reader{expected_echo(call.m_call.m_key), call.m_call.m_delivered,
+                         std::move(on_token)};
+    auto options = run_options(call, control);
+    options.m_on_line = [&reader, control](std::string_view line)
+    {
+        if (not control->aborted() && not reader.read_line(line))
+        {
+            control->abort();
+        }
+    };
+    auto response =
+        co_await m_http.send(*address, run_request(std::move(body)), std::move(options));
+    upstream_call_end end = failed_end(call, call_reason::upstream_error);
+    end.m_upstream_incarnation = reader.upstream_incarnation();
+    end.m_tokens = reader.token_count();
+    if (reader.state() == stream_state::wrong)
+    {
+        log_rejected(call, reader.detail());
+        m_http.close_idle();
+        co_return end;
+    }
+    if (not is_ok(response))
+    {
+        end.m_reason = reason_of_broken(reader, error_of(response));
+        co_return end;
+    }
+    if (value_of(response).m_status != status_ok)
+    {
+        end.m_reason = reason_of_status(value_of(response).m_status);
+        co_return end;
+    }
+    if (reader.state() != stream_state::whole)
+    {
+        end.m_reason = call_reason::broken_stream;
+        co_return end;
+    }
+    end.m_answered = true;
+    end.m_reason = call_reason::none;
+    end.m_output = encode_generated(reader.text());
+    co_return end;
+}
+
+asio::awaitable<result<load_report, upstream_error>>
+upstream_client::read_load(upstream_id upstream, endpoint address, milliseconds timeout)
+{
+    const auto target = to_tcp(address);
+    if (not target)
+    {
+        co_return upstream_error{upstream_error_kind::bad_address, address.m_ip};
+    }
+    http_call_options options;
+    options.m_timeout = timeout;
+    auto response = co_await m_http.send(*target, http_request{"GET", "/v1/load", {}, {}},
+                                         std::move(options));
+    if (not is_ok(response))
+    {
+        co_return upstream_error{upstream_error_kind::no_answer,
+                                 to_text(error_of(response).m_kind)};
+    }
+    if (value_of(response).m_status != status_ok)
+    {
+        co_return upstream_error{upstream_error_kind::bad_status,
+                                 std::to_string(value_of(response).m_status)};
+    }
+    auto report = decode_load_report(upstream, value_of(response).m_body);
+    if (not is_ok(report))
+    {
+        co_return upstream_error{upstream_error_kind::malformed,
+                                 error_of(report).m_detail};
+    }
+    co_return value_of(std::move(report));
+}
+
+} // namespace geraniumdoor
