--- a/include/geraniumdoor/config/configuration.hpp
+++ b/include/geraniumdoor/config/configuration.hpp
@@ -34,9 +34,16 @@
     config_version m_base;
     /// Counts the changes of this data centre that were made on the same version.
     std::uint64_t m_counter = 0;
+    /// Empty when no change has named the data centre yet.
     change_id m_change;
 
     bool operator==(const data_centre_mark&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_base, m_counter, m_change);
+    }
 };
 
 struct data_centre_config
@@ -116,6 +123,20 @@
     bool operator==(const demand_config&) const = default;
 };
 
+/// One accepted change. The list of recent changes travels in the configuration, so that
+/// any node can tell an operator which change won, and a lost answer can be settled even
+/// when another change has been written since.
+struct change_record
+{
+    config_version m_version;
+    change_id m_change;
+    std::string m_operator;
+    /// Fields that the change touched, such as "pools.llm.warm_limit".
+    std::vector<std::string> m_fields;
+
+    bool operator==(const change_record&) const = default;
+};
+
 /// The whole configuration as the table service keeps it.
 struct configuration
 {
@@ -127,6 +148,8 @@
     std::vector<pipeline_config> m_pipelines;
     std::vector<workspace_config> m_workspaces;
     std::vector<demand_config> m_demands;
+    /// Most recent changes, oldest first.
+    std::vector<change_record> m_history;
 
     bool operator==(const configuration&) const = default;
 };
--- a/include/geraniumdoor/config/configuration_document.hpp
+++ b/include/geraniumdoor/config/configuration_document.hpp
@@ -22,6 +22,10 @@
 constexpr std::size_t max_workspaces = 10'000;
 constexpr std::size_t max_demands = 20'000;
 
+/// Changes that a configuration remembers. At 2,500 changes a day these are the last
+/// 73 minutes.
+constexpr std::size_t max_history = 128;
+
 constexpr std::uint32_t max_upstream_limit = 10'000;
 constexpr std::uint32_t max_workers = 100'000;
 constexpr std::uint32_t max_priority = 9;
--- a/src/config/configuration_document.cpp
+++ b/src/config/configuration_document.cpp
@@ -12,6 +12,7 @@
 
 constexpr number_range any_number{0, UINT64_MAX};
 constexpr std::size_t max_operation_length = 128;
+constexpr std::size_t max_fields = 16;
 constexpr std::uint64_t max_call_ms = 600'000;
 
 std::uint32_t read_count(object_reader& reader, std::string_view key, std::uint32_t min,
@@ -117,6 +118,20 @@
     return row;
 }
 
+change_record read_record(object_reader& reader)
+{
+    change_record row;
+    row.m_version.m_value = reader.number("version", any_number);
+    row.m_change.m_value = reader.id("change_id");
+    row.m_operator = reader.id("operator");
+    reader.each_text("fields", max_fields,
+                     [&](const std::string& item, const std::string&)
+                     {
+                         row.m_fields.push_back(item);
+                     });
+    return row;
+}
+
 /// Reads an array of objects into rows.
 template<class Row>
 void read_rows(object_reader& reader, std::string_view key, std::size_t max_items,
@@ -141,6 +156,7 @@
     read_rows(reader, "pipelines", max_pipelines, config.m_pipelines, &read_pipeline);
     read_rows(reader, "workspaces", max_workspaces, config.m_workspaces, &read_workspace);
     read_rows(reader, "demands", max_demands, config.m_demands, &read_demand);
+    read_rows(reader, "history", max_history, config.m_history, &read_record);
     return config;
 }
 
@@ -205,6 +221,14 @@
             {"granted_per_s", row.m_granted_per_s}};
 }
 
+boost::json::object encode(const change_record& row)
+{
+    return {{"version", row.m_version.m_value},
+            {"change_id", row.m_change.m_value},
+            {"operator", row.m_operator},
+            {"fields", boost::json::array(row.m_fields.begin(), row.m_fields.end())}};
+}
+
 template<class Row>
 boost::json::array encode_rows(const std::vector<Row>& rows)
 {
@@ -251,7 +275,8 @@
             {"pools", encode_rows(config.m_pools)},
             {"pipelines", encode_rows(config.m_pipelines)},
             {"workspaces", encode_rows(config.m_workspaces)},
-            {"demands", encode_rows(config.m_demands)}};
+            {"demands", encode_rows(config.m_demands)},
+            {"history", encode_rows(config.m_history)}};
 }
 
 std::string encode_configuration(const configuration& config)
