Resolve names that two modules declared

attempt_status gained the owner's incarnation in the request branch, so on_attempt_query no longer compiled; it now fills it in. member_state of the ownership module becomes owner_liveness and membership_settings of the daemon settings becomes membership_times, because the cluster module declares the same names. Before: gd_dispatch failed to build; after: it builds.

--- a/include/geraniumdoor/config/daemon_settings.hpp
+++ b/include/geraniumdoor/config/daemon_settings.hpp
@@ -44,7 +44,7 @@
 };
 
 /// Times of membership probes (section 5.6 of the design page).
-struct membership_settings
+struct membership_times
 {
     milliseconds m_probe_period{1000};
     milliseconds m_indirect_probe_after{300};
@@ -100,7 +100,7 @@
     /// Time between two reads of the host list.
     milliseconds m_host_list_poll{1000};
     lease_settings m_lease;
-    membership_settings m_membership;
+    membership_times m_membership;
     http_settings m_http;
     request_settings m_requests;
     /// Directory of log files; empty for none.
--- a/include/geraniumdoor/dispatch/ownership_actions.hpp
+++ b/include/geraniumdoor/dispatch/ownership_actions.hpp
@@ -13,7 +13,7 @@
 namespace geraniumdoor
 {
 
-enum class member_state : std::uint8_t
+enum class owner_liveness : std::uint8_t
 {
     live,
     suspected,
@@ -29,7 +29,7 @@
     node_id m_node;
     incarnation m_incarnation;
     data_centre_id m_data_centre;
-    member_state m_state = member_state::live;
+    owner_liveness m_state = owner_liveness::live;
 
     bool operator==(const member_view&) const = default;
 };
--- a/src/config/daemon_settings.cpp
+++ b/src/config/daemon_settings.cpp
@@ -81,7 +81,7 @@
     }
 }
 
-void read_membership(object_reader& parent, membership_settings& membership)
+void read_membership(object_reader& parent, membership_times& membership)
 {
     if (auto reader = parent.object("membership", false))
     {
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -221,7 +221,8 @@
     }
     settle_attempt(state.m_attempts, query.m_attempt_id, attempt_state::fenced,
                    now + unseen_attempt_memory);
-    return {query.m_attempt_id, *find_attempt(state.m_attempts, query.m_attempt_id)};
+    const attempt_state settled = *find_attempt(state.m_attempts, query.m_attempt_id);
+    return {query.m_attempt_id, state.m_self, settled};
 }
 
 void tick(dispatcher_state& state, time_point now,
