Use one type for urgent data centre states

The cluster and the config module each declared urgent_state with the same order of precedence, which cannot be included together. Datagrams now carry the type of the config module, which also names the operator. Before: two types; after: one; the codec tests are adapted to the new fields and check as much as before.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -1,7 +1,7 @@
 #pragma once
 
 #include <geraniumdoor/base/ids.hpp>
-#include <geraniumdoor/config/configuration.hpp>
+#include <geraniumdoor/config/urgent_state.hpp>
 
 #include <cstddef>
 #include <cstdint>
@@ -112,29 +112,6 @@
     }
 };
 
-/// A data centre taken out or brought back without the table service.
-struct urgent_state
-{
-    data_centre_id m_data_centre;
-    data_centre_state m_state = data_centre_state::in;
-    config_version m_base;
-    std::uint64_t m_counter = 0;
-    change_id m_change;
-
-    bool operator==(const urgent_state&) const = default;
-
-    template<class Archive>
-    void serialize(Archive& archive)
-    {
-        archive(short_text{m_data_centre.m_value}, m_state, m_base, m_counter,
-                short_text{m_change.m_value});
-    }
-};
-
-/// Whether a replaces b: the later (base version, counter) does, then "out" before "in",
-/// then the larger change id. Precondition: both name the same data centre.
-bool supersedes(const urgent_state& a, const urgent_state& b);
-
 /// Part that all datagrams share.
 struct gossip
 {
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -28,8 +28,8 @@
     message.m_gossip.m_sender.m_node = node_id{"n1"};
     message.m_gossip.m_sender.m_peer = node_address{"127.0.0.1", 7000};
     message.m_gossip.m_urgent.push_back(
-        urgent_state{data_centre_id{"a"}, data_centre_state::out, config_version{4}, 1,
-                     change_id{"c"}});
+        urgent_state{data_centre_id{"a"}, data_centre_state::out,
+                     data_centre_mark{config_version{4}, 1, change_id{"c"}}, "operator"});
     message.m_gossip.m_updates.resize(max_piggybacked_updates);
     return message;
 }
