--- a/src/config/config_change.cpp
+++ b/src/config/config_change.cpp
@@ -103,7 +103,8 @@
 
 using apply_result = result<configuration, change_refusal>;
 
-/// Sets a state that a change names, unless a later change already holds.
+/// Sets a state that a change names, unless a later change already holds. A data centre
+/// that the same change adds keeps the mark that keep_states gave it.
 std::optional<change_refusal> set_state(configuration& config, const urgent_state& state)
 {
     auto* row = find_mutable(config.m_data_centres, state.m_data_centre);
@@ -111,7 +112,8 @@
     {
         return unknown_row(state_field(state.m_data_centre));
     }
-    if (!overrules(state, stored_state(*row)))
+    const bool is_new = row->m_mark.m_change == state.m_mark.m_change;
+    if (!is_new && !overrules(state, stored_state(*row)))
     {
         const auto* record = find_record(config, row->m_mark.m_change);
         const change_record winner =
@@ -121,7 +123,7 @@
         return lost_race(state_field(state.m_data_centre), winner);
     }
     row->m_state = state.m_state;
-    row->m_mark = state.m_mark;
+    row->m_mark = is_new ? row->m_mark : state.m_mark;
     return std::nullopt;
 }
 
