--- a/include/geraniumdoor/request/claims.hpp
+++ b/include/geraniumdoor/request/claims.hpp
@@ -160,7 +160,8 @@
 void settle_claim(claims& state, const attempt_id& claim, claim_state end,
                   const std::string& output, std::vector<claim_follow_up> follow_ups);
 
-/// The request ended without a held claim. Withdraws what may have been written.
+/// The request ended without a held claim. Withdraws what may have been written. Has no
+/// effect on a settled claim.
 void release_claim(claims& state, const attempt_id& claim);
 
 /// Deletes a follow-up row, or keeps it from being inserted.
--- a/src/request/claims.cpp
+++ b/src/request/claims.cpp
@@ -21,8 +21,8 @@
 attempt_id add_entry(claims& state, const std::string& key, const claim_row& row)
 {
     attempt_id claim{state.m_node.m_value + '.' +
-                           std::to_string(state.m_incarnation.m_value) + '.' +
-                           std::to_string(++state.m_last_claim)};
+                     std::to_string(state.m_incarnation.m_value) + '.' +
+                     std::to_string(++state.m_last_claim)};
     claim_entry entry;
     entry.m_key = key;
     entry.m_row = row;
@@ -162,7 +162,7 @@
 void release_claim(claims& state, const attempt_id& claim)
 {
     auto* entry = state.m_entries.find(claim);
-    if (entry == nullptr)
+    if (entry == nullptr || entry->m_released)
     {
         return;
     }
--- a/src/request/request_end.cpp
+++ b/src/request/request_end.cpp
@@ -94,7 +94,7 @@
     {
         settle_claim(claims, claim, claim_state::withdrawn, {}, {});
     }
-    else if (row.m_phase != request_phase::running)
+    else
     {
         release_claim(claims, claim);
     }
--- a/tests/request/support.cpp
+++ b/tests/request/support.cpp
@@ -75,6 +75,7 @@
 
 fixture::fixture() : m_state{make_coordinator({"a"}, {1}, 7)}
 {
+    set_log_sink([](std::string_view) {});
     set_configuration(m_state, example_configuration(), m_now);
     for (const auto* owner : {"o1", "o2"})
     {
--- a/tests/request/support.hpp
+++ b/tests/request/support.hpp
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <geraniumdoor/base/log.hpp>
 #include <geraniumdoor/request/coordinator.hpp>
 
 #include <map>
