--- a/include/geraniumdoor/dispatch/ownership.hpp
+++ b/include/geraniumdoor/dispatch/ownership.hpp
@@ -95,6 +95,8 @@
     owner_row m_row;
     /// Zero: not read from the table service yet.
     std::uint64_t m_version = 0;
+    /// When the read that showed the row was sent.
+    time_point m_known_at{};
     std::optional<release_state> m_release;
 };
 
@@ -126,6 +128,7 @@
     upstream_id m_upstream;
     /// Rows of the transaction, applied when it is committed.
     std::vector<std::pair<upstream_id, owner_row>> m_owners;
+    time_point m_sent{};
 };
 
 struct ownership_settings
@@ -149,6 +152,9 @@
     /// Upstreams that are owned, with the authority that was last published.
     std::map<upstream_id, time_point> m_published;
     std::unordered_map<upstream_id, handed_over> m_handed;
+    /// Own leases whose creation was given up before it was settled. They gave no
+    /// authority and are revoked when they turn up.
+    std::set<lease_id> m_abandoned;
     std::set<lease_id> m_accepted;
     std::set<lease_id> m_refused;
     std::vector<given_lease> m_given;
--- a/src/dispatch/ownership.cpp
+++ b/src/dispatch/ownership.cpp
@@ -76,8 +76,9 @@
 
 } // namespace
 
-table_call_id start_call(ownership_state& state, pending_table_call call)
+table_call_id start_call(ownership_state& state, pending_table_call call, time_point now)
 {
+    call.m_sent = now;
     const table_call_id id{++state.m_last_table_call};
     state.m_pending.emplace(id, std::move(call));
     return id;
@@ -113,7 +114,14 @@
     return nullptr;
 }
 
-void learn_row(ownership_state& state, const table_row& row, time_point now)
+const held_lease* holding(const ownership_state& state, const owner_record& owner)
+{
+    const held_lease* lease = find_held(state, owner.m_row.m_lease);
+    return lease != nullptr && owner.m_known_at >= lease->m_created ? lease : nullptr;
+}
+
+void learn_row(ownership_state& state, const table_row& row, time_point sent,
+               time_point now)
 {
     const std::string_view key = row.m_key;
     if (key.starts_with(lease_prefix))
@@ -128,7 +136,7 @@
     if (const auto decoded = decode_owner_row(row.m_value))
     {
         learn_owner(state, {std::string{key.substr(owner_prefix.size())}}, *decoded,
-                    row.m_version);
+                    row.m_version, sent);
     }
 }
 
@@ -245,6 +253,7 @@
     {
         return;
     }
+    const time_point sent = found->second.m_sent;
     lease_record& record = state.m_leases[found->second.m_lease];
     state.m_pending.erase(found);
     if (record.m_call == end.m_id)
@@ -253,7 +262,7 @@
     }
     if (end.m_row)
     {
-        learn_row(state, *end.m_row, now);
+        learn_row(state, *end.m_row, sent, now);
     }
     publish(state, out);
 }
@@ -267,6 +276,7 @@
         return;
     }
     const table_purpose purpose = found->second.m_purpose;
+    const time_point sent = found->second.m_sent;
     state.m_pending.erase(found);
     if (!end.m_rows)
     {
@@ -278,7 +288,7 @@
     }
     for (const table_row& row : *end.m_rows)
     {
-        learn_row(state, row, now);
+        learn_row(state, row, sent, now);
     }
     state.m_owners_scanned =
         state.m_owners_scanned || purpose == table_purpose::scan_owners;
--- a/src/dispatch/ownership_guard.cpp
+++ b/src/dispatch/ownership_guard.cpp
@@ -58,7 +58,7 @@
 void read_lease(ownership_state& state, const lease_id& id, lease_record& record,
                 time_point now, actions& out)
 {
-    const auto call = start_call(state, {table_purpose::guard, id, {}, {}});
+    const auto call = start_call(state, {table_purpose::guard, id, {}, {}, {}}, now);
     record.m_call = call;
     record.m_next_call = now + renewal_period(state) / 2;
     out.push_back(table_read{call, key_of(id)});
@@ -68,7 +68,7 @@
 void revoke(ownership_state& state, const lease_id& id, lease_record& record,
             const lease_id& own, time_point now, actions& out)
 {
-    pending_table_call pending{table_purpose::revoke, id, {}, {}};
+    pending_table_call pending{table_purpose::revoke, id, {}, {}, {}};
     table_transaction transaction;
     transaction.m_checks.push_back({key_of(id), record.m_version});
     transaction.m_writes.push_back({key_of(id), std::nullopt});
@@ -87,7 +87,7 @@
         .add("lease", id)
         .add("holder", record.m_row->m_holder)
         .add("upstreams", pending.m_owners.size());
-    transaction.m_id = start_call(state, std::move(pending));
+    transaction.m_id = start_call(state, std::move(pending), now);
     record.m_revoking = true;
     record.m_revoke_version = record.m_version;
     record.m_call = transaction.m_id;
@@ -137,7 +137,7 @@
         {
             if (row.m_key == key)
             {
-                learn_owner(state, upstream, owner, row.m_version);
+                learn_owner(state, upstream, owner, row.m_version, call.m_sent);
             }
         }
     }
@@ -159,7 +159,8 @@
         const bool may_act =
             !state.m_stopping && own != nullptr && authority_until(*own) > now;
         // An unsettled revocation is repeated: it is conditional on the same version.
-        if (may_act && (record.m_revoking || may_revoke(state, record, now)))
+        if (may_act && (record.m_revoking || state.m_abandoned.contains(id) ||
+                        may_revoke(state, record, now)))
         {
             revoke(state, id, record, own->m_id, now, out);
         }
@@ -195,7 +196,7 @@
     }
     for (const table_row& row : end.m_rows)
     {
-        learn_row(state, row, now);
+        learn_row(state, row, call.m_sent, now);
     }
     request_scan(state);
 }
--- a/src/dispatch/ownership_internal.hpp
+++ b/src/dispatch/ownership_internal.hpp
@@ -15,7 +15,7 @@
 using actions = std::vector<ownership_action>;
 
 /// Numbers a table call and remembers what it is for.
-table_call_id start_call(ownership_state& state, pending_table_call call);
+table_call_id start_call(ownership_state& state, pending_table_call call, time_point now);
 
 held_lease* find_held(ownership_state& state, const lease_id& id);
 const held_lease* find_held(const ownership_state& state, const lease_id& id);
@@ -47,9 +47,16 @@
 std::vector<lease_guarantor> all_guarantors(const held_lease& lease);
 
 /// Records a lease or ownership row that was read; other rows are ignored.
-void learn_row(ownership_state& state, const table_row& row, time_point now);
+/// `sent` is when the call that showed the row was sent.
+void learn_row(ownership_state& state, const table_row& row, time_point sent,
+               time_point now);
 void learn_owner(ownership_state& state, const upstream_id& upstream,
-                 const owner_row& row, std::uint64_t version);
+                 const owner_row& row, std::uint64_t version, time_point sent);
+
+/// The held lease that owns the upstream, or null. For a received lease, a row that was
+/// read before it was received proves nothing: the old holder may have released the
+/// upstream since.
+const held_lease* holding(const ownership_state& state, const owner_record& owner);
 
 void create_own_lease(ownership_state& state, time_point now);
 void renew_leases(ownership_state& state, time_point now, actions& out);
--- a/src/dispatch/ownership_lease.cpp
+++ b/src/dispatch/ownership_lease.cpp
@@ -73,7 +73,8 @@
     lease.m_written = row;
     lease.m_written_at = now;
     lease.m_next_renewal = now + renewal_period(state);
-    const auto id = start_call(state, {table_purpose::renew, lease.m_id, {}, {}});
+    const auto id =
+        start_call(state, {table_purpose::renew, lease.m_id, {}, {}, {}}, now);
     lease.m_writing = id;
     const std::string key = key_of(lease.m_id);
     out.push_back(table_transaction{id, {{key, lease.m_version}}, {{key, encode(row)}}});
@@ -91,7 +92,7 @@
     lease.m_time_to_live = row.m_time_to_live;
     lease.m_renewed_until = lease.m_written_at + row.m_time_to_live;
     lease.m_next_extension = now;
-    learn_row(state, {key_of(lease.m_id), version, encode(row)}, now);
+    learn_row(state, {key_of(lease.m_id), version, encode(row)}, now, now);
 }
 
 /// Takes over the version of a row that an earlier write of unknown effect left behind.
@@ -185,6 +186,24 @@
     lease.m_grants.push_back({process, until});
 }
 
+/// Gives up creations that stayed unsettled for the time to live: the row may have been
+/// written and revoked since, and a revoked id is never used again.
+void abandon_unsettled(ownership_state& state, time_point now)
+{
+    std::erase_if(state.m_held,
+                  [&](const held_lease& lease)
+                  {
+                      const bool old = now - lease.m_created > lease.m_time_to_live;
+                      const bool gives_up =
+                          lease.m_version == 0 && !lease.m_writing && old;
+                      if (gives_up)
+                      {
+                          state.m_abandoned.insert(lease.m_id);
+                      }
+                      return gives_up;
+                  });
+}
+
 } // namespace
 
 std::vector<lease_guarantor> all_guarantors(const held_lease& lease)
@@ -214,13 +233,7 @@
 
 void renew_leases(ownership_state& state, time_point now, actions& out)
 {
-    // A creation that stayed unsettled for the time to live may have been revoked.
-    std::erase_if(state.m_held,
-                  [&](const held_lease& lease)
-                  {
-                      return lease.m_version == 0 && !lease.m_writing &&
-                             now - lease.m_created > lease.m_time_to_live;
-                  });
+    abandon_unsettled(state, now);
     const bool has_own = std::any_of(state.m_held.begin(), state.m_held.end(),
                                      [](const held_lease& lease)
                                      {
--- a/src/dispatch/ownership_publish.cpp
+++ b/src/dispatch/ownership_publish.cpp
@@ -54,8 +54,7 @@
     for (const auto& [upstream, until] : state.m_published)
     {
         const auto owner = state.m_owners.find(upstream);
-        if (owner == state.m_owners.end() ||
-            find_held(state, owner->second.m_row.m_lease) == nullptr)
+        if (owner == state.m_owners.end() || holding(state, owner->second) == nullptr)
         {
             lost.push_back(upstream);
         }
@@ -90,7 +89,7 @@
     publish_loss(state, out);
     for (const auto& [upstream, owner] : state.m_owners)
     {
-        if (const held_lease* lease = find_held(state, owner.m_row.m_lease))
+        if (const held_lease* lease = holding(state, owner))
         {
             publish_upstream(state, upstream, owner, *lease, out);
         }
@@ -107,7 +106,7 @@
     for (const auto& [upstream, until] : state.m_published)
     {
         const owner_record& owner = state.m_owners.at(upstream);
-        const held_lease* lease = find_held(state, owner.m_row.m_lease);
+        const held_lease* lease = holding(state, owner);
         const upstream_row* row = dispatcher.m_upstreams.find(upstream);
         if (owner.m_release || lease == nullptr || lease->m_transfer || row == nullptr)
         {
--- a/src/dispatch/ownership_rows.cpp
+++ b/src/dispatch/ownership_rows.cpp
@@ -105,7 +105,7 @@
     {
         const upstream_row* row = dispatcher.m_upstreams.find(upstream);
         if (row == nullptr || row->m_gone || owner.m_version == 0 ||
-            find_held(state, owner.m_row.m_lease) == nullptr)
+            holding(state, owner) == nullptr)
         {
             continue;
         }
@@ -127,8 +127,8 @@
 {
     release_state& release = *owner.m_release;
     const owner_row row{release.m_target, {owner.m_row.m_epoch.m_value + 1}, true};
-    const auto id =
-        start_call(state, {table_purpose::release, {}, upstream, {{upstream, row}}});
+    const auto id = start_call(
+        state, {table_purpose::release, {}, upstream, {{upstream, row}}, {}}, now);
     release.m_sent = true;
     release.m_call = id;
     release.m_next_call = now + retry_delay;
@@ -147,7 +147,7 @@
             continue;
         }
         const upstream_row* row = dispatcher.m_upstreams.find(upstream);
-        const bool held = find_held(state, owner.m_row.m_lease) != nullptr;
+        const bool held = holding(state, owner) != nullptr;
         const bool wanted = !state.m_stopping && held;
         if (!owner.m_release->m_sent && !wanted)
         {
@@ -160,19 +160,19 @@
     }
 }
 
-void learn_scan(ownership_state& state, const std::vector<table_row>& rows,
-                time_point now)
+void learn_rows(ownership_state& state, const std::vector<table_row>& rows,
+                time_point sent, time_point now)
 {
     for (const table_row& row : rows)
     {
-        learn_row(state, row, now);
+        learn_row(state, row, sent, now);
     }
 }
 
 } // namespace
 
 void learn_owner(ownership_state& state, const upstream_id& upstream,
-                 const owner_row& row, std::uint64_t version)
+                 const owner_row& row, std::uint64_t version, time_point sent)
 {
     owner_record& known = state.m_owners[upstream];
     if (row.m_epoch < known.m_row.m_epoch)
@@ -185,6 +185,7 @@
         known.m_row = row;
     }
     known.m_version = std::max(known.m_version, version);
+    known.m_known_at = std::max(known.m_known_at, sent);
 }
 
 void scan_rows(ownership_state& state, time_point now, actions& out)
@@ -194,9 +195,11 @@
         return;
     }
     state.m_next_scan = now + scan_period(state);
-    const auto leases = start_call(state, {table_purpose::scan_leases, {}, {}, {}});
+    const auto leases =
+        start_call(state, {table_purpose::scan_leases, {}, {}, {}, {}}, now);
     out.push_back(table_scan{leases, std::string{lease_prefix}});
-    const auto owners = start_call(state, {table_purpose::scan_owners, {}, {}, {}});
+    const auto owners =
+        start_call(state, {table_purpose::scan_owners, {}, {}, {}, {}}, now);
     out.push_back(table_scan{owners, std::string{owner_prefix}});
 }
 
@@ -211,7 +214,7 @@
     }
     state.m_next_claim = now + claim_period;
     table_transaction transaction;
-    pending_table_call pending{table_purpose::claim, own->m_id, {}, {}};
+    pending_table_call pending{table_purpose::claim, own->m_id, {}, {}, {}};
     for (const auto& [id, row] : dispatcher.m_upstreams)
     {
         if (!row.m_gone && pending.m_owners.size() < most_claims_at_once &&
@@ -225,7 +228,7 @@
         return;
     }
     log_event{"claim"}.add("upstreams", pending.m_owners.size());
-    transaction.m_id = start_call(state, std::move(pending));
+    transaction.m_id = start_call(state, std::move(pending), now);
     state.m_claiming = transaction.m_id;
     out.push_back(std::move(transaction));
 }
@@ -256,7 +259,7 @@
             {
                 if (row.m_key == key)
                 {
-                    learn_owner(state, upstream, owner, row.m_version);
+                    learn_owner(state, upstream, owner, row.m_version, call.m_sent);
                 }
             }
         }
@@ -264,7 +267,7 @@
     }
     // The scan reads back a claim of unknown effect; a repeat before it would conflict.
     state.m_owners_scanned = false;
-    learn_scan(state, end.m_rows, now);
+    learn_rows(state, end.m_rows, call.m_sent, now);
     request_scan(state);
 }
 
@@ -279,10 +282,10 @@
     if (end.m_outcome == table_outcome::committed && !end.m_rows.empty())
     {
         learn_owner(state, call.m_upstream, call.m_owners.front().second,
-                    end.m_rows.front().m_version);
+                    end.m_rows.front().m_version, call.m_sent);
         return;
     }
-    learn_scan(state, end.m_rows, now);
+    learn_rows(state, end.m_rows, call.m_sent, now);
 }
 
 } // namespace geraniumdoor::ownership_detail
--- a/src/dispatch/ownership_transfer.cpp
+++ b/src/dispatch/ownership_transfer.cpp
@@ -57,7 +57,8 @@
     std::vector<upstream_id> upstreams;
     for (const auto& [upstream, owner] : state.m_owners)
     {
-        if (owner.m_row.m_lease == lease)
+        const held_lease* holder = holding(state, owner);
+        if (holder != nullptr && holder->m_id == lease)
         {
             upstreams.push_back(upstream);
         }
@@ -123,7 +124,8 @@
     for (const transferred_upstream& upstream : message.m_upstreams)
     {
         const owned_upstream& owned = upstream.m_owned;
-        learn_owner(state, owned.m_upstream, {message.m_lease, owned.m_epoch, false}, 0);
+        learn_owner(state, owned.m_upstream, {message.m_lease, owned.m_epoch, false}, 0,
+                    now);
         state.m_handed[owned.m_upstream] = {
             owned.m_limit, upstream.m_upstream_incarnation, upstream.m_outstanding,
             state.m_settings.m_longest_call};
@@ -255,7 +257,7 @@
 {
     const auto owner = state.m_owners.find(message.m_upstream);
     if (owner != state.m_owners.end() && owner->second.m_row.m_lease == message.m_lease &&
-        find_held(state, message.m_lease) != nullptr)
+        holding(state, owner->second) != nullptr)
     {
         out.push_back(
             foreign_outstanding_change{message.m_upstream, message.m_outstanding});
