--- a/tests/config/sample_configuration.hpp
+++ b/tests/config/sample_configuration.hpp
@@ -28,6 +28,7 @@
     config.m_workspaces = {{{"riders"}, 0, 1}, {{"depots"}, 1, 3}};
     config.m_demands = {{{"riders"}, {"ask"}, 10, 10},
                         {{"depots"}, {"renewal"}, 2.5, 2.5}};
-    config.m_history = {{config.m_version, config.m_change, config.m_operator, {"sheet"}}};
+    config.m_history = {
+        {config.m_version, config.m_change, config.m_operator, {"sheet"}}};
     return config;
 }
