--- /dev/null
+++ b/src/cluster/membership_gossip.cpp
@@ -0,0 +1,205 @@
+#include "membership_internal.hpp"
+
+#include <algorithm>
+#include <bit>
+
+namespace geraniumdoor::membership_detail
+{
+
+namespace
+{
+
+/// Urgent states in one datagram; more take turns.
+constexpr std::size_t urgent_per_datagram = 6;
+
+/// Bytes for the parts of a datagram other than updates, urgent states and texts.
+constexpr std::size_t fixed_bytes = 100;
+
+/// Each update is sent this often for each doubling of the number of members.
+constexpr std::uint32_t sends_per_doubling = 3;
+
+std::size_t address_bytes(const node_address& address)
+{
+    return 3 + address.m_ip.size();
+}
+
+/// Encoded size: numbers take 18 bytes, and each of three texts one length byte.
+std::size_t encoded_bytes(const member_update& update)
+{
+    constexpr std::size_t numbers_and_lengths = 21;
+    return numbers_and_lengths + update.m_node.m_value.size() +
+           update.m_data_centre.m_value.size() + update.m_region.m_value.size() +
+           address_bytes(update.m_peer) + address_bytes(update.m_caller) +
+           address_bytes(update.m_admin);
+}
+
+std::size_t encoded_bytes(const urgent_state& urgent)
+{
+    constexpr std::size_t numbers_and_lengths = 19;
+    return numbers_and_lengths + urgent.m_data_centre.m_value.size() +
+           urgent.m_change.m_value.size();
+}
+
+/// Bytes that are left for updates.
+std::size_t room_for_updates(const gossip& shared, const node_id& to)
+{
+    std::size_t used = fixed_bytes + encoded_bytes(shared.m_sender) +
+                       2 * (to.m_value.size() + shared.m_sender.m_node.m_value.size());
+    for (const urgent_state& urgent : shared.m_urgent)
+    {
+        used += encoded_bytes(urgent);
+    }
+    return used < max_datagram_bytes ? max_datagram_bytes - used : 0;
+}
+
+/// Returns false when the update does not fit.
+bool append_update(gossip& shared, const member_update& update, std::size_t& room)
+{
+    const std::size_t size = encoded_bytes(update);
+    if (size > room || shared.m_updates.size() >= max_piggybacked_updates)
+    {
+        return false;
+    }
+    room -= size;
+    shared.m_updates.push_back(update);
+    return true;
+}
+
+void append_urgent(membership_state& state, gossip& shared)
+{
+    const auto count = static_cast<std::uint32_t>(state.m_urgent.size());
+    const std::size_t taken = std::min<std::size_t>(count, urgent_per_datagram);
+    for (std::size_t at = 0; at < taken; ++at)
+    {
+        shared.m_urgent.push_back(state.m_urgent[state.m_urgent_cursor++ % count]);
+    }
+}
+
+/// Puts the updates sent least often first.
+void append_broadcasts(membership_state& state, gossip& shared, std::size_t room)
+{
+    auto& queue = state.m_broadcasts;
+    const auto count = std::min<std::size_t>(queue.size(), max_piggybacked_updates);
+    std::partial_sort(queue.begin(), queue.begin() + static_cast<std::ptrdiff_t>(count),
+                      queue.end(),
+                      [](const broadcast& a, const broadcast& b)
+                      {
+                          return a.m_sends < b.m_sends;
+                      });
+    for (std::size_t at = 0; at < count; ++at)
+    {
+        if (append_update(shared, queue[at].m_update, room))
+        {
+            ++queue[at].m_sends;
+        }
+    }
+    const auto members = static_cast<std::uint32_t>(state.m_members.size() + 1);
+    const std::uint32_t limit =
+        sends_per_doubling * static_cast<std::uint32_t>(std::bit_width(members));
+    std::erase_if(queue,
+                  [limit](const broadcast& entry)
+                  {
+                      return entry.m_sends >= limit;
+                  });
+}
+
+gossip make_header(membership_state& state)
+{
+    gossip shared;
+    shared.m_sender = state.m_self;
+    shared.m_config = state.m_config;
+    append_urgent(state, shared);
+    return shared;
+}
+
+} // namespace
+
+void queue_broadcast(membership_state& state, const member_update& update)
+{
+    for (broadcast& entry : state.m_broadcasts)
+    {
+        if (entry.m_update.m_node == update.m_node)
+        {
+            entry = broadcast{update, 0};
+            return;
+        }
+    }
+    state.m_broadcasts.push_back(broadcast{update, 0});
+}
+
+void spread_at_once(membership_state& state)
+{
+    state.m_rumour_rounds_left = state.m_settings.m_rumour_rounds;
+    state.m_next_rumour = time_point{};
+}
+
+gossip make_gossip(membership_state& state, const node_id& to)
+{
+    gossip shared = make_header(state);
+    std::size_t room = room_for_updates(shared, to);
+    // A node that is doubted must hear of it to refute.
+    const member* receiver = state.m_members.find(to);
+    if (receiver != nullptr && receiver->m_info.m_state >= member_state::suspect)
+    {
+        append_update(shared, receiver->m_info, room);
+    }
+    append_broadcasts(state, shared, room);
+    return shared;
+}
+
+bool fill_member_page(membership_state& state, const node_id& after, gossip& shared)
+{
+    shared.m_updates.clear();
+    std::vector<const member_update*> following;
+    for (const auto& entry : state.m_members)
+    {
+        if (is_live(entry.m_row) && after < entry.m_id)
+        {
+            following.push_back(&entry.m_row.m_info);
+        }
+    }
+    const auto count = std::min(following.size(), max_piggybacked_updates);
+    std::partial_sort(following.begin(),
+                      following.begin() + static_cast<std::ptrdiff_t>(count),
+                      following.end(),
+                      [](const member_update* a, const member_update* b)
+                      {
+                          return a->m_node < b->m_node;
+                      });
+    std::size_t room = room_for_updates(shared, after);
+    for (std::size_t at = 0; at < count; ++at)
+    {
+        if (!append_update(shared, *following[at], room))
+        {
+            break;
+        }
+    }
+    return shared.m_updates.size() == following.size();
+}
+
+std::uint64_t send_ping(membership_state& state, const node_id& target,
+                        const node_address& address, membership_actions& actions)
+{
+    ping message;
+    message.m_sequence = ++state.m_last_sequence;
+    message.m_target = target;
+    message.m_gossip = make_gossip(state, target);
+    actions.emplace_back(send_datagram{address, std::move(message)});
+    return state.m_last_sequence;
+}
+
+void request_page(membership_state& state, const node_id& target,
+                  const node_address& address, const node_id& after, time_point now,
+                  membership_actions& actions)
+{
+    ping message;
+    message.m_sequence = ++state.m_last_sequence;
+    message.m_target = target;
+    message.m_wants_members = true;
+    message.m_after = after;
+    message.m_gossip = make_gossip(state, target);
+    state.m_sync = member_sync{message.m_sequence, target, now};
+    actions.emplace_back(send_datagram{address, std::move(message)});
+}
+
+} // namespace geraniumdoor::membership_detail
--- /dev/null
+++ b/src/cluster/membership_receive.cpp
@@ -0,0 +1,169 @@
+#include "membership_internal.hpp"
+
+namespace geraniumdoor
+{
+
+using namespace membership_detail;
+
+namespace
+{
+
+/// Pings on behalf of others that may be open at once.
+constexpr std::size_t max_relays = 1024;
+
+/// Time before the same or an older version is asked for again.
+constexpr milliseconds config_pull_pause{1000};
+
+void merge_config(membership_state& state, const gossip& shared, time_point now,
+                  membership_actions& actions)
+{
+    if (shared.m_config <= state.m_config)
+    {
+        return;
+    }
+    if (shared.m_config > state.m_config_asked || now >= state.m_next_config_pull)
+    {
+        state.m_config_asked = shared.m_config;
+        state.m_next_config_pull = now + config_pull_pause;
+        actions.emplace_back(
+            configuration_behind{shared.m_sender.m_node, shared.m_config});
+    }
+}
+
+void merge_sender(membership_state& state, const member_update& sender, time_point now,
+                  membership_actions& actions)
+{
+    const member* before = state.m_members.find(sender.m_node);
+    const bool was_dead = before != nullptr && !is_live(*before);
+    merge_update(state, sender, update_source::news, now, actions);
+    member* known = state.m_members.find(sender.m_node);
+    if (known == nullptr || known->m_info.m_incarnation != sender.m_incarnation)
+    {
+        return;
+    }
+    known->m_info.m_free_capacity = sender.m_free_capacity;
+    if (was_dead && is_live(*known))
+    {
+        // A cut may have healed: the rest of the other side is in this member's list.
+        state.m_next_sync = std::min(state.m_next_sync, now);
+    }
+}
+
+void merge_gossip(membership_state& state, const gossip& shared, update_source source,
+                  time_point now, membership_actions& actions)
+{
+    merge_sender(state, shared.m_sender, now, actions);
+    for (const member_update& update : shared.m_updates)
+    {
+        merge_update(state, update, source, now, actions);
+    }
+    for (const urgent_state& urgent : shared.m_urgent)
+    {
+        merge_urgent(state, urgent, actions);
+    }
+    merge_config(state, shared, now, actions);
+}
+
+void receive(membership_state& state, const ping& message, const node_address& from,
+             time_point now, membership_actions& actions)
+{
+    const bool meant =
+        message.m_target.m_value.empty() || message.m_target == state.m_self.m_node;
+    merge_gossip(state, message.m_gossip, update_source::news, now, actions);
+    if (!meant)
+    {
+        return;
+    }
+    ack answer;
+    answer.m_sequence = message.m_sequence;
+    answer.m_node = state.m_self.m_node;
+    answer.m_incarnation = state.m_self.m_incarnation;
+    answer.m_gossip = make_gossip(state, message.m_gossip.m_sender.m_node);
+    if (message.m_wants_members)
+    {
+        answer.m_is_member_page = true;
+        answer.m_last_page = fill_member_page(state, message.m_after, answer.m_gossip);
+    }
+    actions.emplace_back(send_datagram{from, std::move(answer)});
+}
+
+void receive(membership_state& state, const ping_req& message, const node_address& from,
+             time_point now, membership_actions& actions)
+{
+    merge_gossip(state, message.m_gossip, update_source::news, now, actions);
+    if (state.m_relays.size() >= max_relays)
+    {
+        return;
+    }
+    const std::uint64_t sequence =
+        send_ping(state, message.m_target, message.m_target_address, actions);
+    state.m_relays[sequence] = relayed_probe{from, message.m_sequence, now};
+}
+
+void pass_on_ack(membership_state& state, const ack& message, membership_actions& actions)
+{
+    const auto at = state.m_relays.find(message.m_sequence);
+    if (at == state.m_relays.end())
+    {
+        return;
+    }
+    ack passed;
+    passed.m_sequence = at->second.m_requester_sequence;
+    passed.m_node = message.m_node;
+    passed.m_incarnation = message.m_incarnation;
+    passed.m_gossip = make_gossip(state, node_id{});
+    actions.emplace_back(send_datagram{at->second.m_requester, std::move(passed)});
+    state.m_relays.erase(at);
+}
+
+void continue_sync(membership_state& state, const ack& message, const node_address& from,
+                   time_point now, membership_actions& actions)
+{
+    const auto& page = message.m_gossip.m_updates;
+    if (message.m_last_page || page.empty())
+    {
+        state.m_sync.reset();
+        return;
+    }
+    const node_id last = page.back().m_node;
+    request_page(state, message.m_node, from, last, now, actions);
+}
+
+void receive(membership_state& state, const ack& message, const node_address& from,
+             time_point now, membership_actions& actions)
+{
+    const auto source =
+        message.m_is_member_page ? update_source::list : update_source::news;
+    merge_gossip(state, message.m_gossip, source, now, actions);
+    if (state.m_probe && state.m_probe->m_sequence == message.m_sequence &&
+        state.m_probe->m_target == message.m_node)
+    {
+        state.m_probe.reset();
+    }
+    pass_on_ack(state, message, actions);
+    if (state.m_sync && state.m_sync->m_sequence == message.m_sequence)
+    {
+        continue_sync(state, message, from, now, actions);
+    }
+}
+
+} // namespace
+
+void receive_datagram(membership_state& state, const datagram& message,
+                      const node_address& from, time_point now,
+                      membership_actions& actions)
+{
+    note_event(state, now, actions);
+    if (state.m_self.m_state == member_state::left)
+    {
+        return;
+    }
+    std::visit(
+        [&](const auto& body)
+        {
+            receive(state, body, from, now, actions);
+        },
+        message);
+}
+
+} // namespace geraniumdoor
