Wire the modules into the entry daemon

The modules of request, dispatch, cluster, config and platform existed without a process that runs them. The entry daemon passes events to them and carries out their actions on one thread; it serves callers, hosts, upstreams, in-doubt claims, metrics and health over HTTP. Ruled out: decisions in the daemon, so that tests of the modules stay valid for it.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -82,6 +82,8 @@
     left,
 };
 
+const char* to_text(member_state state);
+
 /// What one node says or has heard of a member.
 struct member_update
 {
--- /dev/null
+++ b/src/cluster/datagrams.cpp
@@ -0,0 +1,24 @@
+#include <geraniumdoor/cluster/datagrams.hpp>
+
+namespace geraniumdoor
+{
+
+const char* to_text(member_state state)
+{
+    switch (state)
+    {
+    case member_state::alive:
+        return "alive";
+    case member_state::leaving:
+        return "leaving";
+    case member_state::suspect:
+        return "suspect";
+    case member_state::dead:
+        return "dead";
+    case member_state::left:
+        return "left";
+    }
+    return "unknown";
+}
+
+} // namespace geraniumdoor
--- a/src/cluster/membership_gossip.cpp
+++ b/src/cluster/membership_gossip.cpp
@@ -33,11 +33,12 @@
            address_bytes(update.m_admin);
 }
 
+/// Encoded size: numbers take 17 bytes, and each of three texts eight length bytes.
 std::size_t encoded_bytes(const urgent_state& urgent)
 {
-    constexpr std::size_t numbers_and_lengths = 19;
+    constexpr std::size_t numbers_and_lengths = 41;
     return numbers_and_lengths + urgent.m_data_centre.m_value.size() +
-           urgent.m_change.m_value.size();
+           urgent.m_mark.m_change.m_value.size() + urgent.m_operator.size();
 }
 
 /// Bytes that are left for updates.
--- a/src/cluster/membership_merge.cpp
+++ b/src/cluster/membership_merge.cpp
@@ -274,7 +274,7 @@
                                  {
                                      return known.m_data_centre == urgent.m_data_centre;
                                  });
-    if (at != all.end() && !supersedes(urgent, *at))
+    if (at != all.end() && !overrules(urgent, *at))
     {
         return false;
     }
--- /dev/null
+++ b/src/daemon/caller_api.cpp
@@ -0,0 +1,239 @@
+#include "answer_document.hpp"
+#include "caller_request.hpp"
+#include "entry_node.hpp"
+
+#include <geraniumdoor/base/log.hpp>
+
+#include <utility>
+
+namespace geraniumdoor
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+constexpr std::string_view json_type = "application/json";
+constexpr std::string_view stream_type = "application/x-ndjson";
+
+http_response json_response(unsigned status, std::string body)
+{
+    http_response response;
+    response.m_status = status;
+    response.m_fields.emplace_back("Content-Type", json_type);
+    response.m_body = std::move(body);
+    return response;
+}
+
+void add_retry_after(http_response& response, milliseconds wait)
+{
+    if (wait > milliseconds::zero())
+    {
+        const auto whole = std::chrono::ceil<seconds>(wait);
+        response.m_fields.emplace_back("Retry-After", std::to_string(whole.count()));
+    }
+}
+
+http_response refusal_response(const request_refusal& refusal)
+{
+    auto response = json_response(refusal.m_status, encode_error(refusal.m_error));
+    add_retry_after(response, refusal.m_error.m_retry_after);
+    return response;
+}
+
+http_response answer_response(const pipeline_answer& answer)
+{
+    if (answer.m_code == answer_code::ok)
+    {
+        return json_response(200, encode_answer(answer));
+    }
+    auto response =
+        json_response(status_of(answer.m_code), encode_error(error_of_answer(answer)));
+    add_retry_after(response, answer.m_retry_after);
+    return response;
+}
+
+} // namespace
+
+asio::awaitable<void> entry_node::serve_caller(http_exchange& exchange)
+{
+    const http_request& request = exchange.request();
+    const bool is_pipeline = request.m_target.starts_with("/v1/pipelines/");
+    if (is_pipeline && request.m_method == "POST")
+    {
+        co_await serve_pipeline(exchange);
+        co_return;
+    }
+    http_response response;
+    if (request.m_target == "/v1/addresses" && request.m_method == "GET")
+    {
+        response = json_response(200, encode_address_answer());
+    }
+    else
+    {
+        error_document error;
+        error.m_code = is_pipeline ? "method_not_allowed" : "not_found";
+        error.m_field = is_pipeline ? "method" : "path";
+        error.m_message = "GET /v1/addresses and POST /v1/pipelines/{name} are accepted";
+        response = json_response(is_pipeline ? 405 : 404, encode_error(error));
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> entry_node::serve_pipeline(http_exchange& exchange)
+{
+    const time_point started = std::chrono::steady_clock::now();
+    auto checked =
+        is_ready()
+            ? read_caller_request(exchange.request(), m_coordinator.m_config,
+                                  m_settings.m_requests.m_longest_deadline, started)
+            : not_ready_refusal();
+    if (!is_ok(checked))
+    {
+        m_metrics.add("gd_refused_total", {{"reason", error_of(checked).m_error.m_code}});
+        http_response response = refusal_response(error_of(checked));
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    pipeline_request wanted = std::move(value_of(checked));
+    wanted.m_id = request_id{m_settings.m_node, m_incarnation, ++m_last_request};
+    auto session = std::make_shared<caller_session>(m_io.get_executor());
+    m_sessions[wanted.m_id] = session;
+    exchange.on_peer_closed(
+        [this, id = wanted.m_id]
+        {
+            leave_caller(id);
+        });
+    coordinator_actions actions;
+    start_request(m_coordinator, wanted, started, actions);
+    run(actions);
+    if (wanted.m_streamed)
+    {
+        co_await send_stream(exchange, session);
+    }
+    else
+    {
+        co_await send_whole(exchange, session);
+    }
+    if (session->final_answer())
+    {
+        note_answer(wanted, *session->final_answer(), started);
+    }
+}
+
+void entry_node::leave_caller(const request_id& id)
+{
+    const auto at = m_sessions.find(id);
+    if (at == m_sessions.end())
+    {
+        return;
+    }
+    const auto session = at->second;
+    m_sessions.erase(at);
+    log_event{"caller_gone"}.add("request", to_string(id));
+    m_metrics.add("gd_callers_gone_total", {});
+    coordinator_actions actions;
+    on_caller_gone(m_coordinator, id, std::chrono::steady_clock::now(), actions);
+    run(actions);
+    session->close();
+}
+
+asio::awaitable<void> entry_node::send_whole(http_exchange& exchange,
+                                             std::shared_ptr<caller_session> session)
+{
+    while (!session->final_answer() && !session->closed())
+    {
+        co_await session->wait();
+        session->take_parts();
+    }
+    if (session->closed())
+    {
+        exchange.drop();
+        co_return;
+    }
+    http_response response = answer_response(*session->final_answer());
+    co_await exchange.respond(std::move(response));
+}
+
+asio::awaitable<void> entry_node::send_stream(http_exchange& exchange,
+                                              std::shared_ptr<caller_session> session)
+{
+    co_await session->wait();
+    const bool refused = session->parts().empty() && session->final_answer() &&
+                         session->final_answer()->m_code != answer_code::ok;
+    if (refused || session->closed())
+    {
+        co_await send_whole(exchange, session);
+        co_return;
+    }
+    co_await exchange.begin_stream(200, std::string{stream_type});
+    bool open = true;
+    while (open && !session->closed())
+    {
+        std::string lines;
+        for (const auto& part : session->take_parts())
+        {
+            lines += encode_part(part);
+        }
+        const bool last = session->final_answer().has_value();
+        if (last)
+        {
+            lines += encode_stream_end(*session->final_answer());
+        }
+        open = co_await exchange.write_part(std::move(lines));
+        if (last)
+        {
+            break;
+        }
+        co_await session->wait();
+    }
+    co_await exchange.end_stream();
+}
+
+result<pipeline_request, request_refusal> entry_node::not_ready_refusal() const
+{
+    constexpr milliseconds retry_after{1000};
+    request_refusal refusal;
+    refusal.m_status = 503;
+    refusal.m_error.m_code = to_text(answer_code::not_ready);
+    refusal.m_error.m_message = "this host has no configuration yet";
+    refusal.m_error.m_retry_after = retry_after;
+    return refusal;
+}
+
+void entry_node::note_answer(const pipeline_request& request,
+                             const pipeline_answer& answer, time_point started)
+{
+    const duration length = std::chrono::steady_clock::now() - started;
+    const bool in_time = started + length <= request.m_deadline;
+    const bool attained = answer.m_code == answer_code::ok && in_time;
+    const metric_labels labels{{"pipeline", request.m_pipeline.m_value},
+                               {"workspace", request.m_workspace.m_value}};
+    m_metrics.add("gd_requests_total", labels);
+    m_metrics.add("gd_attained_total", labels, attained ? 1 : 0);
+    m_metrics.observe("gd_request_seconds", {{"pipeline", request.m_pipeline.m_value}},
+                      to_s(length));
+    if (answer.m_code != answer_code::ok)
+    {
+        m_metrics.add("gd_refused_total", {{"reason", to_text(answer.m_code)}});
+    }
+    for (const auto& stage : answer.m_stages)
+    {
+        const double cost = stage.m_upstream_us / 1e6;
+        m_metrics.observe("gd_stage_seconds", {{"stage", stage.m_name}}, cost);
+        m_metrics.add("gd_stage_cost_seconds_total", {{"stage", stage.m_name}}, cost);
+    }
+    log_event{"answer"}
+        .add("request", to_string(answer.m_id))
+        .add("pipeline", request.m_pipeline)
+        .add("workspace", request.m_workspace)
+        .add("code", to_text(answer.m_code))
+        .add("ran", to_text(answer.m_ran))
+        .add("ms", to_ms(length))
+        .add("in_time", in_time)
+        .add("replayed", answer.m_replayed)
+        .add("message", answer.m_message);
+}
+
+} // namespace geraniumdoor
--- /dev/null
+++ b/src/daemon/entry_node.cpp
@@ -0,0 +1,287 @@
+#include "entry_node.hpp"
+
+#include <geraniumdoor/base/log.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <utility>
+
+namespace geraniumdoor
+{
+
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// Period in which the systems run over their tables.
+constexpr milliseconds tick_period = 50ms;
+/// Time between two looks at the steady clock.
+constexpr milliseconds clock_period = 10ms;
+/// Time between two load reports of an owned upstream.
+constexpr milliseconds load_period = 500ms;
+
+/// Time between two looks for follow-ups of processes that have ended.
+constexpr milliseconds follow_up_period = 5s;
+/// Time between two deletions of expired claims.
+constexpr milliseconds claim_sweep_period = 60s;
+
+tcp::endpoint to_tcp(const ip_endpoint& address)
+{
+    return {address.m_address, address.m_port};
+}
+
+node_address to_node_address(const ip_endpoint& address)
+{
+    return {address.m_address.to_string(), address.m_port};
+}
+
+http_limits to_limits(const http_settings& settings)
+{
+    http_limits limits;
+    limits.m_header_bytes = settings.m_header_bytes;
+    limits.m_body_bytes = settings.m_body_bytes;
+    limits.m_connections = settings.m_connections;
+    limits.m_receive_timeout = settings.m_receive_timeout;
+    limits.m_idle_timeout = settings.m_idle_timeout;
+    return limits;
+}
+
+member_update make_self(const daemon_settings& settings, incarnation started)
+{
+    member_update self;
+    self.m_node = settings.m_node;
+    self.m_incarnation = started;
+    self.m_data_centre = settings.m_data_centre;
+    self.m_region = settings.m_region;
+    self.m_peer = to_node_address(settings.m_peer_address);
+    self.m_caller = to_node_address(settings.m_caller_address);
+    self.m_admin = to_node_address(settings.m_admin_address);
+    return self;
+}
+
+ownership_settings make_ownership_settings(const daemon_settings& settings,
+                                           incarnation started)
+{
+    ownership_settings ownership;
+    ownership.m_node = settings.m_node;
+    ownership.m_incarnation = started;
+    ownership.m_data_centre = settings.m_data_centre;
+    return ownership;
+}
+
+config_keeper_settings make_keeper_settings(const daemon_settings& settings)
+{
+    config_keeper_settings keeper;
+    keeper.m_poll_period = settings.m_table_poll;
+    return keeper;
+}
+
+/// Limits on answers of the platform and of upstreams, which send larger bodies than
+/// callers do.
+http_limits platform_limits()
+{
+    http_limits limits;
+    limits.m_body_bytes = std::size_t{16} * 1024 * 1024;
+    return limits;
+}
+
+node_transport_settings make_transport_settings(const daemon_settings& settings,
+                                                incarnation started)
+{
+    return {settings.m_node, started, to_node_address(settings.m_peer_address)};
+}
+
+} // namespace
+
+entry_node::entry_node(asio::io_context& io, daemon_settings settings,
+                       incarnation started)
+    : m_io{io}
+    , m_settings{std::move(settings)}
+    , m_incarnation{started}
+    , m_random{started.m_value}
+    , m_timers{std::chrono::steady_clock::now()}
+    , m_tick_timer{io}
+    , m_http{io.get_executor(), platform_limits()}
+    , m_table{m_http, to_tcp(m_settings.m_table_service),
+              m_settings.m_requests.m_table_timeout}
+    , m_host_list{m_http, to_tcp(m_settings.m_host_list), 1000ms}
+    , m_upstreams{m_http}
+    , m_transport{io.get_executor(),
+                  make_transport_settings(m_settings, started),
+                  {},
+                  make_callbacks()}
+    , m_caller_server{io.get_executor(), to_tcp(m_settings.m_caller_address),
+                      to_limits(m_settings.m_http),
+                      [this](http_exchange& exchange)
+                      {
+                          return serve_caller(exchange);
+                      }}
+    , m_admin_server{io.get_executor(), to_tcp(m_settings.m_admin_address),
+                     to_limits(m_settings.m_http),
+                     [this](http_exchange& exchange)
+                     {
+                         return serve_admin(exchange);
+                     }}
+    , m_membership{make_membership({}, make_self(m_settings, started), m_timers.now())}
+    , m_dispatcher{make_dispatcher(started, started.m_value)}
+    , m_ownership{make_ownership(make_ownership_settings(m_settings, started),
+                                 m_timers.now())}
+    , m_coordinator{make_coordinator(m_settings.m_node, started, started.m_value)}
+    , m_config{make_config_keeper(make_keeper_settings(m_settings),
+                                  random_source{started.m_value}, m_timers.now())}
+{
+    m_addresses.m_keep = m_settings.m_address_keep;
+}
+
+entry_node::~entry_node() = default;
+
+void entry_node::start()
+{
+    m_transport.start();
+    m_admin_server.start();
+    m_caller_server.start();
+    set_peer_hints({});
+    subscribe_timers();
+    schedule_clock();
+    publish_members();
+    log_event{"started"}
+        .add("node", m_settings.m_node)
+        .add("incarnation", m_incarnation)
+        .add("data_centre", m_settings.m_data_centre)
+        .add("caller_address", to_text(m_settings.m_caller_address))
+        .add("version", GD_VERSION);
+}
+
+void entry_node::subscribe_timers()
+{
+    m_timers.every(tick_period,
+                   [this](time_point now)
+                   {
+                       tick_all(now);
+                   });
+    m_timers.every(load_period,
+                   [this](time_point)
+                   {
+                       poll_loads();
+                   });
+    m_timers.every(m_settings.m_host_list_poll,
+                   [this](time_point)
+                   {
+                       asio::co_spawn(m_io, poll_host_list(), asio::detached);
+                   });
+    m_timers.every(follow_up_period,
+                   [this](time_point)
+                   {
+                       asio::co_spawn(m_io, sweep_follow_ups(), asio::detached);
+                   });
+    m_timers.every(claim_sweep_period,
+                   [this](time_point)
+                   {
+                       asio::co_spawn(m_io, sweep_claims(), asio::detached);
+                   });
+    asio::co_spawn(m_io, poll_host_list(), asio::detached);
+}
+
+void entry_node::schedule_clock()
+{
+    m_tick_timer.expires_after(clock_period);
+    m_tick_timer.async_wait(
+        [this](boost::system::error_code error)
+        {
+            if (!error)
+            {
+                m_timers.advance_to(std::chrono::steady_clock::now());
+                schedule_clock();
+            }
+        });
+}
+
+void entry_node::tick_all(time_point now)
+{
+    membership_actions membership;
+    set_free_capacity(m_membership, free_capacity(), now);
+    tick_membership(m_membership, now, m_random, membership);
+    run(membership);
+    std::vector<ownership_action> ownership;
+    tick(m_ownership, m_dispatcher, now, ownership);
+    run(ownership);
+    std::vector<dispatcher_action> dispatcher;
+    tick(m_dispatcher, now, dispatcher);
+    run(dispatcher);
+    coordinator_actions coordinator;
+    tick(m_coordinator, now, coordinator);
+    run(coordinator);
+    tick_config(now);
+    tick_drain(now);
+}
+
+std::uint32_t entry_node::free_capacity() const
+{
+    std::uint32_t total = 1;
+    for (const auto& pool : m_dispatcher.m_pools)
+    {
+        total += pool.m_row.m_free_slots;
+    }
+    return total;
+}
+
+asio::awaitable<void> entry_node::poll_host_list()
+{
+    auto answer = co_await m_host_list.read();
+    if (!is_ok(answer))
+    {
+        m_metrics.add("gd_host_list_failures_total", {});
+        co_return;
+    }
+    const host_list& hosts = value_of(answer);
+    set_upstreams(m_dispatcher, hosts.m_upstreams, std::chrono::steady_clock::now());
+    set_peer_hints(hosts.m_entry_hosts);
+}
+
+void entry_node::set_peer_hints(const std::vector<entry_host_record>& hosts)
+{
+    std::vector<node_hint> hints;
+    for (const auto& seed : m_settings.m_seeds)
+    {
+        hints.push_back(node_hint{{}, to_node_address(seed)});
+    }
+    for (const auto& host : hosts)
+    {
+        const node_address peer{host.m_endpoint.m_ip, host.m_peer_port};
+        hints.push_back(node_hint{host.m_id, peer});
+    }
+    set_hints(m_membership, std::move(hints));
+}
+
+void entry_node::poll_loads()
+{
+    for (const auto& entry : m_dispatcher.m_upstreams)
+    {
+        if (entry.m_row.m_authority_until > m_timers.now())
+        {
+            asio::co_spawn(m_io, poll_load(entry.m_id, entry.m_row.m_record.m_endpoint),
+                           asio::detached);
+        }
+    }
+}
+
+asio::awaitable<void> entry_node::poll_load(upstream_id upstream, endpoint address)
+{
+    auto report = co_await m_upstreams.read_load(std::move(upstream), std::move(address),
+                                                 load_period);
+    if (is_ok(report))
+    {
+        std::vector<dispatcher_action> actions;
+        on_load_report(m_dispatcher, value_of(report), std::chrono::steady_clock::now(),
+                       actions);
+        run(actions);
+    }
+}
+
+} // namespace geraniumdoor
--- /dev/null
+++ b/src/daemon/entry_node_sweep.cpp
@@ -0,0 +1,102 @@
+#include "entry_node.hpp"
+
+#include <geraniumdoor/base/log.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+#include <chrono>
+#include <utility>
+
+namespace geraniumdoor
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+std::int64_t unix_seconds()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    return std::chrono::duration_cast<seconds>(now).count();
+}
+
+} // namespace
+
+std::vector<live_process> entry_node::live_processes() const
+{
+    std::vector<live_process> live;
+    for (const auto& member : live_members(m_membership))
+    {
+        live.push_back(live_process{member.m_node, member.m_incarnation});
+    }
+    return live;
+}
+
+/// Runs follow-ups that processes which ended have left behind.
+asio::awaitable<void> entry_node::sweep_follow_ups()
+{
+    auto rows = co_await m_table.scan(std::string{follow_up_prefix});
+    if (!is_ok(rows) || !is_ready())
+    {
+        co_return;
+    }
+    const auto live = live_processes();
+    const auto in_progress = requests_in_progress(m_coordinator);
+    const follow_up_view view{m_settings.m_node, m_coordinator.m_config, live,
+                              in_progress};
+    for (const auto& choice : decide_follow_ups(value_of(rows), view))
+    {
+        if (choice.m_decision != follow_up_decision::run)
+        {
+            continue;
+        }
+        const request_id id{m_settings.m_node, m_incarnation, ++m_last_request};
+        log_event{"follow_up"}.add("request", to_string(id)).add("key", choice.m_key);
+        coordinator_actions actions;
+        run_follow_up(m_coordinator, id, choice.m_row, m_timers.now(), actions);
+        run(actions);
+    }
+}
+
+/// Deletes claims whose retention has ended, unless another node comes first for them.
+asio::awaitable<void> entry_node::sweep_claims()
+{
+    auto rows = co_await m_table.scan(std::string{claim_prefix});
+    if (!is_ok(rows))
+    {
+        co_return;
+    }
+    for (const auto& row : list_expired(value_of(rows), live_processes(), unix_seconds()))
+    {
+        if (!is_first_for(row.m_key))
+        {
+            continue;
+        }
+        table_transaction transaction;
+        transaction.m_checks.push_back(row_check{row.m_key, row.m_version});
+        transaction.m_writes.push_back(row_write{row.m_key, std::nullopt});
+        // A conflict means that the row has changed, and a lost answer is settled by the
+        // next sweep.
+        auto end = co_await m_table.run(std::move(transaction));
+        log_event{"claim_expired"}.add("key", row.m_key).add("deleted", is_ok(end));
+    }
+}
+
+/// Whether this node is first in rendezvous order for the key among the live nodes.
+bool entry_node::is_first_for(const std::string& key) const
+{
+    const auto own = rendezvous_weight(key, m_settings.m_node.m_value);
+    for (const auto& member : live_members(m_membership))
+    {
+        if (rendezvous_weight(key, member.m_node.m_value) > own)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+} // namespace geraniumdoor
--- a/src/metrics/metric_registry.cpp
+++ b/src/metrics/metric_registry.cpp
@@ -65,8 +65,9 @@
 
 auto make_buckets()
 {
-    return bh::make_histogram(bh::axis::variable<>{0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1,
-                                                   0.25, 0.5, 1.0, 2.5, 5.0, 10.0, 30.0});
+    return bh::make_histogram(bh::axis::variable<>{0.001, 0.0025, 0.005, 0.01, 0.025,
+                                                   0.05, 0.1, 0.25, 0.5, 1.0, 2.5, 5.0,
+                                                   10.0, 30.0});
 }
 
 template<class Family>
@@ -75,7 +76,8 @@
     auto family = families.find(name);
     if (family == families.end())
     {
-        family = families.emplace(std::string{name}, typename Family::mapped_type{}).first;
+        family =
+            families.emplace(std::string{name}, typename Family::mapped_type{}).first;
     }
     return family->second[format_labels(labels)];
 }
@@ -83,10 +85,10 @@
 template<class Family>
 void write_values(std::string& text, const Family& families, const char* type)
 {
-    for (const auto& [name, series] : families)
+    for (const auto& [name, values] : families)
     {
         text += "# TYPE " + name + ' ' + type + '\n';
-        for (const auto& [labels, value] : series)
+        for (const auto& [labels, value] : values)
         {
             text += name + braced(labels) + ' ' + format_number(value) + '\n';
         }
@@ -101,7 +103,8 @@
     double m_sum = 0;
     double m_count = 0;
 
-    void write(std::string& text, const std::string& name, const std::string& labels) const
+    void write(std::string& text, const std::string& name,
+               const std::string& labels) const
     {
         const auto& axis = m_buckets.axis();
         // The underflow bin holds what is below the first edge.
@@ -124,12 +127,14 @@
 metric_registry::metric_registry() = default;
 metric_registry::~metric_registry() = default;
 
-void metric_registry::add(std::string_view name, const metric_labels& labels, double amount)
+void metric_registry::add(std::string_view name, const metric_labels& labels,
+                          double amount)
 {
     value_at(m_counters, name, labels) += amount;
 }
 
-void metric_registry::set(std::string_view name, const metric_labels& labels, double value)
+void metric_registry::set(std::string_view name, const metric_labels& labels,
+                          double value)
 {
     value_at(m_gauges, name, labels) = value;
 }
@@ -161,10 +166,10 @@
     std::string text;
     write_values(text, m_counters, "counter");
     write_values(text, m_gauges, "gauge");
-    for (const auto& [name, series] : m_histograms)
+    for (const auto& [name, by_labels] : m_histograms)
     {
         text += "# TYPE " + name + " histogram\n";
-        for (const auto& [labels, target] : series)
+        for (const auto& [labels, target] : by_labels)
         {
             target->write(text, name, labels);
         }
--- a/tests/metrics/metric_registry_test.cpp
+++ b/tests/metrics/metric_registry_test.cpp
@@ -1,7 +1,7 @@
-#include <geraniumdoor/metrics/metric_registry.hpp>
-
 #include "testing.hpp"
 
+#include <geraniumdoor/metrics/metric_registry.hpp>
+
 using namespace geraniumdoor;
 
 // Guards against buckets that are not cumulative and against label values that break the
@@ -15,7 +15,10 @@
     metrics.observe("latency_seconds", {{"stage", "encode"}}, 0.02);
     metrics.observe("latency_seconds", {{"stage", "encode"}}, 40);
     const std::string text = metrics.exposition();
-    const auto has = [&](const char* line) { return text.find(line) != std::string::npos; };
+    const auto has = [&](const char* line)
+    {
+        return text.find(line) != std::string::npos;
+    };
     cr_expect(has("latency_seconds_bucket{stage=\"encode\",le=\"0.001\"} 1\n"));
     cr_expect(has("latency_seconds_bucket{stage=\"encode\",le=\"0.025\"} 2\n"));
     cr_expect(has("latency_seconds_bucket{stage=\"encode\",le=\"30\"} 2\n"));
@@ -27,6 +30,7 @@
 {
     metric_registry metrics;
     metrics.add("refused_total", {{"workspace", "a\"b\nc"}});
-    EXPECT_EQUAL(metrics.exposition(),
-                 "# TYPE refused_total counter\nrefused_total{workspace=\"a\\\"b\\nc\"} 1\n");
+    EXPECT_EQUAL(
+        metrics.exposition(),
+        "# TYPE refused_total counter\nrefused_total{workspace=\"a\\\"b\\nc\"} 1\n");
 }
