Avoid braced temporaries in co_await expressions

The first start of nine daemons aborted with free(): invalid size within a second. GCC 12 destroys aggregate temporaries in a co_await expression twice; that the list was decoded wrongly was ruled out, because the crash went away with named variables alone. The answer reports upstream time in whole microseconds.

--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -118,7 +118,8 @@
 
 asio::awaitable<http_response> entry_node::in_doubt_response()
 {
-    auto scanned = co_await m_table.scan(std::string{claim_prefix});
+    std::string prefix{claim_prefix};
+    auto scanned = co_await m_table.scan(std::move(prefix));
     if (!is_ok(scanned))
     {
         error_document error;
--- a/src/daemon/answer_document.cpp
+++ b/src/daemon/answer_document.cpp
@@ -32,7 +32,7 @@
         row["name"] = stage.m_name;
         row["upstream"] = stage.m_upstream.m_value;
         row["attempts"] = stage.m_attempts;
-        row["upstream_ms"] = stage.m_upstream_us / 1000.0;
+        row["upstream_us"] = stage.m_upstream_us;
         stages.push_back(std::move(row));
     }
     return stages;
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -167,7 +167,8 @@
         co_await send_whole(exchange, session);
         co_return;
     }
-    co_await exchange.begin_stream(200, std::string{stream_type});
+    std::string type{stream_type};
+    co_await exchange.begin_stream(200, std::move(type));
     bool open = true;
     while (open && !session->closed())
     {
--- a/src/daemon/entry_node_sweep.cpp
+++ b/src/daemon/entry_node_sweep.cpp
@@ -38,7 +38,8 @@
 /// Runs follow-ups that processes which ended have left behind.
 asio::awaitable<void> entry_node::sweep_follow_ups()
 {
-    auto rows = co_await m_table.scan(std::string{follow_up_prefix});
+    std::string prefix{follow_up_prefix};
+    auto rows = co_await m_table.scan(std::move(prefix));
     if (!is_ok(rows) || !is_ready())
     {
         co_return;
@@ -64,7 +65,8 @@
 /// Deletes claims whose retention has ended, unless another node comes first for them.
 asio::awaitable<void> entry_node::sweep_claims()
 {
-    auto rows = co_await m_table.scan(std::string{claim_prefix});
+    std::string prefix{claim_prefix};
+    auto rows = co_await m_table.scan(std::move(prefix));
     if (!is_ok(rows))
     {
         co_return;
--- a/src/platform/host_list_client.cpp
+++ b/src/platform/host_list_client.cpp
@@ -25,8 +25,9 @@
 {
     http_call_options options;
     options.m_timeout = m_timeout;
-    auto response = co_await m_http.send(
-        m_service, http_request{"GET", "/v1/hosts", {}, {}}, std::move(options));
+    http_request request{"GET", "/v1/hosts", {}, {}};
+    auto response =
+        co_await m_http.send(m_service, std::move(request), std::move(options));
     if (not is_ok(response))
     {
         const http_error& error = error_of(response);
--- a/src/platform/table_client.cpp
+++ b/src/platform/table_client.cpp
@@ -117,8 +117,9 @@
 {
     http_call_options options;
     options.m_timeout = m_timeout;
-    auto response = co_await m_http.send(
-        m_service, http_request{"GET", std::move(target), {}, {}}, std::move(options));
+    http_request request{"GET", std::move(target), {}, {}};
+    auto response =
+        co_await m_http.send(m_service, std::move(request), std::move(options));
     if (not is_ok(response))
     {
         co_return to_table_error(error_of(response));
--- a/src/platform/upstream_client.cpp
+++ b/src/platform/upstream_client.cpp
@@ -147,8 +147,10 @@
     {
         co_return failed_end(call, call_reason::upstream_error);
     }
-    auto response = co_await m_http.send(*address, run_request(std::move(body)),
-                                         run_options(call, std::move(control)));
+    auto request = run_request(std::move(body));
+    auto options = run_options(call, std::move(control));
+    auto response =
+        co_await m_http.send(*address, std::move(request), std::move(options));
     if (not is_ok(response))
     {
         co_return failed_end(call, reason_of(error_of(response)));
@@ -196,8 +198,9 @@
             control->abort();
         }
     };
+    auto request = run_request(std::move(body));
     auto response =
-        co_await m_http.send(*address, run_request(std::move(body)), std::move(options));
+        co_await m_http.send(*address, std::move(request), std::move(options));
     upstream_call_end end = failed_end(call, call_reason::upstream_error);
     end.m_upstream_incarnation = reader.upstream_incarnation();
     end.m_tokens = reader.token_count();
@@ -238,8 +241,8 @@
     }
     http_call_options options;
     options.m_timeout = timeout;
-    auto response = co_await m_http.send(*target, http_request{"GET", "/v1/load", {}, {}},
-                                         std::move(options));
+    http_request request{"GET", "/v1/load", {}, {}};
+    auto response = co_await m_http.send(*target, std::move(request), std::move(options));
     if (not is_ok(response))
     {
         co_return upstream_error{upstream_error_kind::no_answer,
