Let old load hints expire and erase ended requests by id

A request refused for a long queue wait brings no new hint, so one stale hint could refuse every later request of a pipeline; a hint now counts for one second. Clearing hints on a timer was ruled out because the owner choice still uses them for ranking.

--- a/bench/routing_bench_main.cpp
+++ b/bench/routing_bench_main.cpp
@@ -56,7 +56,8 @@
         if (const auto choice = choose_owner(routes, query, random))
         {
             note_call_sent(routes, query.m_pool, choice->m_owner);
-            note_call_end(routes, query.m_pool, choice->m_owner, pool_hint{4, 8, 0});
+            note_call_end(routes, query.m_pool, choice->m_owner, pool_hint{4, 8, 0},
+                          begin);
         }
     }
     const auto took = std::chrono::steady_clock::now() - begin;
--- a/include/geraniumdoor/request/claim_sweep.hpp
+++ b/include/geraniumdoor/request/claim_sweep.hpp
@@ -6,6 +6,7 @@
 
 #include <cstdint>
 #include <string>
+#include <string_view>
 #include <vector>
 
 namespace geraniumdoor
@@ -26,6 +27,11 @@
     bool m_holder_gone = false;
 };
 
+/// Whether this process is the live node that is first in rendezvous order for the key or
+/// key prefix. The first node for claim_prefix deletes expired claims.
+bool is_first_for(std::string_view key, const node_id& self,
+                  const std::vector<live_process>& live);
+
 /// Lists the claims in doubt among the rows of a scan of claim_prefix, for operators.
 std::vector<in_doubt_claim> list_in_doubt(const std::vector<table_row>& rows,
                                           const std::vector<live_process>& live);
--- a/include/geraniumdoor/request/coordinator.hpp
+++ b/include/geraniumdoor/request/coordinator.hpp
@@ -141,6 +141,8 @@
     table<request_id, active_request> m_requests;
     claims m_claims;
     std::vector<claim_event> m_claim_events;
+    /// Requests that ended during the event and may be erased after it.
+    std::vector<request_id> m_ended;
     stage_times m_times;
     retry_budget m_retries;
     admission m_admission;
--- a/include/geraniumdoor/request/owner_selection.hpp
+++ b/include/geraniumdoor/request/owner_selection.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumdoor/base/random.hpp>
 #include <geraniumdoor/base/table.hpp>
+#include <geraniumdoor/base/units.hpp>
 #include <geraniumdoor/cluster/messages.hpp>
 #include <geraniumdoor/config/configuration.hpp>
 
@@ -21,6 +22,7 @@
     std::uint32_t m_limit = 0;
     pool_hint m_hint;
     bool m_has_hint = false;
+    time_point m_hint_at;
     /// Calls sent by this coordinator and not answered yet.
     std::uint32_t m_outstanding = 0;
     /// Calls sent since the hint; the hint does not count them.
@@ -74,9 +76,14 @@
 
 /// Records the end of a call; the hint is absent when the owner was lost.
 void note_call_end(owner_routes& routes, const pool_id& pool, const node_id& owner,
-                   const std::optional<pool_hint>& hint);
+                   const std::optional<pool_hint>& hint, time_point now);
 
-/// Mean queue wait over the owners of the pool, weighted by their limits.
-milliseconds expected_wait(const owner_routes& routes, const pool_id& pool);
+/// Mean queue wait over the owners of the pool, weighted by their limits. Hints older
+/// than hint_life count as no wait: requests refused for an old hint would bring no new
+/// one, and the refusals would never end.
+milliseconds expected_wait(const owner_routes& routes, const pool_id& pool,
+                           time_point now);
+
+inline constexpr milliseconds hint_life{1000};
 
 } // namespace geraniumdoor
--- a/src/request/claim_sweep.cpp
+++ b/src/request/claim_sweep.cpp
@@ -27,17 +27,6 @@
     log_event{"row_unreadable"}.add("key", row.m_key).add("fault", error.m_message);
 }
 
-/// The live node with the highest rendezvous weight for the row.
-bool is_first_for(const std::string& key, const follow_up_view& view)
-{
-    const auto own = rendezvous_weight(key, view.m_self.m_value);
-    return std::none_of(view.m_live.begin(), view.m_live.end(),
-                        [&](const live_process& process)
-                        {
-                            return rendezvous_weight(key, process.m_node.m_value) > own;
-                        });
-}
-
 bool is_in_progress(const request_id& id, const follow_up_view& view)
 {
     const auto& ids = view.m_in_progress;
@@ -49,7 +38,7 @@
 {
     if (!is_live(view.m_live, row.m_holder, row.m_incarnation))
     {
-        return is_first_for(key, view);
+        return is_first_for(key, view.m_self, view.m_live);
     }
     return row.m_holder == view.m_self && !is_in_progress(row.m_request, view);
 }
@@ -85,6 +74,17 @@
 
 } // namespace
 
+bool is_first_for(std::string_view key, const node_id& self,
+                  const std::vector<live_process>& live)
+{
+    const auto own = rendezvous_weight(key, self.m_value);
+    return std::none_of(live.begin(), live.end(),
+                        [&](const live_process& process)
+                        {
+                            return rendezvous_weight(key, process.m_node.m_value) > own;
+                        });
+}
+
 std::vector<in_doubt_claim> list_in_doubt(const std::vector<table_row>& rows,
                                           const std::vector<live_process>& live)
 {
--- a/src/request/owner_selection.cpp
+++ b/src/request/owner_selection.cpp
@@ -229,7 +229,7 @@
 }
 
 void note_call_end(owner_routes& routes, const pool_id& pool, const node_id& owner,
-                   const std::optional<pool_hint>& hint)
+                   const std::optional<pool_hint>& hint, time_point now)
 {
     auto* row = find_pool_owner(routes, pool, owner);
     if (row == nullptr)
@@ -241,11 +241,13 @@
     {
         row->m_hint = *hint;
         row->m_has_hint = true;
+        row->m_hint_at = now;
         row->m_sent_since_hint = 0;
     }
 }
 
-milliseconds expected_wait(const owner_routes& routes, const pool_id& pool)
+milliseconds expected_wait(const owner_routes& routes, const pool_id& pool,
+                           time_point now)
 {
     const auto* owners = routes.m_pools.find(pool);
     std::uint64_t weighted = 0;
@@ -254,7 +256,9 @@
     {
         for (const auto& row : *owners)
         {
-            weighted += std::uint64_t{row.m_limit} * row.m_hint.m_queue_wait_ms;
+            const bool fresh = row.m_has_hint && now - row.m_hint_at <= hint_life;
+            const std::uint64_t wait_ms = fresh ? row.m_hint.m_queue_wait_ms : 0;
+            weighted += row.m_limit * wait_ms;
             limits += row.m_limit;
         }
     }
--- a/src/request/request_end.cpp
+++ b/src/request/request_end.cpp
@@ -129,6 +129,7 @@
 {
     require_invariant(!row.m_ended, "one_final_answer", to_string(row.m_request.m_id));
     row.m_ended = true;
+    context.m_state.m_ended.push_back(row.m_request.m_id);
     auto answer = make_answer(context.m_state, row, code, message);
     log_end(row, answer);
     stop_calls(context, row);
@@ -143,6 +144,7 @@
     if (!row.m_ended)
     {
         row.m_ended = true;
+        context.m_state.m_ended.push_back(row.m_request.m_id);
         stop_calls(context, row);
     }
 }
@@ -154,25 +156,22 @@
     {
         const call_key key{row.m_request.m_id, row.m_stage, attempt.m_number};
         context.m_actions.push_back(send_stage_cancel{attempt.m_owner, {key}});
-        note_call_end(routes, current_stage(row).m_pool, attempt.m_owner, {});
+        note_call_end(routes, current_stage(row).m_pool, attempt.m_owner, {},
+                      context.m_now);
     }
     row.m_attempts.clear();
 }
 
 void erase_ended(coordinator& state)
 {
-    std::vector<request_id> ended;
-    for (const auto& [id, row] : state.m_requests)
+    for (const auto& id : std::exchange(state.m_ended, {}))
     {
-        if (row.m_ended && row.m_attempts.empty())
+        const auto* row = state.m_requests.find(id);
+        if (row != nullptr && row->m_ended && row->m_attempts.empty())
         {
-            ended.push_back(id);
+            state.m_requests.erase(id);
         }
     }
-    for (const auto& id : ended)
-    {
-        state.m_requests.erase(id);
-    }
 }
 
 } // namespace geraniumdoor
--- a/src/request/request_entry.cpp
+++ b/src/request/request_entry.cpp
@@ -32,12 +32,13 @@
     return state.m_requests.put(request.m_id, std::move(row));
 }
 
-duration expected_waits(const coordinator& state, const pipeline_config& pipeline)
+duration expected_waits(const coordinator& state, const pipeline_config& pipeline,
+                        time_point now)
 {
     duration waits{};
     for (const auto& stage : pipeline.m_stages)
     {
-        waits += expected_wait(state.m_routes, stage.m_pool);
+        waits += expected_wait(state.m_routes, stage.m_pool, now);
     }
     return waits;
 }
@@ -45,7 +46,7 @@
 bool is_feasible(const coordinator& state, const active_request& row, time_point now)
 {
     const auto need = expected_work(state.m_times, *row.m_pipeline) +
-                      expected_waits(state, *row.m_pipeline);
+                      expected_waits(state, *row.m_pipeline, now);
     return now + need <= row.m_request.m_deadline;
 }
 
--- a/src/request/stage_attempts.cpp
+++ b/src/request/stage_attempts.cpp
@@ -277,13 +277,18 @@
     const auto& pool = current_stage(row).m_pool;
     if (const auto* attempt = find_attempt(row, row.m_stage, number))
     {
-        note_call_end(context.m_state.m_routes, pool, attempt->m_owner, hint);
+        note_call_end(context.m_state.m_routes, pool, attempt->m_owner, hint,
+                      context.m_now);
     }
     std::erase_if(row.m_attempts,
                   [&](const active_attempt& attempt)
                   {
                       return attempt.m_number == number;
                   });
+    if (row.m_ended)
+    {
+        context.m_state.m_ended.push_back(row.m_request.m_id);
+    }
 }
 
 } // namespace geraniumdoor
--- a/tests/request/coordinator_test.cpp
+++ b/tests/request/coordinator_test.cpp
@@ -235,8 +235,8 @@
     fixture world;
     auto& routes = world.m_state.m_routes;
     const pool_id pool{"encode"};
-    note_call_end(routes, pool, {"o1"}, pool_hint{0, 4, 100});
-    note_call_end(routes, pool, {"o2"}, pool_hint{4, 4, 0});
+    note_call_end(routes, pool, {"o1"}, pool_hint{0, 4, 100}, world.m_now);
+    note_call_end(routes, pool, {"o2"}, pool_hint{4, 4, 0}, world.m_now);
     const owner_query query{pool, nullptr, nullptr};
     for (int call = 0; call < 4; ++call)
     {
@@ -244,6 +244,9 @@
         EXPECT_EQUAL(choice->m_owner.m_value, "o2");
         note_call_sent(routes, pool, choice->m_owner);
     }
+    // Only fresh hints delay a request.
+    EXPECT_EQUAL(expected_wait(routes, pool, world.m_now), 50ms);
+    EXPECT_EQUAL(expected_wait(routes, pool, world.m_now + 1100ms), 0ms);
     // An owner whose only upstream is excluded is never chosen.
     const std::vector<upstream_id> excluded{{"o2-encode"}};
     const owner_query other{pool, &excluded, nullptr};
