Name answer codes and keep lost calls off their owner

A call lost with its owner may have run on an upstream that the coordinator does not know, and a later resend round could reach it again because the list of refusing owners was cleared; lost owners are now kept apart for the whole stage. Guessing the upstream from the announcement was ruled out, since the owner chooses it. Log lines name the answer code instead of its number. Before and after: 27 tests pass with sanitizers, lint passes, and the randomised test gives doubled=0 wrong=0 stuck=0.

--- a/include/geraniumdoor/request/coordinator.hpp
+++ b/include/geraniumdoor/request/coordinator.hpp
@@ -98,8 +98,10 @@
     std::uint32_t m_last_attempt = 0;
     std::vector<active_attempt> m_attempts;
     std::vector<upstream_id> m_used_upstreams;
-    /// Owners that refused or lost an attempt at this stage.
+    /// Owners that did not dispatch an attempt at this stage in the present round.
     std::vector<node_id> m_refusing_owners;
+    /// Owners that lost an attempt at this stage. Their upstreams may have run it.
+    std::vector<node_id> m_lost_owners;
     std::uint32_t m_resend_rounds = 0;
     time_point m_resend_at = time_point::max();
     call_reason m_last_reason = call_reason::none;
--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -76,7 +76,7 @@
     {
         return;
     }
-    row.m_refusing_owners.push_back(attempt->m_owner);
+    row.m_lost_owners.push_back(attempt->m_owner);
     remove_attempt(context, row, number, {});
     row.m_last_reason = call_reason::none;
     retry_or_end(context, row);
--- a/src/request/request_end.cpp
+++ b/src/request/request_end.cpp
@@ -2,6 +2,7 @@
 
 #include <geraniumdoor/base/invariant.hpp>
 #include <geraniumdoor/base/log.hpp>
+#include <geraniumdoor/request/answer_names.hpp>
 
 #include <algorithm>
 #include <utility>
@@ -116,8 +117,8 @@
 {
     log_event{"request_end"}
         .add("request", to_string(row.m_request.m_id))
-        .add("code", static_cast<unsigned>(answer.m_code))
-        .add("ran", static_cast<unsigned>(answer.m_ran))
+        .add("code", name_of(answer.m_code))
+        .add("ran", name_of(answer.m_ran))
         .add("stage", row.m_stage)
         .add("message", answer.m_message);
 }
--- a/src/request/stage_attempts.cpp
+++ b/src/request/stage_attempts.cpp
@@ -107,6 +107,7 @@
 std::vector<node_id> owners_to_avoid(const active_request& row)
 {
     auto owners = row.m_refusing_owners;
+    owners.insert(owners.end(), row.m_lost_owners.begin(), row.m_lost_owners.end());
     for (const auto& attempt : row.m_attempts)
     {
         owners.push_back(attempt.m_owner);
--- a/src/request/stage_steps.cpp
+++ b/src/request/stage_steps.cpp
@@ -189,6 +189,7 @@
     row.m_last_attempt = 0;
     row.m_used_upstreams.clear();
     row.m_refusing_owners.clear();
+    row.m_lost_owners.clear();
     row.m_resend_rounds = 0;
     row.m_last_reason = call_reason::none;
     if (!current_stage(row).m_idempotent)
