--- a/src/dispatch/ownership_publish.cpp
+++ b/src/dispatch/ownership_publish.cpp
@@ -13,16 +13,12 @@
 
 /// Stands for an unknown number of calls of a lost owner: blocks the upstream.
 constexpr std::uint32_t unknown_outstanding = 1U << 20;
-/// A revocation waits this much longer than the time to live, which covers that part of
-/// the calls in progress.
-constexpr milliseconds covered_by_revocation{1000};
 
 handed_over abandoned_calls(const ownership_state& state)
 {
-    const milliseconds longest = state.m_settings.m_longest_call;
     handed_over from;
     from.m_outstanding = unknown_outstanding;
-    from.m_longest_call = std::max(milliseconds{0}, longest - covered_by_revocation);
+    from.m_longest_call = state.m_settings.m_longest_call;
     return from;
 }
 
--- /dev/null
+++ b/tests/dispatch/simulated_network.cpp
@@ -0,0 +1,219 @@
+#include "cluster_simulation.hpp"
+
+#include <algorithm>
+#include <utility>
+
+// Network, table service and upstreams of the simulation.
+
+namespace geraniumdoor::testing
+{
+
+namespace
+{
+
+constexpr milliseconds table_timeout{300};
+constexpr std::uint32_t longest_call_ms = 900;
+
+} // namespace
+
+void cluster_simulation::execute(std::size_t at, std::vector<ownership_action>& actions)
+{
+    simulated_node& node = m_nodes[at];
+    for (ownership_action& action : actions)
+    {
+        if (const auto* transaction = std::get_if<table_transaction>(&action))
+        {
+            call_table(at, *transaction);
+        }
+        else if (const auto* read = std::get_if<table_read>(&action))
+        {
+            call_table(at, end_read(at, {read->m_id}),
+                       [this, at, read = *read]
+                       {
+                           return end_read(at, {read.m_id, m_table.read(read.m_key)});
+                       });
+        }
+        else if (const auto* scan = std::get_if<table_scan>(&action))
+        {
+            call_table(at, end_scan(at, {scan->m_id}),
+                       [this, at, scan = *scan]
+                       {
+                           return end_scan(at, {scan.m_id, m_table.scan(scan.m_prefix)});
+                       });
+        }
+        else if (const auto* message = std::get_if<send_lease_message>(&action))
+        {
+            send(at, *message);
+        }
+        else if (const auto* gained = std::get_if<upstream_gained>(&action))
+        {
+            m_counts.m_gained_by_release += gained->m_from ? 0 : 1;
+            take_over(node.m_dispatcher, gained->m_upstream, gained->m_from, m_now);
+        }
+        else if (const auto* change = std::get_if<authority_change>(&action))
+        {
+            set_authority(node.m_dispatcher, change->m_upstream, change->m_until);
+        }
+        else if (const auto* left = std::get_if<foreign_outstanding_change>(&action))
+        {
+            set_foreign_outstanding(node.m_dispatcher, left->m_upstream,
+                                    left->m_outstanding);
+        }
+    }
+}
+
+void cluster_simulation::execute(std::size_t at, std::vector<dispatcher_action>& actions)
+{
+    for (const dispatcher_action& action : actions)
+    {
+        if (const auto* call = std::get_if<start_upstream_call>(&action))
+        {
+            run_upstream(at, *call);
+        }
+        else if (const auto* result = std::get_if<send_result>(&action))
+        {
+            m_counts.m_answered +=
+                result->m_message.m_outcome == call_outcome::answered ? 1 : 0;
+        }
+    }
+}
+
+void cluster_simulation::run_upstream(std::size_t node, const start_upstream_call& call)
+{
+    ++m_upstreams[call.m_upstream].m_outstanding;
+    const auto length = random_ms(20, chance(50) ? longest_call_ms : 100);
+    const upstream_call_end end{call.m_id, true, call_reason::none, {1}, "{}", 0};
+    at(m_now + length,
+       [this, node, process = m_nodes[node].m_incarnation, id = call.m_upstream, end]
+       {
+           --m_upstreams[id].m_outstanding;
+           deliver_to(node, process,
+                      [this, node, end](simulated_node& to)
+                      {
+                          std::vector<dispatcher_action> out;
+                          on_upstream_end(to.m_dispatcher, end, m_now, out);
+                          execute(node, out);
+                      });
+       });
+}
+
+void cluster_simulation::send(std::size_t from, const send_lease_message& message)
+{
+    const auto to = static_cast<std::size_t>(std::stoul(message.m_to.m_value.substr(1)));
+    const int copies = chance(m_loss) ? 2 : 1;
+    for (int i = 0; i < copies; ++i)
+    {
+        if (chance(m_loss) || m_cut.contains(std::minmax(from, to)))
+        {
+            continue;
+        }
+        const auto delay = chance(m_loss) ? random_ms(500, 9000) : random_ms(1, 20);
+        at(m_now + delay,
+           [this, to, sender = m_nodes[from].m_node, body = message.m_message]
+           {
+               // A late message may reach the next process of the same node.
+               deliver_to(to, m_nodes[to].m_incarnation,
+                          [this, to, sender, body](simulated_node& node)
+                          {
+                              std::vector<ownership_action> out;
+                              const auto accepted = node.m_ownership.m_accepted.size();
+                              on_lease_message(node.m_ownership, sender, body, m_now,
+                                               out);
+                              m_counts.m_accepted_transfers +=
+                                  node.m_ownership.m_accepted.size() - accepted;
+                              execute(to, out);
+                          });
+           });
+    }
+}
+
+auto cluster_simulation::end_transaction(std::size_t node, table_transaction_end end)
+    -> deliver
+{
+    return [this, node, end](simulated_node& to)
+    {
+        std::vector<ownership_action> out;
+        on_table_transaction_end(to.m_ownership, end, m_now, out);
+        execute(node, out);
+    };
+}
+
+auto cluster_simulation::end_read(std::size_t node, table_read_end end) -> deliver
+{
+    return [this, node, end](simulated_node& to)
+    {
+        std::vector<ownership_action> out;
+        on_table_read_end(to.m_ownership, end, m_now, out);
+        execute(node, out);
+    };
+}
+
+auto cluster_simulation::end_scan(std::size_t node, table_scan_end end) -> deliver
+{
+    return [this, node, end](simulated_node& to)
+    {
+        std::vector<ownership_action> out;
+        on_table_scan_end(to.m_ownership, end, m_now, out);
+        execute(node, out);
+    };
+}
+
+void cluster_simulation::call_table(std::size_t node,
+                                    const table_transaction& transaction)
+{
+    call_table(node, end_transaction(node, {transaction.m_id}),
+               [this, node, transaction]
+               {
+                   const auto end = m_table.apply(transaction);
+                   const bool deletes = std::any_of(transaction.m_writes.begin(),
+                                                    transaction.m_writes.end(),
+                                                    [](const row_write& write)
+                                                    {
+                                                        return !write.m_value;
+                                                    });
+                   const bool committed = end.m_outcome == table_outcome::committed;
+                   m_counts.m_revoked += deletes && committed ? 1 : 0;
+                   return end_transaction(node, end);
+               });
+}
+
+void cluster_simulation::call_table(std::size_t node, deliver failure,
+                                    std::function<deliver()> look)
+{
+    const incarnation process = m_nodes[node].m_incarnation;
+    const auto answered = std::make_shared<bool>(false);
+    const auto way = chance(m_loss) ? random_ms(400, 9000) : random_ms(1, 30);
+    const bool lost = chance(m_loss);
+    const auto back = random_ms(1, 30);
+    at(m_now + way,
+       [=, this]
+       {
+           if (!m_table.m_up)
+           {
+               return;
+           }
+           const deliver answer = look();
+           if (!lost)
+           {
+               at(m_now + back,
+                  [=, this]
+                  {
+                      if (!std::exchange(*answered, true))
+                      {
+                          deliver_to(node, process, answer);
+                      }
+                  });
+           }
+       });
+    at(m_now + table_timeout,
+       [=, this]
+       {
+           if (std::exchange(*answered, true))
+           {
+               return;
+           }
+           deliver_to(node, process, failure);
+       });
+}
+
+} // namespace geraniumdoor::testing
