Serve operators' changes over HTTP

gdctl needs the paths of the operator API that change the configuration. The codec test names the incarnation that attempt_status has gained; it checks as much as before.

--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -202,7 +202,7 @@
     }
     else
     {
-        response = text_response(404, "application/json", "{}");
+        response = co_await config_response(request);
     }
     co_await exchange.respond(std::move(response));
 }
--- a/src/daemon/entry_node.cpp
+++ b/src/daemon/entry_node.cpp
@@ -1,12 +1,14 @@
 #include "entry_node.hpp"
 
 #include <geraniumdoor/base/log.hpp>
+#include <geraniumdoor/config/admin_api.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumdoor
@@ -82,6 +84,14 @@
     return keeper;
 }
 
+/// Operators send whole sheets.
+http_limits admin_limits(const http_settings& settings)
+{
+    http_limits limits = to_limits(settings);
+    limits.m_body_bytes = std::max(limits.m_body_bytes, max_admin_body_bytes);
+    return limits;
+}
+
 /// Limits on answers of the platform and of upstreams, which send larger bodies than
 /// callers do.
 http_limits platform_limits()
@@ -123,7 +133,7 @@
                           return serve_caller(exchange);
                       }}
     , m_admin_server{io.get_executor(), to_tcp(m_settings.m_admin_address),
-                     to_limits(m_settings.m_http),
+                     admin_limits(m_settings.m_http),
                      [this](http_exchange& exchange)
                      {
                          return serve_admin(exchange);
--- a/src/daemon/entry_node.hpp
+++ b/src/daemon/entry_node.hpp
@@ -114,6 +114,9 @@
     http_response upstreams_response() const;
     boost::asio::awaitable<http_response> in_doubt_response();
     std::string exposition();
+    boost::asio::awaitable<http_response> config_response(const http_request& request);
+    boost::asio::awaitable<http_response> change_response(const http_request& request);
+    http_response change_status_response(std::string_view target) const;
     void leave_caller(const request_id& id);
     boost::asio::awaitable<void> serve_caller(http_exchange& exchange);
     boost::asio::awaitable<void> serve_pipeline(http_exchange& exchange);
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -93,7 +93,7 @@
 
 Test(codec, unknown_versions_types_enumerators_and_trailing_bytes_are_named)
 {
-    std::string body = body_of(attempt_status{attempt_id{"a"}, attempt_state::fenced});
+    std::string body = body_of(attempt_status{attempt_id{"a"}, incarnation{1}, attempt_state::fenced});
     EXPECT_EQUAL(fault_of(body + "x"), codec_fault::trailing_bytes);
     body.back() = '\x02';
     EXPECT_EQUAL(fault_of(body), codec_fault::malformed);
