Spread waiting member updates faster than periodic probes

Ruled out: a longer limit in the test. Change: one more ping each 700 ms while more than ten updates wait.

--- a/include/geraniumdoor/cluster/membership.hpp
+++ b/include/geraniumdoor/cluster/membership.hpp
@@ -44,6 +44,10 @@
     std::uint32_t m_rumour_fanout = 4;
     std::uint32_t m_rumour_rounds = 3;
     milliseconds m_rumour_period{300};
+    /// Time between additional pings while more updates wait than one datagram holds. At
+    /// 370 nodes a cut between regions makes 185 updates at once; the pings cost at most
+    /// 3.5 KB/s. With 400 ms, 3 of 370 nodes exceeded 14 KB/s just after they had joined.
+    milliseconds m_backlog_period{700};
 };
 
 /// Address of a node that the settings or the host list name.
@@ -124,6 +128,7 @@
     duration m_sync_interval{};
     time_point m_next_hint;
     time_point m_next_rumour;
+    time_point m_next_backlog;
     time_point m_next_config_pull;
     time_point m_next_capacity;
     config_version m_config_asked;
--- a/src/cluster/membership_probe.cpp
+++ b/src/cluster/membership_probe.cpp
@@ -332,6 +332,23 @@
     }
 }
 
+/// Spreads waiting updates faster than the periodic probes do.
+void work_off_backlog(membership_state& state, time_point now, random_source& random,
+                      membership_actions& actions)
+{
+    const bool waiting = state.m_broadcasts.size() > max_piggybacked_updates;
+    if (!waiting || now < state.m_next_backlog)
+    {
+        return;
+    }
+    state.m_next_backlog = now + state.m_settings.m_backlog_period;
+    const auto picked = pick_live(state, 1, node_id{}, random);
+    if (!picked.empty())
+    {
+        ping_member(state, picked.front(), actions);
+    }
+}
+
 void run_periodic(membership_state& state, time_point now, random_source& random,
                   membership_actions& actions)
 {
@@ -371,6 +388,7 @@
     run_probe(state, now, random, actions);
     run_periodic(state, now, random, actions);
     recheck_contradicted(state, actions);
+    work_off_backlog(state, now, random, actions);
     if (state.m_rumour_rounds_left > 0 && now >= state.m_next_rumour)
     {
         spread_rumour(state, now, random, actions);
