Keep what a dispatch decision reads in two cache lines

An index by load was ruled out, since authority and back-off end by time. The row and the limit now start with the members that the scan reads, and each is computed once.

--- a/include/geraniumdoor/dispatch/concurrency_limit.hpp
+++ b/include/geraniumdoor/dispatch/concurrency_limit.hpp
@@ -21,6 +21,9 @@
 struct concurrency_limit
 {
     std::uint32_t m_limit = 1;
+    /// While set, one call at a time is offered, each after a growing random delay.
+    bool m_silent = false;
+    time_point m_next_offer{};
     /// Zero until an answer or a load report named it.
     incarnation m_incarnation;
     /// Only calls dispatched since then count towards completing the level.
@@ -31,10 +34,7 @@
     std::optional<double> m_average_ms;
     std::uint32_t m_errors_in_row = 0;
     std::uint32_t m_slow_in_row = 0;
-    /// While set, one call at a time is offered, each after a growing random delay.
-    bool m_silent = false;
     duration m_backoff{};
-    time_point m_next_offer{};
     /// No answer was seen since this owner took over.
     bool m_starting = true;
 };
--- a/include/geraniumdoor/dispatch/dispatcher.hpp
+++ b/include/geraniumdoor/dispatch/dispatcher.hpp
@@ -22,21 +22,24 @@
 /// One upstream as its owner, or a node that may become its owner, knows it.
 struct upstream_row
 {
-    upstream_record m_record;
-    concurrency_limit m_limit;
+    // The members that each decision reads come first and share two cache lines.
+    /// Nothing is dispatched at or after this time.
+    time_point m_authority_until{};
+    time_point m_foreign_until{};
     /// Calls of this process that are in progress.
     std::uint32_t m_outstanding = 0;
     /// Calls of an earlier owner that still count against the limit, until the time.
     std::uint32_t m_foreign_outstanding = 0;
-    time_point m_foreign_until{};
-    /// Nothing is dispatched at or after this time.
-    time_point m_authority_until{};
-    /// Last sign of life, or the time when the upstream was last without calls.
-    time_point m_heard_at{};
+    /// As in the record, which lies further away in memory.
+    bool m_listed_leaving = false;
     bool m_data_centre_out = false;
     bool m_reported_leaving = false;
     /// Gone from the host list; erased once no call is outstanding.
     bool m_gone = false;
+    concurrency_limit m_limit;
+    /// Last sign of life, or the time when the upstream was last without calls.
+    time_point m_heard_at{};
+    upstream_record m_record;
 };
 
 struct pool_row
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -132,8 +132,7 @@
         upstream_row& row =
             (state.m_upstreams.begin() + static_cast<std::ptrdiff_t>(at))->m_row;
         check_upstream(state, pool, row, now);
-        if (row.m_authority_until <= now || row.m_gone || row.m_data_centre_out ||
-            row.m_reported_leaving || row.m_record.m_leaving)
+        if (row.m_authority_until <= now || is_withdrawn(row))
         {
             continue;
         }
--- a/src/dispatch/dispatcher_calls.cpp
+++ b/src/dispatch/dispatcher_calls.cpp
@@ -41,6 +41,12 @@
     return row.m_outstanding + (foreign ? row.m_foreign_outstanding : 0);
 }
 
+bool is_withdrawn(const upstream_row& row)
+{
+    return row.m_gone || row.m_data_centre_out || row.m_reported_leaving ||
+           row.m_listed_leaving;
+}
+
 time_point attempt_expiry(const call_row& row)
 {
     return row.m_deadline + attempt_memory;
--- a/src/dispatch/dispatcher_internal.hpp
+++ b/src/dispatch/dispatcher_internal.hpp
@@ -32,6 +32,9 @@
 /// Calls that count against the limit, those of an earlier owner included.
 std::uint32_t counted_outstanding(const upstream_row& row, time_point now);
 
+/// Whether the upstream is leaving, gone, or in a data centre that is out.
+bool is_withdrawn(const upstream_row& row);
+
 /// Sends the one result of the call and forgets the call.
 void finish_call(dispatcher_state& state, const call_key& key, stage_result result,
                  std::vector<dispatcher_action>& actions);
--- a/src/dispatch/dispatcher_route.cpp
+++ b/src/dispatch/dispatcher_route.cpp
@@ -20,6 +20,8 @@
 struct choice
 {
     upstream_row* m_row = nullptr;
+    std::uint32_t m_counted = 0;
+    std::uint32_t m_limit = 1;
     const char* m_reason = "least_loaded";
     /// Number of rejected upstreams for each rejection.
     std::array<std::uint32_t, 6> m_rejected{};
@@ -38,59 +40,66 @@
     return std::find(excluded.begin(), excluded.end(), id) != excluded.end();
 }
 
-rejection judge(const upstream_row& row, const stage_call& call, time_point now)
+/// Use of one upstream at the time of a decision.
+struct slot_use
+{
+    std::uint32_t m_counted = 0;
+    std::uint32_t m_usable = 0;
+};
+
+slot_use use_of(const upstream_row& row, time_point now)
+{
+    return {counted_outstanding(row, now), usable_limit(row.m_limit, now)};
+}
+
+rejection judge(const upstream_row& row, const stage_call& call, const slot_use& use)
 {
-    if (row.m_authority_until <= now)
-    {
-        return rejection::no_authority;
-    }
-    if (row.m_gone || row.m_data_centre_out || row.m_reported_leaving ||
-        row.m_record.m_leaving)
-    {
-        return rejection::withdrawn;
-    }
     if (!call.m_excluded.empty() && is_excluded(call, row.m_record.m_id))
     {
         return rejection::excluded;
     }
-    if (counted_outstanding(row, now) < usable_limit(row.m_limit, now))
+    if (use.m_counted < use.m_usable)
     {
         return rejection::none;
     }
     return row.m_limit.m_silent ? rejection::backing_off : rejection::busy;
 }
 
-/// Compares outstanding / limit without division.
-bool is_less_loaded(const upstream_row& a, const upstream_row& b, time_point now)
+bool is_eligible(const upstream_row& row, time_point now)
 {
-    const std::uint64_t left =
-        std::uint64_t{counted_outstanding(a, now)} * b.m_limit.m_limit;
-    const std::uint64_t right =
-        std::uint64_t{counted_outstanding(b, now)} * a.m_limit.m_limit;
-    return left < right;
+    return row.m_authority_until > now && !is_withdrawn(row);
 }
 
-void add_slots(choice& made, const upstream_row& row, time_point now)
+/// Compares outstanding / limit without division.
+bool is_less_loaded(std::uint32_t counted, std::uint32_t limit, const choice& made)
 {
-    const std::uint32_t usable = usable_limit(row.m_limit, now);
-    made.m_free_slots += usable - std::min(usable, counted_outstanding(row, now));
-    made.m_total_slots += usable;
+    return std::uint64_t{counted} * made.m_limit < std::uint64_t{made.m_counted} * limit;
 }
 
 void consider(choice& made, upstream_row& row, const stage_call& call, time_point now)
 {
-    const rejection verdict = judge(row, call, now);
-    if (verdict != rejection::no_authority && verdict != rejection::withdrawn)
+    if (!is_eligible(row, now))
     {
-        add_slots(made, row, now);
+        const bool withdrawn = row.m_authority_until > now;
+        const auto reason = withdrawn ? rejection::withdrawn : rejection::no_authority;
+        ++made.m_rejected[static_cast<std::size_t>(reason)];
+        return;
     }
+    const slot_use use = use_of(row, now);
+    made.m_total_slots += use.m_usable;
+    made.m_free_slots += use.m_usable - std::min(use.m_usable, use.m_counted);
+    const rejection verdict = judge(row, call, use);
     if (verdict != rejection::none)
     {
         ++made.m_rejected[static_cast<std::size_t>(verdict)];
+        return;
     }
-    else if (made.m_row == nullptr || is_less_loaded(row, *made.m_row, now))
+    const std::uint32_t limit = row.m_limit.m_limit;
+    if (made.m_row == nullptr || is_less_loaded(use.m_counted, limit, made))
     {
         made.m_row = &row;
+        made.m_counted = use.m_counted;
+        made.m_limit = limit;
     }
 }
 
@@ -106,7 +115,8 @@
             continue;
         }
         upstream_row* row = state.m_upstreams.find(served->second);
-        if (row != nullptr && judge(*row, call, now) == rejection::none)
+        if (row != nullptr && is_eligible(*row, now) &&
+            judge(*row, call, use_of(*row, now)) == rejection::none)
         {
             made.m_row = row;
             made.m_reason = "known_prefix";
--- a/src/dispatch/dispatcher_upstreams.cpp
+++ b/src/dispatch/dispatcher_upstreams.cpp
@@ -71,6 +71,7 @@
     const bool first_named = row.m_record.m_pool.m_value.empty();
     row.m_record = record;
     row.m_gone = false;
+    row.m_listed_leaving = record.m_leaving;
     row.m_data_centre_out = state.m_out.contains(record.m_data_centre);
     const limit_bounds bounds = bounds_of(state, row);
     clamp_limit(row.m_limit, bounds);
