--- a/tests/dispatch/ownership_faults_test.cpp
+++ b/tests/dispatch/ownership_faults_test.cpp
@@ -58,7 +58,7 @@
     cr_expect(total.m_accepted_transfers > 10);
     cr_expect(total.m_gained_by_release > 400);
     cr_expect(total.m_authority_in_outage > 1000);
-    cr_log_warn("answered %lu revoked %lu transfers %lu released %lu in outage %lu",
+    cr_log_info("answered %lu revoked %lu transfers %lu released %lu in outage %lu",
                 total.m_answered, total.m_revoked, total.m_accepted_transfers,
                 total.m_gained_by_release, total.m_authority_in_outage);
 }
