--- a/src/request/stage_attempts.cpp
+++ b/src/request/stage_attempts.cpp
@@ -107,6 +107,7 @@
 std::vector<node_id> owners_to_avoid(const active_request& row)
 {
     auto owners = row.m_refusing_owners;
+    owners.insert(owners.end(), row.m_lost_owners.begin(), row.m_lost_owners.end());
     for (const auto& attempt : row.m_attempts)
     {
         owners.push_back(attempt.m_owner);
@@ -277,13 +278,18 @@
     const auto& pool = current_stage(row).m_pool;
     if (const auto* attempt = find_attempt(row, row.m_stage, number))
     {
-        note_call_end(context.m_state.m_routes, pool, attempt->m_owner, hint);
+        note_call_end(context.m_state.m_routes, pool, attempt->m_owner, hint,
+                      context.m_now);
     }
     std::erase_if(row.m_attempts,
                   [&](const active_attempt& attempt)
                   {
                       return attempt.m_number == number;
                   });
+    if (row.m_ended)
+    {
+        context.m_state.m_ended.push_back(row.m_request.m_id);
+    }
 }
 
 } // namespace geraniumdoor
