Print fractions in plain decimal notation

Cause: Boost.JSON writes 47.5 as 4.75E1, which gdctl's tables and the ranges in faults repeated to operators.

Change: both print fractions through a stream. Ruled out: rounding to a fixed number of digits, because rates range from 0.001 to 1,000,000.

--- a/programs/gdctl_print.cpp
+++ b/programs/gdctl_print.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <iomanip>
+#include <sstream>
 
 namespace geraniumdoor
 {
@@ -21,6 +22,12 @@
 std::string cell_text(const json::value& value)
 {
     std::string text = json::serialize(value);
+    if (value.is_double())
+    {
+        std::ostringstream number;
+        number << value.get_double();
+        text = number.str();
+    }
     if (value.is_string() && text.find('\\') == std::string::npos)
     {
         text = text.substr(1, text.size() - 2);
--- a/src/config/document_reader.cpp
+++ b/src/config/document_reader.cpp
@@ -4,6 +4,7 @@
 #include <boost/json/stream_parser.hpp>
 
 #include <algorithm>
+#include <sstream>
 
 namespace geraniumdoor
 {
@@ -40,6 +41,12 @@
     {
         return "an array";
     }
+    if (value.is_double())
+    {
+        std::ostringstream number;
+        number << value.get_double();
+        return number.str();
+    }
     return shortened(boost::json::serialize(value));
 }
 
