Let the last results leave before a stopping host closes

A stopping daemon ended in the tick after its last call finished, although results for other hosts could still wait in the transport, and a socket closed with unread input resets its connection. The drain now counts queued bytes and the process ends 300 ms after its leave message.

--- a/src/daemon/answer_document.cpp
+++ b/src/daemon/answer_document.cpp
@@ -1,5 +1,7 @@
 #include "answer_document.hpp"
 
+#include <geraniumdoor/request/answer_names.hpp>
+
 #include <boost/json.hpp>
 
 namespace geraniumdoor
@@ -16,7 +18,7 @@
     fields["code"] = error.m_code;
     fields["field"] = error.m_field;
     fields["message"] = error.m_message;
-    fields["ran"] = to_text(error.m_ran);
+    fields["ran"] = name_of(error.m_ran);
     fields["retry_after_ms"] = error.m_retry_after.count();
     json::object document;
     document["error"] = std::move(fields);
@@ -52,52 +54,6 @@
 
 } // namespace
 
-const char* to_text(answer_code code)
-{
-    switch (code)
-    {
-    case answer_code::ok:
-        return "ok";
-    case answer_code::overloaded:
-        return "overloaded";
-    case answer_code::deadline_exceeded:
-        return "deadline_exceeded";
-    case answer_code::claims_unavailable:
-        return "claims_unavailable";
-    case answer_code::key_reused:
-        return "key_reused";
-    case answer_code::in_progress:
-        return "in_progress";
-    case answer_code::in_doubt:
-        return "in_doubt";
-    case answer_code::upstream_failed:
-        return "upstream_failed";
-    case answer_code::incomplete:
-        return "incomplete";
-    case answer_code::stopping:
-        return "stopping";
-    case answer_code::not_ready:
-        return "not_ready";
-    }
-    return "unknown";
-}
-
-const char* to_text(ran_state ran)
-{
-    switch (ran)
-    {
-    case ran_state::not_run:
-        return "not_run";
-    case ran_state::ran:
-        return "ran";
-    case ran_state::in_progress:
-        return "in_progress";
-    case ran_state::unknown:
-        return "unknown";
-    }
-    return "unknown";
-}
-
 unsigned status_of(answer_code code)
 {
     switch (code)
@@ -130,7 +86,7 @@
 error_document error_of_answer(const pipeline_answer& answer)
 {
     error_document error;
-    error.m_code = to_text(answer.m_code);
+    error.m_code = name_of(answer.m_code);
     error.m_message = answer.m_message;
     error.m_ran = answer.m_ran;
     error.m_retry_after = answer.m_retry_after;
--- a/src/daemon/answer_document.hpp
+++ b/src/daemon/answer_document.hpp
@@ -19,9 +19,6 @@
     milliseconds m_retry_after{0};
 };
 
-const char* to_text(answer_code code);
-const char* to_text(ran_state ran);
-
 /// HTTP status of a final answer.
 unsigned status_of(answer_code code);
 
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -3,6 +3,7 @@
 #include "entry_node.hpp"
 
 #include <geraniumdoor/base/log.hpp>
+#include <geraniumdoor/request/answer_names.hpp>
 
 #include <utility>
 
@@ -197,7 +198,7 @@
     constexpr milliseconds retry_after{1000};
     request_refusal refusal;
     refusal.m_status = 503;
-    refusal.m_error.m_code = to_text(answer_code::not_ready);
+    refusal.m_error.m_code = name_of(answer_code::not_ready);
     refusal.m_error.m_message = "this host has no configuration yet";
     refusal.m_error.m_retry_after = retry_after;
     return refusal;
@@ -217,7 +218,8 @@
                       to_s(length));
     if (answer.m_code != answer_code::ok)
     {
-        m_metrics.add("gd_refused_total", {{"reason", to_text(answer.m_code)}});
+        m_metrics.add("gd_refused_total",
+                      {{"reason", std::string{name_of(answer.m_code)}}});
     }
     for (const auto& stage : answer.m_stages)
     {
@@ -229,8 +231,8 @@
         .add("request", to_string(answer.m_id))
         .add("pipeline", request.m_pipeline)
         .add("workspace", request.m_workspace)
-        .add("code", to_text(answer.m_code))
-        .add("ran", to_text(answer.m_ran))
+        .add("code", name_of(answer.m_code))
+        .add("ran", name_of(answer.m_ran))
         .add("ms", to_ms(length))
         .add("in_time", in_time)
         .add("replayed", answer.m_replayed)
--- a/src/daemon/entry_node_stop.cpp
+++ b/src/daemon/entry_node_stop.cpp
@@ -10,6 +10,15 @@
 namespace geraniumdoor
 {
 
+namespace
+{
+
+/// Time for the last results and leave messages to reach other hosts. A socket that is
+/// closed with unread input resets the connection and loses what it has not delivered.
+constexpr milliseconds flush_time{300};
+
+} // namespace
+
 void entry_node::begin_stop(std::function<void()> on_stopped)
 {
     m_on_stopped = std::move(on_stopped);
@@ -35,7 +44,9 @@
         static_cast<std::uint32_t>(m_caller_server.active_count());
     inputs.m_own_calls = static_cast<std::uint32_t>(calls_in_progress(m_dispatcher));
     inputs.m_lease_transferred = is_stopped(m_ownership);
-    inputs.m_unsent_records = static_cast<std::uint32_t>(m_coordinator.m_requests.size());
+    const std::size_t unsent_results = m_transport.queued_bytes() > 0 ? 1 : 0;
+    inputs.m_unsent_records =
+        static_cast<std::uint32_t>(m_coordinator.m_requests.size() + unsent_results);
     drain_actions actions;
     step_drain(m_drain, inputs, now, actions);
     run(actions);
@@ -85,14 +96,18 @@
         announce_left(m_membership, m_random, actions);
         run(actions);
     }
-    log_event{"stopped"}.add("node", m_settings.m_node);
     m_caller_server.close();
     m_admin_server.close();
-    m_tick_timer.cancel();
-    if (m_on_stopped)
-    {
-        m_on_stopped();
-    }
+    m_timers.after(flush_time,
+                   [this](time_point)
+                   {
+                       log_event{"stopped"}.add("node", m_settings.m_node);
+                       m_tick_timer.cancel();
+                       if (m_on_stopped)
+                       {
+                           m_on_stopped();
+                       }
+                   });
 }
 
 } // namespace geraniumdoor
