--- a/standins/gd_standin_upstream_main.cpp
+++ b/standins/gd_standin_upstream_main.cpp
@@ -1,5 +1,6 @@
 #include "engine_parts.hpp"
 #include "standin_support.hpp"
+#include "upstream_ledger.hpp"
 #include "upstream_load.hpp"
 #include "upstream_outputs.hpp"
 
@@ -30,6 +31,9 @@
     return object.contains(name) && object.at(name).as_bool();
 }
 
+/// Answers the time of the calls that ended since the last such request.
+constexpr std::string_view take_work_path = "/v1/work/take";
+
 enum class call_end : std::uint8_t
 {
     whole,
@@ -112,8 +116,8 @@
         {
             co_return co_await run(exchange);
         }
-        const bool inspects =
-            path == "/control" || path == "/v1/stats" || path == "/v1/executions";
+        const bool inspects = path == "/control" || path == "/v1/stats" ||
+                              path == "/v1/executions" || path == take_work_path;
         call_guard guard{m_executor, exchange};
         if (not inspects && not co_await m_fault.pass(guard))
         {
@@ -149,11 +153,20 @@
         {
             if (one.get() == this || not query_of(exchange, "all").empty())
             {
-                path == "/v1/stats" ? one->append_stats(list)
-                                    : one->append_executions(list);
+                one->append_list(path, list);
             }
         }
-        return json_response(json::object{{path.substr(4), std::move(list)}});
+        const std::string name = path == take_work_path ? "work" : path.substr(4);
+        return json_response(json::object{{name, std::move(list)}});
+    }
+
+    void append_list(const std::string& path, json::array& list)
+    {
+        if (path == take_work_path)
+        {
+            return m_ledger.take_work(m_id, list);
+        }
+        path == "/v1/stats" ? append_stats(list) : m_ledger.append_executions(m_id, list);
     }
 
     void control(const json::object& body)
@@ -185,19 +198,6 @@
         list.emplace_back(std::move(all));
     }
 
-    void append_executions(json::array& list) const
-    {
-        for (const auto& [key, count] : m_executions)
-        {
-            const auto& [request, operation, marker] = key;
-            list.emplace_back(json::object{{"upstream", m_id},
-                                           {"request_id", request},
-                                           {"operation", operation},
-                                           {"marker", marker},
-                                           {"count", count}});
-        }
-    }
-
     http_response answer_state(const http_exchange& exchange, const std::string& path)
     {
         const bool engine = m_kind == "engine";
@@ -223,6 +223,12 @@
         return error_response(404, "not_found");
     }
 
+    void note_work(const run_call& call, time_point started)
+    {
+        const auto request = text_of(call.m_head, "request_id");
+        m_ledger.add_work(request, call.m_operation, steady_now() - started);
+    }
+
     asio::awaitable<void> run(http_exchange& exchange)
     {
         run_call call{body_of(exchange), m_incarnation,
@@ -240,6 +246,7 @@
         // The call is over before its last byte leaves, so that the next call of a client
         // that reads the answer is not counted on top of this one.
         m_load.end(started, end == call_end::whole, end == call_end::cancelled);
+        note_work(call, started);
         report();
         co_await finish(exchange, end, call);
     }
@@ -261,8 +268,9 @@
         }
         if (m_kind == "service")
         {
+            // Without a named variable here GCC 12 builds a frame that cannot be resumed.
             const auto request = text_of(call.m_head, "request_id");
-            ++m_executions[{request, call.m_operation, marker_of(call.m_input)}];
+            m_ledger.add_execution(request, call.m_operation, marker_of(call.m_input));
         }
         if (not co_await guard.sleep(draw_service_time(call.m_input)))
         {
@@ -357,9 +365,7 @@
     fault_state m_fault;
     bool m_leaving = false;
     time_point m_last_call;
-    /// Executions by request id, operation and marker.
-    std::map<std::tuple<std::string, std::string, std::string>, std::uint64_t>
-        m_executions;
+    upstream_ledger m_ledger;
     std::unique_ptr<http_server> m_server;
 };
 
