Log why a request is refused on entry and when a limit falls

Runs of tools/measure refused requests below capacity, and neither the log nor the metrics said whether the admitted share, the expected time or a lowered upstream limit was the cause. refused_on_entry now names the reason, share and expected time; limit_lowered names the upstream and the call that lowered its limit.

--- a/src/dispatch/dispatcher_answers.cpp
+++ b/src/dispatch/dispatcher_answers.cpp
@@ -93,6 +93,21 @@
     }
 }
 
+void log_lowered_limit(const upstream_row& row, std::uint32_t before,
+                       const upstream_call_end& end, double ms)
+{
+    if (row.m_limit.m_limit < before)
+    {
+        log_event{"limit_lowered"}
+            .add("upstream", row.m_record.m_id)
+            .add("from", before)
+            .add("to", row.m_limit.m_limit)
+            .add("answered", end.m_answered)
+            .add("reason", text_of(end.m_reason))
+            .add("ms", ms);
+    }
+}
+
 void release_slot(dispatcher_state& state, const running_row& running,
                   const upstream_call_end& end, time_point now)
 {
@@ -100,7 +115,9 @@
     require_invariant(row != nullptr && row->m_outstanding > 0,
                       "outstanding_matches_calls", running.m_upstream.m_value);
     --row->m_outstanding;
+    const std::uint32_t before = row->m_limit.m_limit;
     learn_end(state, *row, running, end, now);
+    log_lowered_limit(*row, before, end, to_ms(now - running.m_dispatched));
     if (end.m_reason != call_reason::upstream_timeout)
     {
         row->m_heard_at = now;
--- a/src/request/request_entry.cpp
+++ b/src/request/request_entry.cpp
@@ -1,7 +1,9 @@
 #include "request_steps.hpp"
 
 #include <geraniumdoor/base/invariant.hpp>
+#include <geraniumdoor/base/log.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumdoor
@@ -43,11 +45,28 @@
     return waits;
 }
 
-bool is_feasible(const coordinator& state, const active_request& row, time_point now)
+/// Time that the request is expected to take.
+duration expected_time(const coordinator& state, const active_request& row,
+                       time_point now)
 {
-    const auto need = expected_work(state.m_times, *row.m_pipeline) +
-                      expected_waits(state, *row.m_pipeline, now);
-    return now + need <= row.m_request.m_deadline;
+    return expected_work(state.m_times, *row.m_pipeline) +
+           expected_waits(state, *row.m_pipeline, now);
+}
+
+void log_refusal(const coordinator& state, const active_request& row, bool admitted,
+                 duration need)
+{
+    double share = 1;
+    for (const auto& stage : row.m_pipeline->m_stages)
+    {
+        share = std::min(share, admitted_share(state.m_admission, stage.m_pool,
+                                               row.m_priority, row.m_weight));
+    }
+    log_event{"refused_on_entry"}
+        .add("request", to_string(row.m_request.m_id))
+        .add("reason", admitted ? "infeasible" : "admission")
+        .add("share", share)
+        .add("need_ms", to_ms(need));
 }
 
 /// Refuses the request before its first stage when the path cannot carry it.
@@ -55,11 +74,14 @@
 {
     auto& state = context.m_state;
     const double draw = uniform_unit(state.m_random);
-    if (admits(state.m_admission, *row.m_pipeline, row.m_priority, row.m_weight, draw) &&
-        is_feasible(state, row, context.m_now))
+    const bool admitted =
+        admits(state.m_admission, *row.m_pipeline, row.m_priority, row.m_weight, draw);
+    const duration need = expected_time(state, row, context.m_now);
+    if (admitted && context.m_now + need <= row.m_request.m_deadline)
     {
         return false;
     }
+    log_refusal(state, row, admitted, need);
     ++state.m_counters.m_refused;
     end_request(context, row, answer_code::overloaded,
                 "the pipeline cannot answer within the deadline at its present load");
--- a/standins/gd_standin_platform_main.cpp
+++ b/standins/gd_standin_platform_main.cpp
@@ -19,16 +19,28 @@
     double m_units_per_s = 0;
     time_point m_free_at{};
 
-    /// Returns the time that the caller waits before the units are through.
+    /// Returns the time until the units are through.
     microseconds take(double units)
     {
         if (m_units_per_s <= 0)
         {
             return microseconds{0};
         }
-        const auto length = microseconds_of(1000 * units / m_units_per_s);
-        m_free_at = std::max(m_free_at, steady_now()) + length;
-        return std::chrono::duration_cast<microseconds>(m_free_at - steady_now());
+        return enter(units) + microseconds_of(1000 * units / m_units_per_s);
+    }
+
+    /// Returns the time until the units begin. A call of an idle service does not wait:
+    /// its latency has been drawn already.
+    microseconds enter(double units)
+    {
+        if (m_units_per_s <= 0)
+        {
+            return microseconds{0};
+        }
+        const time_point now = steady_now();
+        const time_point begin = std::max(m_free_at, now);
+        m_free_at = begin + microseconds_of(1000 * units / m_units_per_s);
+        return std::chrono::duration_cast<microseconds>(begin - now);
     }
 };
 
@@ -96,7 +108,7 @@
         const auto latency =
             microseconds_of(2 * called.m_latency_ms * uniform_unit(m_random));
         co_await guard.sleep(latency +
-                             (writes ? called.m_writes : called.m_reads).take(1));
+                             (writes ? called.m_writes : called.m_reads).enter(1));
         if (not co_await called.m_fault.pass(guard))
         {
             co_return exchange.drop();
