Let first requests wait until a started host is ready

Cause: callers are given the address of a started host as soon as it is a member, and it has its configuration only a pull later. Change: a pipeline request waits at most 1 s, in steps of 10 ms, for the configuration before it is refused. The refusal itself stays, for a host that finds no configuration.

--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -4,6 +4,10 @@
 
 #include <geraniumdoor/base/log.hpp>
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 #include <utility>
 
 namespace geraniumdoor
@@ -84,6 +88,7 @@
 asio::awaitable<void> entry_node::serve_pipeline(http_exchange& exchange)
 {
     const time_point started = std::chrono::steady_clock::now();
+    co_await wait_until_ready();
     auto checked =
         is_ready()
             ? read_caller_request(exchange.request(), m_coordinator.m_config,
@@ -192,6 +197,21 @@
     co_await exchange.end_stream();
 }
 
+/// Other hosts name a started host to callers as soon as it is a member, and it is ready
+/// a pull of the configuration later, so that first requests wait
+/// for it.
+asio::awaitable<void> entry_node::wait_until_ready()
+{
+    constexpr milliseconds poll{10};
+    constexpr int most_polls = 100;
+    asio::steady_timer timer{m_io};
+    for (int polls = 0; !is_ready() && polls < most_polls; ++polls)
+    {
+        timer.expires_after(poll);
+        co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+    }
+}
+
 result<pipeline_request, request_refusal> entry_node::not_ready_refusal() const
 {
     constexpr milliseconds retry_after{1000};
