Wait in gdctl until a change is in force, and add forget-host

gdctl asked the hosts once, right after the change was accepted, so that "data-centre out" printed "not yet in force" for 8 of 9 hosts. An operator could not declare a lost host gone, although the membership module could.

Change: after a change gdctl asks all live hosts at the same time, every 100 ms for at most 5 s, until each has it in force and it is stored; it names the hosts that do not have it and exits with 1.

Every error of the operator API has the five documented fields. /readyz says why. Metrics: counts of the coordinator are counters ending in _total, gd_claims_in_doubt is new. Log keys are request, stage, attempt, upstream, node and reason throughout; three events that were logged twice are logged once.

Ruled out: asking the hosts one after another, as one frozen host would take the whole 5 s.

--- a/include/geraniumdoor/config/admin_api.hpp
+++ b/include/geraniumdoor/config/admin_api.hpp
@@ -31,6 +31,20 @@
                                                             std::string_view state,
                                                             std::string_view body);
 
+/// An operator declares a process, and all earlier ones of the node, ended for good.
+struct forget_host_request
+{
+    node_id m_node;
+    incarnation m_incarnation;
+    std::string m_operator;
+};
+
+/// POST /admin/hosts/{node}/{incarnation}/forget with the body {"operator"}. The
+/// incarnation must not be above the latest, which the caller knows.
+result<forget_host_request, document_faults>
+decode_forget_request(std::string_view node, std::string_view number, incarnation latest,
+                      std::string_view body);
+
 /// Answer to each change and to GET /admin/changes/{id}: {"change_id", "outcome",
 /// "version", "message", "field", "winner": {"change_id", "operator"}, "shortfalls"}.
 std::string encode_change_report(const change_report& report);
@@ -43,8 +57,10 @@
 /// null when there is none. It contains the urgent states.
 std::string encode_config_answer(const config_keeper& keeper);
 
-/// Answer to a malformed request, with status 400: {"error": {"code", "field", "message",
-/// "faults": [{"field", "message"}]}}.
-std::string encode_fault_answer(const document_faults& faults);
+/// Answer to a request that is not carried out: {"error": {"code", "field", "message",
+/// "ran", "retry_after_ms", "faults": [{"field", "message"}]}}. The field and the message
+/// are those of the first fault.
+std::string encode_fault_answer(const document_faults& faults,
+                                std::string_view code = "bad_request");
 
 } // namespace geraniumdoor
--- a/include/geraniumdoor/metrics/metric_registry.hpp
+++ b/include/geraniumdoor/metrics/metric_registry.hpp
@@ -25,6 +25,9 @@
 
     void add(std::string_view name, const metric_labels& labels, double amount = 1);
 
+    /// Sets a counter that is kept elsewhere.
+    void set_count(std::string_view name, const metric_labels& labels, double total);
+
     /// Sets a value that can go down.
     void set(std::string_view name, const metric_labels& labels, double value);
 
--- a/programs/gdcall_main.cpp
+++ b/programs/gdcall_main.cpp
@@ -1,5 +1,6 @@
 #include "program_support.hpp"
 
+#include <geraniumdoor/config/daemon_settings.hpp>
 #include <geraniumdoor/net/http_client.hpp>
 
 #include <boost/asio/co_spawn.hpp>
@@ -24,7 +25,7 @@
 
 struct call_options
 {
-    std::vector<std::string> m_hosts;
+    std::vector<ip_endpoint> m_hosts;
     std::string m_pipeline;
     std::string m_workspace;
     std::string m_input;
@@ -35,36 +36,41 @@
 
 cxxopts::Options make_options()
 {
-    cxxopts::Options options{"gdcall", "Sends one pipeline request and prints the answer."};
+    cxxopts::Options options{
+        "gdcall",
+        "Sends one pipeline request and prints the answer.\n"
+        "Exit codes: 0 whole answer, 1 failed or refused, 2 wrong command line."};
     options.add_options()("host", "caller address of any entry host, IP:PORT; repeatable",
                           cxxopts::value<std::vector<std::string>>(), "IP:PORT")(
-        "pipeline", "pipeline to run", cxxopts::value<std::string>(), "NAME")(
-        "workspace", "workspace of the caller", cxxopts::value<std::string>(), "NAME")(
-        "input", "input of the first stage, as JSON",
-        cxxopts::value<std::string>()->default_value("null"), "JSON")(
-        "key", "idempotency key", cxxopts::value<std::string>()->default_value(""), "KEY")(
-        "deadline-ms", "deadline; the pipeline's own when absent",
-        cxxopts::value<std::uint32_t>(), "MS")("stream", "print tokens as they arrive")(
+        "pipeline", "pipeline to run", cxxopts::value<std::string>(),
+        "NAME")("workspace", "workspace of the caller", cxxopts::value<std::string>(),
+                "NAME")("input", "input of the first stage, as JSON",
+                        cxxopts::value<std::string>()->default_value("null"), "JSON")(
+        "key", "idempotency key", cxxopts::value<std::string>()->default_value(""),
+        "KEY")("deadline-ms", "deadline; the pipeline's own when absent",
+               cxxopts::value<std::uint32_t>(),
+               "MS")("stream", "print tokens as they arrive")(
         "version", "print the version and exit")("help", "print this text and exit");
     return options;
 }
 
-std::optional<tcp::endpoint> parse_address(const std::string& text)
+std::optional<tcp::endpoint> decode_address(const json::value& row)
 {
-    const auto colon = text.rfind(':');
-    if (colon == std::string::npos)
+    const json::object* object = row.if_object();
+    const json::value* ip = object ? object->if_contains("ip") : nullptr;
+    const json::value* port = object ? object->if_contains("port") : nullptr;
+    if (ip == nullptr || !ip->is_string() || port == nullptr || !port->is_int64())
     {
         return std::nullopt;
     }
     boost::system::error_code error;
-    const auto address = asio::ip::make_address(text.substr(0, colon), error);
-    const int port = std::atoi(text.c_str() + colon + 1);
-    constexpr int max_port = 65535;
-    if (error || port < 1 || port > max_port)
+    const auto address = asio::ip::make_address(std::string{ip->get_string()}, error);
+    constexpr std::int64_t max_port = 65535;
+    if (error || port->get_int64() < 1 || port->get_int64() > max_port)
     {
         return std::nullopt;
     }
-    return tcp::endpoint{address, static_cast<unsigned short>(port)};
+    return tcp::endpoint{address, static_cast<unsigned short>(port->get_int64())};
 }
 
 /// Addresses of an answer to GET /v1/addresses, in its order.
@@ -81,9 +87,7 @@
     }
     for (const auto& row : rows->get_array())
     {
-        const std::string ip{row.at("ip").as_string()};
-        const auto port = row.at("port").as_int64();
-        if (const auto address = parse_address(ip + ':' + std::to_string(port)))
+        if (const auto address = decode_address(row))
         {
             addresses.push_back(*address);
         }
@@ -121,22 +125,17 @@
 {
     for (const auto& host : options.m_hosts)
     {
-        const auto address = parse_address(host);
-        if (!address)
-        {
-            std::cerr << "gdcall: --host " << host << " is not IP:PORT\n";
-            continue;
-        }
+        const tcp::endpoint address{host.m_address, host.m_port};
         http_request request;
         request.m_target = "/v1/addresses";
         http_call_options call;
         call.m_timeout = milliseconds{1000};
-        const auto answer = co_await http.send(*address, request, call);
+        const auto answer = co_await http.send(address, request, call);
         if (is_ok(answer) && value_of(answer).m_status == 200)
         {
             co_return decode_addresses(value_of(answer).m_body);
         }
-        std::cerr << "gdcall: no address answer from " << host << '\n';
+        std::cerr << "gdcall: no address answer from " << to_text(host) << '\n';
     }
     co_return std::vector<tcp::endpoint>{};
 }
@@ -152,6 +151,31 @@
     return !is_ok(answer) && !error_of(answer).m_sent;
 }
 
+bool is_done_line(const std::string& line)
+{
+    boost::system::error_code error;
+    const json::value document = json::parse(line, error);
+    const json::object* object = error ? nullptr : document.if_object();
+    return object != nullptr && object->contains("done");
+}
+
+/// Prints a whole answer, and returns the exit code. A stream is whole only with a last
+/// line that says so.
+int judge_answer(const http_response& answer, bool streamed, const std::string& last_line)
+{
+    if (answer.m_status != 200 || !streamed)
+    {
+        print_line(answer.m_body);
+        return answer.m_status == 200 ? exit_ok : exit_failed;
+    }
+    if (!is_done_line(last_line))
+    {
+        std::cerr << "gdcall: the stream ended without the whole answer\n";
+        return exit_failed;
+    }
+    return exit_ok;
+}
+
 asio::awaitable<void> call(http_client& http, const call_options& options, int& status)
 {
     const auto addresses = co_await find_addresses(http, options);
@@ -161,9 +185,14 @@
         http_call_options call;
         call.m_timeout = milliseconds{options.m_deadline_ms.value_or(30'000) + 1000};
         call.m_fresh_connection = true;
+        std::string last_line;
         if (options.m_stream)
         {
-            call.m_on_line = print_line;
+            call.m_on_line = [&last_line](std::string_view line)
+            {
+                last_line = line;
+                print_line(line);
+            };
         }
         const auto answer = co_await http.send(address, request, call);
         if (may_try_next(answer))
@@ -176,28 +205,52 @@
                       << error_of(answer).m_detail << '\n';
             co_return;
         }
-        print_line(value_of(answer).m_body);
-        status = value_of(answer).m_status == 200 ? exit_ok : exit_failed;
+        status = judge_answer(value_of(answer), options.m_stream, last_line);
         co_return;
     }
     std::cerr << "gdcall: no entry host could be reached\n";
 }
 
+int usage_error(const std::string& message)
+{
+    std::cerr << "gdcall: " << message << "; see --help\n";
+    return exit_usage;
+}
+
 int run(const cxxopts::ParseResult& arguments)
 {
     for (const char* name : {"host", "pipeline", "workspace"})
     {
         if (arguments.count(name) == 0)
         {
-            std::cerr << "gdcall: the option --" << name << " is required\n";
-            return exit_usage;
+            return usage_error("the option --" + std::string{name} + " is required");
         }
     }
+    if (!arguments.unmatched().empty())
+    {
+        return usage_error("\"" + arguments.unmatched().front() + "\" is not an option");
+    }
     call_options options;
-    options.m_hosts = arguments["host"].as<std::vector<std::string>>();
+    for (const auto& host : arguments["host"].as<std::vector<std::string>>())
+    {
+        const auto endpoint = parse_endpoint(host);
+        if (!endpoint)
+        {
+            return usage_error("--host: must be an IP number and a port from 1 to 65535, "
+                               "but is \"" +
+                               host + '"');
+        }
+        options.m_hosts.push_back(*endpoint);
+    }
     options.m_pipeline = arguments["pipeline"].as<std::string>();
     options.m_workspace = arguments["workspace"].as<std::string>();
     options.m_input = arguments["input"].as<std::string>();
+    boost::system::error_code error;
+    json::parse(options.m_input, error);
+    if (error)
+    {
+        return usage_error("--input: must be JSON, but " + error.message());
+    }
     options.m_key = arguments["key"].as<std::string>();
     options.m_stream = arguments.count("stream") != 0;
     if (arguments.count("deadline-ms") != 0)
@@ -232,9 +285,13 @@
         }
         return run(arguments);
     }
+    catch (const cxxopts::exceptions::exception& error)
+    {
+        return usage_error(error.what());
+    }
     catch (const std::exception& error)
     {
-        std::cerr << "gdcall: " << error.what() << "; see --help\n";
-        return exit_usage;
+        std::cerr << "gdcall: " << error.what() << '\n';
+        return exit_failed;
     }
 }
--- a/programs/gdctl_client.hpp
+++ b/programs/gdctl_client.hpp
@@ -29,6 +29,12 @@
                                          const std::string& target,
                                          const std::string& body);
 
+    /// Asks all hosts at the same time. The answers are in the order of the hosts; one
+    /// that did not come within the timeout is absent.
+    static std::vector<std::optional<http_response>>
+    get_from_all(const std::vector<ip_endpoint>& hosts, const std::string& target,
+                 milliseconds timeout);
+
     const std::string& last_error() const
     {
         return m_last_error;
--- a/programs/gdctl_print.cpp
+++ b/programs/gdctl_print.cpp
@@ -21,6 +21,10 @@
 /// cannot drive the operator's terminal.
 std::string cell_text(const json::value& value)
 {
+    if (value.is_array() && value.get_array().empty())
+    {
+        return "none";
+    }
     std::string text = json::serialize(value);
     if (value.is_double())
     {
@@ -45,6 +49,11 @@
            value.get_array()[0].is_object();
 }
 
+bool is_empty(const json::value& value)
+{
+    return value.is_null() || (value.is_string() && value.get_string().empty());
+}
+
 std::vector<std::string> columns_of(const json::array& rows)
 {
     std::vector<std::string> columns;
@@ -113,35 +122,13 @@
             out << '\n' << key << ":\n";
             print_table(out, member.value().get_array());
         }
-        else
+        else if (!is_empty(member.value()))
         {
             out << key << ": " << cell_text(member.value()) << '\n';
         }
     }
 }
 
-std::string state_on(gdctl_client& client, const json::value& host,
-                     const std::string& change)
-{
-    const auto endpoint = parse_endpoint(cell_of(host, "admin_address"));
-    if (!endpoint)
-    {
-        return "no operator address";
-    }
-    const auto answer = client.send_to(*endpoint, "GET", "/admin/changes/" + change, "");
-    if (!answer)
-    {
-        return "no answer";
-    }
-    if (answer->m_status == 404)
-    {
-        return "not yet in force";
-    }
-    const auto document = parse_answer(answer);
-    const std::string outcome = document ? cell_of(*document, "outcome") : "";
-    return outcome == "accepted" ? "in force" : outcome;
-}
-
 } // namespace
 
 void print_answer(std::ostream& out, const http_response& answer, bool as_json)
@@ -156,25 +143,20 @@
     print_object(out, *object);
 }
 
-void print_hosts_in_force(std::ostream& out, gdctl_client& client,
-                          const std::string& change)
+void print_hosts(std::ostream& out, const std::vector<host_change>& hosts)
+{
+    out << "\nhosts:\n";
+    print_table(out, to_rows(hosts));
+}
+
+json::array to_rows(const std::vector<host_change>& hosts)
 {
-    const auto document = parse_answer(client.send("GET", "/admin/hosts", ""));
-    const auto* object = document ? document->if_object() : nullptr;
-    const auto* hosts = object ? object->if_contains("hosts") : nullptr;
-    if (hosts == nullptr || !hosts->is_array())
-    {
-        out << "hosts: no list of hosts was answered\n";
-        return;
-    }
     json::array rows;
-    for (const auto& host : hosts->get_array())
+    for (const auto& host : hosts)
     {
-        rows.push_back(json::object{{"host", cell_of(host, "id")},
-                                    {"change", state_on(client, host, change)}});
+        rows.push_back(json::object{{"host", host.m_host}, {"change", host.m_state}});
     }
-    out << "\nhosts:\n";
-    print_table(out, rows);
+    return rows;
 }
 
 } // namespace geraniumdoor
--- a/programs/gdctl_print.hpp
+++ b/programs/gdctl_print.hpp
@@ -1,20 +1,23 @@
 #pragma once
 
-#include "gdctl_client.hpp"
+#include "gdctl_wait.hpp"
+
+#include <boost/json/array.hpp>
 
 #include <ostream>
-#include <string>
+#include <vector>
 
 namespace geraniumdoor
 {
 
-/// Prints the answer as it is, or as "key: value" lines and a table for each array of
-/// objects.
+/// Prints the answer as it is, or as "key: value" lines without the empty ones, and a
+/// table for each array of objects.
 void print_answer(std::ostream& out, const http_response& answer, bool as_json);
 
-/// Asks each host of /admin/hosts what it knows of the change, and prints which hosts
-/// have it in force.
-void print_hosts_in_force(std::ostream& out, gdctl_client& client,
-                          const std::string& change);
+/// Prints what each host knows of a change.
+void print_hosts(std::ostream& out, const std::vector<host_change>& hosts);
+
+/// The same as rows of a JSON answer.
+boost::json::array to_rows(const std::vector<host_change>& hosts);
 
 } // namespace geraniumdoor
--- a/programs/geraniumdoord_main.cpp
+++ b/programs/geraniumdoord_main.cpp
@@ -18,8 +18,10 @@
 
 cxxopts::Options make_options()
 {
-    cxxopts::Options options{"geraniumdoord",
-                             "Entry daemon: serves callers, dispatches to upstreams."};
+    cxxopts::Options options{
+        "geraniumdoord",
+        "Entry daemon: serves callers, dispatches to upstreams.\n"
+        "Exit codes: 0 stopped as planned, 1 failed, 2 wrong command line or settings."};
     options.add_options()("settings", "settings file, JSON with comments",
                           cxxopts::value<std::string>(),
                           "FILE")("check", "check the settings and exit")(
@@ -60,6 +62,12 @@
 
 int run(const cxxopts::ParseResult& arguments)
 {
+    if (!arguments.unmatched().empty())
+    {
+        std::cerr << "geraniumdoord: \"" << arguments.unmatched().front()
+                  << "\" is not an option; see --help\n";
+        return exit_usage;
+    }
     if (arguments.count("settings") == 0)
     {
         std::cerr << "geraniumdoord: the option --settings FILE is required\n";
@@ -108,7 +116,7 @@
         }
         return run(arguments);
     }
-    catch (const cxxopts::exceptions::parsing& error)
+    catch (const cxxopts::exceptions::exception& error)
     {
         std::cerr << "geraniumdoord: " << error.what() << "; see --help\n";
         return exit_usage;
--- a/src/cluster/membership_merge.cpp
+++ b/src/cluster/membership_merge.cpp
@@ -41,7 +41,7 @@
         .add("node", info.m_node)
         .add("incarnation", info.m_incarnation)
         .add("revision", info.m_revision)
-        .add("state", static_cast<int>(info.m_state));
+        .add("state", to_text(info.m_state));
 }
 
 void report_change(const member_update& info, membership_actions& actions)
--- a/src/config/admin_api.cpp
+++ b/src/config/admin_api.cpp
@@ -5,6 +5,8 @@
 
 #include <boost/json/serialize.hpp>
 
+#include <charconv>
+
 namespace geraniumdoor
 {
 
@@ -199,6 +201,42 @@
                   });
 }
 
+result<forget_host_request, document_faults>
+decode_forget_request(std::string_view node, std::string_view number, incarnation latest,
+                      std::string_view body)
+{
+    const auto document = parse_document(body, max_admin_body_bytes);
+    if (!is_ok(document))
+    {
+        return error_of(document);
+    }
+    document_faults faults;
+    forget_host_request request;
+    object_reader reader{value_of(document), "", faults};
+    request.m_operator = reader.id("operator");
+    reader.finish();
+    if (!is_id(node))
+    {
+        add_fault(faults, "node", "must be the name of a host");
+    }
+    request.m_node.m_value = node;
+    const char* end = number.data() + number.size();
+    std::uint64_t value = 0;
+    const auto [stop, error] = std::from_chars(number.data(), end, value);
+    if (error != std::errc{} || stop != end || value == 0 || value > latest.m_value)
+    {
+        add_fault(faults, "incarnation",
+                  "must be a whole number from 1 to " + std::to_string(latest.m_value) +
+                      ", the latest that the host can have");
+    }
+    request.m_incarnation.m_value = value;
+    if (!faults.empty())
+    {
+        return faults;
+    }
+    return request;
+}
+
 std::string encode_change_report(const change_report& report)
 {
     const change_refusal& refusal = report.m_refusal;
@@ -259,7 +297,7 @@
     return boost::json::serialize(object);
 }
 
-std::string encode_fault_answer(const document_faults& faults)
+std::string encode_fault_answer(const document_faults& faults, std::string_view code)
 {
     boost::json::array list;
     for (const auto& fault : faults)
@@ -268,10 +306,9 @@
             boost::json::object{{"field", fault.m_path}, {"message", fault.m_message}});
     }
     const document_fault first = faults.empty() ? document_fault{} : faults.front();
-    boost::json::object error{{"code", "bad_request"},
-                              {"field", first.m_path},
-                              {"message", first.m_message},
-                              {"faults", std::move(list)}};
+    boost::json::object error{
+        {"code", code},     {"field", first.m_path}, {"message", first.m_message},
+        {"ran", "not_run"}, {"retry_after_ms", 0},   {"faults", std::move(list)}};
     return boost::json::serialize(boost::json::object{{"error", std::move(error)}});
 }
 
--- a/src/config/config_keeper.cpp
+++ b/src/config/config_keeper.cpp
@@ -110,9 +110,9 @@
     if (!sound)
     {
         log_event("config_push_refused")
-            .add("from", from)
+            .add("node", from)
             .add("version", message.m_version)
-            .add("fault",
+            .add("reason",
                  is_ok(decoded) ? "version differs" : to_text(error_of(decoded)));
         return;
     }
--- a/src/config/config_keeper_apply.cpp
+++ b/src/config/config_keeper_apply.cpp
@@ -166,7 +166,7 @@
     {
         log_event("config_row_unreadable")
             .add("row_version", row.m_version)
-            .add("fault", to_text(error_of(decoded)));
+            .add("reason", to_text(error_of(decoded)));
         return false;
     }
     keeper.m_row_version = row.m_version;
@@ -192,9 +192,9 @@
         .add("field", report.m_refusal.m_field)
         .add("winner", report.m_refusal.m_winner)
         .add("winning_operator", report.m_refusal.m_winning_operator)
-        .add("message", report.m_outcome == change_outcome::refused
-                            ? report.m_refusal.m_message
-                            : report.m_message);
+        .add("reason", report.m_outcome == change_outcome::refused
+                           ? report.m_refusal.m_message
+                           : report.m_message);
     if (keeper.m_reports.find(report.m_id) == nullptr)
     {
         keeper.m_report_order.push_back(report.m_id);
--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -128,6 +128,7 @@
         error.m_retry_after = milliseconds{1000};
         co_return text_response(503, "application/json", encode_error(error));
     }
+    note_claims(value_of(scanned));
     json::array rows;
     for (const auto& claim : list_in_doubt(value_of(scanned), live_processes()))
     {
@@ -144,10 +145,32 @@
     co_return json_response(200, document);
 }
 
+/// Passes the counts of the coordinator since the start on to the metrics.
+void entry_node::expose_counters()
+{
+    const coordinator_counters& counters = m_coordinator.m_counters;
+    const std::pair<const char*, std::uint64_t> rows[] = {
+        {"gd_first_attempts_total", counters.m_first_attempts},
+        {"gd_retries_total", counters.m_retries},
+        {"gd_hedges_total", counters.m_hedges},
+        {"gd_stream_resumes_total", counters.m_resumes},
+        {"gd_superseded_results_total", counters.m_superseded_results},
+        {"gd_dropped_chunks_total", counters.m_dropped_chunks},
+        {"gd_replayed_total", counters.m_replayed},
+        {"gd_in_doubt_total", counters.m_in_doubt},
+    };
+    for (const auto& [name, count] : rows)
+    {
+        m_metrics.set_count(name, {}, static_cast<double>(count));
+    }
+}
+
 std::string entry_node::exposition()
 {
     m_metrics.set("gd_members", {}, static_cast<double>(live_count(m_membership)));
     m_metrics.set("gd_ready", {}, is_ready() ? 1 : 0);
+    m_metrics.set("gd_config_version", {},
+                  static_cast<double>(version_of(m_config).m_value));
     m_metrics.clear_gauge("gd_upstream_limit");
     m_metrics.clear_gauge("gd_upstream_outstanding");
     for (const auto& entry : m_dispatcher.m_upstreams)
@@ -160,13 +183,7 @@
         m_metrics.set("gd_upstream_limit", labels, entry.m_row.m_limit.m_limit);
         m_metrics.set("gd_upstream_outstanding", labels, entry.m_row.m_outstanding);
     }
-    const coordinator_counters& counters = m_coordinator.m_counters;
-    m_metrics.set("gd_superseded_results", {},
-                  static_cast<double>(counters.m_superseded_results));
-    m_metrics.set("gd_retries", {}, static_cast<double>(counters.m_retries));
-    m_metrics.set("gd_hedges", {}, static_cast<double>(counters.m_hedges));
-    m_metrics.set("gd_stream_resumes", {}, static_cast<double>(counters.m_resumes));
-    m_metrics.set("gd_in_doubt", {}, static_cast<double>(counters.m_in_doubt));
+    expose_counters();
     return m_metrics.exposition();
 }
 
@@ -182,7 +199,7 @@
     else if (get && request.m_target == "/readyz")
     {
         response = text_response(is_ready() ? 200 : 503, "text/plain",
-                                 is_ready() ? "ready\n" : "no configuration\n");
+                                 std::string{readiness()} + '\n');
     }
     else if (get && request.m_target == "/metrics")
     {
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -73,10 +73,10 @@
     else
     {
         error_document error;
-        error.m_code = is_pipeline ? "method_not_allowed" : "not_found";
+        error.m_code = "not_found";
         error.m_field = is_pipeline ? "method" : "path";
         error.m_message = "GET /v1/addresses and POST /v1/pipelines/{name} are accepted";
-        response = json_response(is_pipeline ? 405 : 404, encode_error(error));
+        response = json_response(404, encode_error(error));
     }
     co_await exchange.respond(std::move(response));
 }
@@ -198,7 +198,7 @@
     request_refusal refusal;
     refusal.m_status = 503;
     refusal.m_error.m_code = to_text(answer_code::not_ready);
-    refusal.m_error.m_message = "this host has no configuration yet";
+    refusal.m_error.m_message = readiness();
     refusal.m_error.m_retry_after = retry_after;
     return refusal;
 }
@@ -234,7 +234,7 @@
         .add("ms", to_ms(length))
         .add("in_time", in_time)
         .add("replayed", answer.m_replayed)
-        .add("message", answer.m_message);
+        .add("reason", answer.m_message);
 }
 
 } // namespace geraniumdoor
--- a/src/daemon/entry_node.hpp
+++ b/src/daemon/entry_node.hpp
@@ -113,10 +113,14 @@
     http_response hosts_response() const;
     http_response upstreams_response() const;
     boost::asio::awaitable<http_response> in_doubt_response();
+    void expose_counters();
     std::string exposition();
     boost::asio::awaitable<http_response> config_response(const http_request& request);
     boost::asio::awaitable<http_response> change_response(const http_request& request);
     http_response change_status_response(std::string_view target) const;
+    http_response forget_host_response(const http_request& request);
+    const char* readiness() const;
+    void note_claims(const std::vector<table_row>& rows);
     void leave_caller(const request_id& id);
     boost::asio::awaitable<void> serve_caller(http_exchange& exchange);
     boost::asio::awaitable<void> serve_pipeline(http_exchange& exchange);
--- a/src/daemon/entry_node_actions.cpp
+++ b/src/daemon/entry_node_actions.cpp
@@ -168,7 +168,7 @@
     else
     {
         const table_error& error = error_of(outcome);
-        log_event{"table_write_failed"}.add("detail", error.m_detail);
+        log_event{"table_write_failed"}.add("reason", error.m_detail);
         end.m_outcome = table_outcome::unknown;
     }
     const time_point now = std::chrono::steady_clock::now();
--- a/src/daemon/entry_node_config.cpp
+++ b/src/daemon/entry_node_config.cpp
@@ -21,6 +21,20 @@
     return geraniumdoor::is_ready(m_config);
 }
 
+/// "ready", or why this host accepts no work.
+const char* entry_node::readiness() const
+{
+    if (m_config.m_in_force == nullptr)
+    {
+        return "no configuration from a peer or the table service yet";
+    }
+    if (!is_ready())
+    {
+        return "the configuration was not checked since this process was paused";
+    }
+    return "ready";
+}
+
 void entry_node::run(const config_actions& actions)
 {
     const auto perform = [this](const auto& action)
@@ -43,13 +57,7 @@
         {
             announce_urgent_state(m_membership, action.m_state);
         }
-        else if constexpr (std::is_same_v<type, change_settled>)
-        {
-            log_event{"change_settled"}
-                .add("change", action.m_report.m_id)
-                .add("outcome", to_text(action.m_report.m_outcome));
-        }
-        else
+        else if constexpr (!std::is_same_v<type, change_settled>)
         {
             m_transport.send(action.m_to, node_message{action.m_message});
         }
@@ -80,7 +88,6 @@
     }
     m_ownership.m_settings.m_longest_call = longest_call;
     set_config_version(m_membership, config.m_version);
-    m_metrics.set("gd_config_version", {}, static_cast<double>(config.m_version.m_value));
     asio::co_spawn(m_io, poll_host_list(), asio::detached);
 }
 
--- a/src/daemon/entry_node_messages.cpp
+++ b/src/daemon/entry_node_messages.cpp
@@ -24,7 +24,6 @@
     };
     callbacks.m_on_lost = [this](const node_id& peer, incarnation)
     {
-        log_event{"connection_lost"}.add("peer", peer);
         coordinator_actions actions;
         on_node_lost(m_coordinator, peer, std::chrono::steady_clock::now(), actions);
         run(actions);
@@ -57,7 +56,7 @@
         on_stage_result(m_coordinator, result, now, actions);
     }
     run(actions);
-    log_event{"message_not_sent"}.add("peer", peer).add("type", message.index());
+    log_event{"message_not_sent"}.add("node", peer).add("type", message.index());
 }
 
 template<class Message>
@@ -155,7 +154,6 @@
         }
         else
         {
-            log_event{"pause_detected"}.add("gap_ms", to_ms(action.m_gap));
             m_metrics.add("gd_pauses_total", {});
         }
     };
@@ -167,10 +165,6 @@
 
 void entry_node::apply_member(const member_update& info, time_point now)
 {
-    log_event{"member"}
-        .add("node", info.m_node)
-        .add("incarnation", info.m_incarnation)
-        .add("state", to_text(info.m_state));
     if (info.m_state == member_state::dead || info.m_state == member_state::left)
     {
         coordinator_actions actions;
--- a/src/daemon/entry_node_sweep.cpp
+++ b/src/daemon/entry_node_sweep.cpp
@@ -62,6 +62,13 @@
     }
 }
 
+/// Counts all claims in doubt. Every host reports the same number.
+void entry_node::note_claims(const std::vector<table_row>& rows)
+{
+    const auto count = list_in_doubt(rows, live_processes()).size();
+    m_metrics.set("gd_claims_in_doubt", {}, static_cast<double>(count));
+}
+
 /// Deletes claims whose retention has ended, unless another node comes first for them.
 asio::awaitable<void> entry_node::sweep_claims()
 {
@@ -71,6 +78,7 @@
     {
         co_return;
     }
+    note_claims(value_of(rows));
     for (const auto& row : list_expired(value_of(rows), live_processes(), unix_seconds()))
     {
         if (!is_first_for(row.m_key))
--- a/src/dispatch/dispatcher.cpp
+++ b/src/dispatch/dispatcher.cpp
@@ -168,7 +168,10 @@
     const auto [at, inserted] = state.m_calls.try_emplace(key, std::move(row));
     if (!inserted)
     {
-        log_event{"duplicate_call"}.add("request", to_string(key.m_request));
+        log_event{"duplicate_call"}
+            .add("request", to_string(key.m_request))
+            .add("stage", key.m_stage)
+            .add("attempt", key.m_attempt);
         return;
     }
     ++state.m_accepted;
--- a/src/dispatch/dispatcher_answers.cpp
+++ b/src/dispatch/dispatcher_answers.cpp
@@ -151,6 +151,9 @@
     {
         log_event{"token_gap"}
             .add("request", to_string(running->m_key.m_request))
+            .add("stage", running->m_key.m_stage)
+            .add("attempt", running->m_key.m_attempt)
+            .add("upstream", running->m_upstream)
             .add("index", index)
             .add("expected", call.m_next_token);
         running->m_broken_order = true;
--- a/src/dispatch/ownership.cpp
+++ b/src/dispatch/ownership.cpp
@@ -19,7 +19,7 @@
 
 void expire_after_pause(ownership_state& state, time_point now)
 {
-    log_event{"pause_detected"}.add("length_ms", to_ms(now - state.m_last_tick));
+    log_event{"pause_detected"}.add("gap_ms", to_ms(now - state.m_last_tick));
     for (held_lease& lease : state.m_held)
     {
         lease.m_renewed_until = {};
--- a/src/dispatch/ownership_guard.cpp
+++ b/src/dispatch/ownership_guard.cpp
@@ -85,7 +85,7 @@
     }
     log_event{"lease_revoke"}
         .add("lease", id)
-        .add("holder", record.m_row->m_holder)
+        .add("node", record.m_row->m_holder)
         .add("upstreams", pending.m_owners.size());
     transaction.m_id = start_call(state, std::move(pending), now);
     record.m_revoking = true;
--- a/src/dispatch/ownership_rows.cpp
+++ b/src/dispatch/ownership_rows.cpp
@@ -117,7 +117,7 @@
             continue;
         }
         owner.m_release = release_state{*target, false, std::nullopt, {}};
-        log_event{"release"}.add("upstream", upstream).add("to", better);
+        log_event{"release"}.add("upstream", upstream).add("node", better);
         return;
     }
 }
@@ -227,7 +227,7 @@
     {
         return;
     }
-    log_event{"claim"}.add("upstreams", pending.m_owners.size());
+    log_event{"ownership_claim"}.add("upstreams", pending.m_owners.size());
     transaction.m_id = start_call(state, std::move(pending), now);
     state.m_claiming = transaction.m_id;
     out.push_back(std::move(transaction));
--- a/src/dispatch/ownership_transfer.cpp
+++ b/src/dispatch/ownership_transfer.cpp
@@ -181,7 +181,7 @@
                 lease.m_transfer = outgoing_transfer{*successor, now};
                 log_event{"lease_transfer"}
                     .add("lease", lease.m_id)
-                    .add("to", successor->m_node);
+                    .add("node", successor->m_node);
             }
         }
         if (lease.m_transfer && now >= lease.m_transfer->m_next_send)
--- a/src/metrics/metric_registry.cpp
+++ b/src/metrics/metric_registry.cpp
@@ -133,6 +133,12 @@
     value_at(m_counters, name, labels) += amount;
 }
 
+void metric_registry::set_count(std::string_view name, const metric_labels& labels,
+                                double total)
+{
+    value_at(m_counters, name, labels) = total;
+}
+
 void metric_registry::set(std::string_view name, const metric_labels& labels,
                           double value)
 {
--- a/src/request/claim_steps.cpp
+++ b/src/request/claim_steps.cpp
@@ -131,7 +131,7 @@
     {
         log_event{"claim_unreadable"}
             .add("key", entry.m_key)
-            .add("fault", error_of(parsed).m_message);
+            .add("reason", error_of(parsed).m_message);
         end_claim(state, claim, claim_event_kind::in_doubt, effects);
         return;
     }
--- a/src/request/claim_sweep.cpp
+++ b/src/request/claim_sweep.cpp
@@ -24,7 +24,7 @@
 
 void log_unreadable(const table_row& row, const row_format_error& error)
 {
-    log_event{"row_unreadable"}.add("key", row.m_key).add("fault", error.m_message);
+    log_event{"row_unreadable"}.add("key", row.m_key).add("reason", error.m_message);
 }
 
 bool is_in_progress(const request_id& id, const follow_up_view& view)
--- a/src/request/guarded_calls.cpp
+++ b/src/request/guarded_calls.cpp
@@ -73,6 +73,7 @@
     ++context.m_state.m_counters.m_in_doubt;
     log_event{"claim_in_doubt"}
         .add("request", to_string(row.m_request.m_id))
+        .add("stage", row.m_stage)
         .add("claim", row.m_guarded.m_claim);
     settle_claim(context.m_state.m_claims, row.m_guarded.m_claim, claim_state::in_doubt,
                  {}, {});
--- a/src/request/request_end.cpp
+++ b/src/request/request_end.cpp
@@ -120,7 +120,7 @@
         .add("code", name_of(answer.m_code))
         .add("ran", name_of(answer.m_ran))
         .add("stage", row.m_stage)
-        .add("message", answer.m_message);
+        .add("reason", answer.m_message);
 }
 
 } // namespace
--- a/src/request/stage_attempts.cpp
+++ b/src/request/stage_attempts.cpp
@@ -45,7 +45,7 @@
         .add("request", to_string(row.m_request.m_id))
         .add("stage", row.m_stage)
         .add("attempt", number)
-        .add("owner", choice.m_owner)
+        .add("node", choice.m_owner)
         .add("reason", name_of(cause))
         .add("rejected", choice.m_rejected);
 }
--- a/tests/config/admin_api_test.cpp
+++ b/tests/config/admin_api_test.cpp
@@ -57,6 +57,36 @@
     cr_expect(contains(state, "operator: is missing"));
 }
 
+Test(admin_api, a_host_is_declared_gone_only_with_a_possible_incarnation)
+{
+    const std::string body = R"({"operator":"ade"})";
+    const auto decoded = decode_forget_request("entry-3", "7", incarnation{7}, body);
+    cr_assert(is_ok(decoded));
+    cr_expect(value_of(decoded).m_node == node_id{"entry-3"});
+    cr_expect(value_of(decoded).m_incarnation == incarnation{7});
+    // An incarnation that does not exist yet would declare the next process gone as well.
+    for (const std::string number : {"8", "0", "", "7x", "-1", "99999999999999999999"})
+    {
+        const auto wrong = decode_forget_request("entry-3", number, incarnation{7}, body);
+        cr_assert(not is_ok(wrong), "%s", number.c_str());
+        cr_expect(contains(to_text(error_of(wrong)), "incarnation: must be a whole"));
+    }
+    const auto empty = decode_forget_request("a/b", "7", incarnation{7}, "{}");
+    cr_assert(not is_ok(empty));
+    cr_expect(contains(to_text(error_of(empty)), "node: must be"));
+    cr_expect(contains(to_text(error_of(empty)), "operator: is missing"));
+}
+
+Test(admin_api, an_error_has_every_documented_field)
+{
+    const std::string text =
+        encode_fault_answer({document_fault{"path", "unknown"}}, "not_found");
+    EXPECT_EQUAL(text,
+                 R"({"error":{"code":"not_found","field":"path","message":"unknown",)"
+                 R"("ran":"not_run","retry_after_ms":0,)"
+                 R"("faults":[{"field":"path","message":"unknown"}]}})");
+}
+
 Test(admin_api, a_report_tells_the_winner_of_a_race)
 {
     change_report report;
--- a/tests/config/settings_test.cpp
+++ b/tests/config/settings_test.cpp
@@ -39,18 +39,24 @@
 
 } // namespace
 
-Test(settings, the_annotated_example_is_accepted_and_shows_the_defaults)
+Test(settings, the_annotated_examples_are_accepted_and_show_the_defaults)
 {
-    const auto settings = parse_daemon_settings(read_file("examples/farm/entry-1.json"));
-    cr_assert(is_ok(settings), "%s", to_text(error_of(settings)).c_str());
-    const daemon_settings& read = value_of(settings);
-    const daemon_settings defaults;
-    EXPECT_EQUAL(read.m_node.m_value, "entry-1");
-    EXPECT_EQUAL(to_text(read.m_peer_address), "127.0.0.1:21301");
-    EXPECT_EQUAL(read.m_seeds.size(), 2u);
-    EXPECT_EQUAL(read.m_lease.m_renewal, defaults.m_lease.m_renewal);
-    EXPECT_EQUAL(read.m_requests.m_supplied_key_keep,
-                 defaults.m_requests.m_supplied_key_keep);
+    const std::pair<const char*, const char*> examples[] = {
+        {"examples/farm/entry-1.json", "127.0.0.1:21301"},
+        {"examples/print/entry-1.json", "127.0.0.1:23301"}};
+    for (const auto& [path, peer_address] : examples)
+    {
+        const auto settings = parse_daemon_settings(read_file(path));
+        cr_assert(is_ok(settings), "%s: %s", path, to_text(error_of(settings)).c_str());
+        const daemon_settings& read = value_of(settings);
+        const daemon_settings defaults;
+        EXPECT_EQUAL(read.m_node.m_value, "entry-1");
+        EXPECT_EQUAL(to_text(read.m_peer_address), peer_address);
+        EXPECT_EQUAL(read.m_seeds.size(), 2u);
+        EXPECT_EQUAL(read.m_lease.m_renewal, defaults.m_lease.m_renewal);
+        EXPECT_EQUAL(read.m_requests.m_supplied_key_keep,
+                     defaults.m_requests.m_supplied_key_keep);
+    }
 }
 
 Test(settings, all_faults_are_reported_in_one_go_with_key_and_accepted_values)
