Show that a wrong echo closes one connection only

Change: a test of upstream_client keeps an idle connection, lets a call on another connection get the echo of another call, and expects the idle one to stay.

Ruled out here: a change of the coordinator's choice of code, which is another module's work.

--- a/tests/platform/clients_test.cpp
+++ b/tests/platform/clients_test.cpp
@@ -107,6 +107,7 @@
         start.m_timeout = 400ms;
         start.m_call.m_key = {{node_id{"n1"}, incarnation{5}, 9}, {2}, {1}};
         start.m_call.m_input = "{}";
+        start.m_call.m_idempotent = m_idempotent;
         upstream_client client{m_http};
         asio::steady_timer timer{m_io};
         if (abort_after > 0ms)
@@ -136,6 +137,7 @@
 
     asio::io_context m_io;
     script m_answer;
+    bool m_idempotent = true;
     asio::ip::tcp::endpoint m_address;
     http_server m_server;
     http_client m_http;
@@ -206,6 +208,20 @@
     EXPECT_EQUAL(test.connections(), 0u);
 }
 
+// A wrong echo once closed the idle connections to all upstreams.
+Test(upstream_client, closes_no_other_connection_after_an_answer_of_another_call)
+{
+    fixture test{body(std::string{right_head} + R"(,"output":{"a":1}})"), 29311};
+    test.m_server.start();
+    cr_assert(test.call(stage_kind::service).m_answered);
+    EXPECT_EQUAL(test.connections(), 1u);
+    // A non-idempotent call has a connection of its own.
+    test.m_idempotent = false;
+    test.m_answer = body(std::string{wrong_head} + R"(,"output":{"a":1}})");
+    cr_expect(not test.call(stage_kind::service).m_answered);
+    EXPECT_EQUAL(test.connections(), 1u);
+}
+
 Test(upstream_client, passes_on_the_tokens_of_a_stream)
 {
     fixture test{
