--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -78,10 +78,10 @@
     else
     {
         error_document error;
-        error.m_code = is_pipeline ? "method_not_allowed" : "not_found";
+        error.m_code = "not_found";
         error.m_field = is_pipeline ? "method" : "path";
         error.m_message = "GET /v1/addresses and POST /v1/pipelines/{name} are accepted";
-        response = json_response(is_pipeline ? 405 : 404, encode_error(error));
+        response = json_response(404, encode_error(error));
     }
     co_await exchange.respond(std::move(response));
 }
@@ -198,9 +198,8 @@
     co_await exchange.end_stream();
 }
 
-/// Other hosts name a started host to callers as soon as it is a member, and it is ready
-/// a pull of the configuration later, so that first requests wait
-/// for it.
+/// Waits at most 1 s for the configuration. Other hosts name a started host to callers as
+/// soon as it is a member, which is a pull of the configuration before it is ready.
 asio::awaitable<void> entry_node::wait_until_ready()
 {
     constexpr milliseconds poll{10};
@@ -219,7 +218,7 @@
     request_refusal refusal;
     refusal.m_status = 503;
     refusal.m_error.m_code = name_of(answer_code::not_ready);
-    refusal.m_error.m_message = "this host has no configuration yet";
+    refusal.m_error.m_message = readiness();
     refusal.m_error.m_retry_after = retry_after;
     return refusal;
 }
@@ -256,7 +255,7 @@
         .add("ms", to_ms(length))
         .add("in_time", in_time)
         .add("replayed", answer.m_replayed)
-        .add("message", answer.m_message);
+        .add("reason", answer.m_message);
 }
 
 } // namespace geraniumdoor
--- a/src/daemon/caller_session.cpp
+++ b/src/daemon/caller_session.cpp
@@ -11,7 +11,7 @@
 {
 
 caller_session::caller_session(boost::asio::any_io_executor executor)
-    : m_changed{std::move(executor), time_point::max()}
+    : m_changed{executor, time_point::max()}
 {
 }
 
