Bound the bytes that membership sends by a token bucket

Two of 370 nodes sent 14,775 and 14,419 B/s after a mass join with 5% loss, over the bound of 14,000. Cause: pings for waiting updates came on top of list pages served to joining nodes, and nothing bounded the sum. Another backlog period was ruled out: it moves the excess and bounds nothing.

All datagrams now draw on a bucket of 12 KB/s and 20 KB. Without tokens only probes and their acks leave, without updates. A bucket alone stopped the join (nodes that know only the seeds kept them out of budget), so a node without budget names three other members, and a read that the bucket ends goes on with another member. Proofs of ended processes are kept for 24 h and at most 10,000 of them, with members' proofs exempt.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -3,6 +3,8 @@
 #include <geraniumdoor/base/ids.hpp>
 #include <geraniumdoor/config/urgent_state.hpp>
 
+#include <cereal/cereal.hpp>
+
 #include <cstddef>
 #include <cstdint>
 #include <stdexcept>
@@ -34,10 +36,7 @@
             throw std::length_error("text in a datagram is longer than 255 bytes");
         }
         archive(static_cast<std::uint8_t>(m_text.size()));
-        for (const char c : m_text)
-        {
-            archive(static_cast<std::uint8_t>(c));
-        }
+        archive(cereal::binary_data(m_text.data(), m_text.size()));
     }
 
     template<class Archive>
@@ -45,13 +44,8 @@
     {
         std::uint8_t size = 0;
         archive(size);
-        m_text.clear();
-        for (std::uint8_t at = 0; at < size; ++at)
-        {
-            std::uint8_t c = 0;
-            archive(c);
-            m_text.push_back(static_cast<char>(c));
-        }
+        m_text.resize(size);
+        archive(cereal::binary_data(m_text.data(), m_text.size()));
     }
 };
 
@@ -141,6 +135,9 @@
     /// Asks for the part of the member list that follows m_after, in order of node id.
     bool m_wants_members = false;
     node_id m_after;
+    /// Digest of the asker's member list: a receiver with the same list sends no pages.
+    /// Zero for none.
+    std::uint64_t m_list_digest = 0;
     gossip m_gossip;
 
     bool operator==(const ping&) const = default;
@@ -149,7 +146,7 @@
     void serialize(Archive& archive)
     {
         archive(m_sequence, short_text{m_target.m_value}, m_wants_members,
-                short_text{m_after.m_value}, m_gossip);
+                short_text{m_after.m_value}, m_list_digest, m_gossip);
     }
 };
 
--- a/include/geraniumdoor/cluster/membership.hpp
+++ b/include/geraniumdoor/cluster/membership.hpp
@@ -45,9 +45,17 @@
     std::uint32_t m_rumour_rounds = 3;
     milliseconds m_rumour_period{300};
     /// Time between additional pings while more updates wait than one datagram holds. At
-    /// 370 nodes a cut between regions makes 185 updates at once; the pings cost at most
-    /// 3.5 KB/s. With 400 ms, 3 of 370 nodes exceeded 14 KB/s just after they had joined.
+    /// 370 nodes a cut between regions makes 185 updates at once.
     milliseconds m_backlog_period{700};
+    /// Token bucket for the bytes of all datagrams. Without tokens only probes and their
+    /// acks are sent, and they carry no updates. The design allows 14 KB/s.
+    double m_send_rate = 12'000;
+    std::uint32_t m_send_burst_bytes = 20'000;
+    /// Time to the rest of a list whose read was ended by the send budget.
+    milliseconds m_continue_sync_period{500};
+    /// Proofs that processes have ended, about nodes that are no members.
+    std::chrono::hours m_keep_proofs{24};
+    std::size_t m_max_proofs = 10'000;
 };
 
 /// Address of a node that the settings or the host list name.
@@ -97,6 +105,14 @@
     time_point m_sent;
 };
 
+/// Proof that processes of a node have ended.
+struct gone_proof
+{
+    /// Lower incarnations have ended.
+    incarnation m_first_not_gone;
+    time_point m_recorded;
+};
+
 /// All state of the module. Created by make_membership; other modules read it through the
 /// functions below.
 struct membership_state
@@ -106,8 +122,7 @@
     config_version m_config;
     /// Other nodes in the states alive, leaving, suspect and dead.
     table<node_id, member> m_members;
-    /// Incarnations below the number are proven gone.
-    std::unordered_map<node_id, incarnation> m_first_not_gone;
+    std::unordered_map<node_id, gone_proof> m_gone;
     std::vector<urgent_state> m_urgent;
     std::vector<node_hint> m_hints;
     std::vector<broadcast> m_broadcasts;
@@ -115,11 +130,17 @@
     std::optional<probe> m_probe;
     std::unordered_map<std::uint64_t, relayed_probe> m_relays;
     std::optional<member_sync> m_sync;
+    /// Last member of the pages read so far.
+    node_id m_sync_after;
+    /// Bytes that may be sent; negative after more probes and acks than the rate allows.
+    double m_send_budget = 0;
+    time_point m_budget_filled;
     /// Members held as dead that another node has reported alive.
     std::vector<node_id> m_recheck;
     std::uint64_t m_last_sequence = 0;
     std::uint32_t m_rumour_rounds_left = 0;
     std::uint32_t m_urgent_cursor = 0;
+    std::uint32_t m_referral_cursor = 0;
     time_point m_last_event;
     time_point m_next_probe;
     time_point m_next_scan;
@@ -131,6 +152,7 @@
     time_point m_next_backlog;
     time_point m_next_config_pull;
     time_point m_next_capacity;
+    time_point m_next_gone_scan;
     config_version m_config_asked;
 };
 
--- a/src/cluster/membership.cpp
+++ b/src/cluster/membership.cpp
@@ -27,6 +27,9 @@
     state.m_last_event = now;
     state.m_next_probe = now;
     state.m_next_scan = now;
+    state.m_next_gone_scan = now;
+    state.m_send_budget = settings.m_send_burst_bytes;
+    state.m_budget_filled = now;
     state.m_next_hint = now;
     state.m_next_unreachable_probe = now + settings.m_unreachable_probe_period;
     state.m_next_sync = now + settings.m_first_sync_period;
@@ -115,8 +118,8 @@
 
 bool is_gone(const membership_state& state, const node_id& node, incarnation number)
 {
-    const auto at = state.m_first_not_gone.find(node);
-    return at != state.m_first_not_gone.end() && number < at->second;
+    const auto at = state.m_gone.find(node);
+    return at != state.m_gone.end() && number < at->second.m_first_not_gone;
 }
 
 const member_update* find_member(const membership_state& state, const node_id& node)
--- a/src/cluster/membership_gossip.cpp
+++ b/src/cluster/membership_gossip.cpp
@@ -1,8 +1,11 @@
 #include "membership_internal.hpp"
 
+#include <geraniumdoor/base/hash.hpp>
+
 #include <algorithm>
 #include <bit>
 #include <numeric>
+#include <string>
 
 namespace geraniumdoor::membership_detail
 {
@@ -45,12 +48,7 @@
 /// Bytes that are left for updates.
 std::size_t room_for_updates(const gossip& shared, const node_id& to)
 {
-    std::size_t used = fixed_bytes + encoded_bytes(shared.m_sender) +
-                       2 * (to.m_value.size() + shared.m_sender.m_node.m_value.size());
-    for (const urgent_state& urgent : shared.m_urgent)
-    {
-        used += encoded_bytes(urgent);
-    }
+    const std::size_t used = largest_bytes(shared, to);
     return used < max_datagram_bytes ? max_datagram_bytes - used : 0;
 }
 
@@ -97,21 +95,26 @@
 void append_broadcasts(membership_state& state, gossip& shared, std::size_t room)
 {
     auto& queue = state.m_broadcasts;
+    const auto members = static_cast<std::uint32_t>(state.m_members.size() + 1);
+    const std::uint32_t limit =
+        sends_per_doubling * static_cast<std::uint32_t>(std::bit_width(members));
+    bool finished = false;
     for (const std::uint32_t at : least_sent(queue))
     {
         if (append_update(shared, queue[at].m_update, room))
         {
             ++queue[at].m_sends;
+            finished = finished || queue[at].m_sends >= limit;
         }
     }
-    const auto members = static_cast<std::uint32_t>(state.m_members.size() + 1);
-    const std::uint32_t limit =
-        sends_per_doubling * static_cast<std::uint32_t>(std::bit_width(members));
-    std::erase_if(queue,
-                  [limit](const broadcast& entry)
-                  {
-                      return entry.m_sends >= limit;
-                  });
+    if (finished)
+    {
+        std::erase_if(queue,
+                      [limit](const broadcast& entry)
+                      {
+                          return entry.m_sends >= limit;
+                      });
+    }
 }
 
 gossip make_header(membership_state& state)
@@ -125,6 +128,33 @@
 
 } // namespace
 
+std::size_t largest_bytes(const gossip& shared, const node_id& to)
+{
+    std::size_t used = fixed_bytes + encoded_bytes(shared.m_sender) +
+                       2 * (to.m_value.size() + shared.m_sender.m_node.m_value.size());
+    for (const urgent_state& urgent : shared.m_urgent)
+    {
+        used += encoded_bytes(urgent);
+    }
+    for (const member_update& update : shared.m_updates)
+    {
+        used += encoded_bytes(update);
+    }
+    return used;
+}
+
+const node_address& address_of(const membership_state& state, const node_id& node)
+{
+    return state.m_members.find(node)->m_info.m_peer;
+}
+
+void ping_member(membership_state& state, const node_id& node,
+                 membership_actions& actions)
+{
+    const node_address address = address_of(state, node);
+    send_ping(state, node, address, actions);
+}
+
 void queue_broadcast(membership_state& state, const member_update& update)
 {
     for (broadcast& entry : state.m_broadcasts)
@@ -144,7 +174,7 @@
     state.m_next_rumour = time_point{};
 }
 
-gossip make_gossip(membership_state& state, const node_id& to)
+gossip make_bare_gossip(membership_state& state, const node_id& to)
 {
     gossip shared = make_header(state);
     std::size_t room = room_for_updates(shared, to);
@@ -154,7 +184,17 @@
     {
         append_update(shared, receiver->m_info, room);
     }
-    append_broadcasts(state, shared, room);
+    return shared;
+}
+
+gossip make_gossip(membership_state& state, const node_id& to)
+{
+    gossip shared = make_bare_gossip(state, to);
+    // Probes and acks that exceed the budget carry no updates of others.
+    if (state.m_send_budget > 0)
+    {
+        append_broadcasts(state, shared, room_for_updates(shared, to));
+    }
     return shared;
 }
 
@@ -188,6 +228,41 @@
     return shared.m_updates.size() == following.size();
 }
 
+std::uint64_t list_digest(const membership_state& state)
+{
+    const auto digest_of = [](const member_update& info)
+    {
+        const std::uint64_t doubled = 2 * info.m_incarnation.m_value;
+        const std::uint64_t salt = doubled + (info.m_leaving ? 1 : 0);
+        return rendezvous_weight(info.m_node.m_value, std::to_string(salt));
+    };
+    // A sum does not depend on the order of the members.
+    std::uint64_t sum = digest_of(state.m_self);
+    for (const auto& entry : state.m_members)
+    {
+        sum += is_live(entry.m_row) ? digest_of(entry.m_row.m_info) : 0;
+    }
+    return sum;
+}
+
+void fill_referrals(membership_state& state, gossip& shared)
+{
+    constexpr std::size_t referrals = 3;
+    shared.m_updates.clear();
+    const std::size_t size = state.m_members.size();
+    std::size_t room = room_for_updates(shared, node_id{});
+    for (std::size_t tried = 0; tried < size && shared.m_updates.size() < referrals;
+         ++tried)
+    {
+        const auto at = static_cast<std::ptrdiff_t>(state.m_referral_cursor++ % size);
+        const member& entry = (state.m_members.begin() + at)->m_row;
+        if (is_live(entry) && !append_update(shared, entry.m_info, room))
+        {
+            return;
+        }
+    }
+}
+
 std::uint64_t send_ping(membership_state& state, const node_id& target,
                         const node_address& address, membership_actions& actions)
 {
@@ -195,7 +270,7 @@
     message.m_sequence = ++state.m_last_sequence;
     message.m_target = target;
     message.m_gossip = make_gossip(state, target);
-    actions.emplace_back(send_datagram{address, std::move(message)});
+    append_datagram(state, address, std::move(message), actions);
     return state.m_last_sequence;
 }
 
@@ -208,9 +283,11 @@
     message.m_target = target;
     message.m_wants_members = true;
     message.m_after = after;
-    message.m_gossip = make_gossip(state, target);
+    // Within one read the lists differ.
+    message.m_list_digest = state.m_sync ? 0 : list_digest(state);
+    message.m_gossip = make_bare_gossip(state, target);
     state.m_sync = member_sync{message.m_sequence, target, now};
-    actions.emplace_back(send_datagram{address, std::move(message)});
+    append_datagram(state, address, std::move(message), actions);
 }
 
 } // namespace geraniumdoor::membership_detail
--- a/src/cluster/membership_merge.cpp
+++ b/src/cluster/membership_merge.cpp
@@ -53,11 +53,11 @@
 void record_gone(membership_state& state, const node_id& node, incarnation gone,
                  membership_actions& actions)
 {
-    incarnation& first = state.m_first_not_gone[node];
     const incarnation next{gone.m_value + 1};
-    if (first < next)
+    gone_proof& proof = state.m_gone[node];
+    if (proof.m_first_not_gone < next)
     {
-        first = next;
+        proof = gone_proof{next, state.m_last_event};
         actions.emplace_back(incarnation_gone{node, gone});
     }
 }
@@ -114,14 +114,19 @@
     queue_broadcast(state, update);
 }
 
-void add_member(membership_state& state, const member_update& update, time_point now,
-                membership_actions& actions)
+void add_member(membership_state& state, const member_update& update,
+                update_source source, time_point now, membership_actions& actions)
 {
     const bool reachable = update.m_state != member_state::dead;
-    if (reachable && state.m_members.size() < max_members)
+    if (!reachable || state.m_members.size() >= max_members)
+    {
+        return;
+    }
+    state.m_members.put(update.m_node, member{update, now});
+    report_change(update, actions);
+    // Others read lists too; the nodes that a new member asks spread it as news.
+    if (source == update_source::news)
     {
-        state.m_members.put(update.m_node, member{update, now});
-        report_change(update, actions);
         queue_broadcast(state, update);
     }
 }
@@ -161,6 +166,15 @@
     return rank(update) > rank(known);
 }
 
+/// Whether a known, reachable member makes the update old. Most updates are, and these
+/// need neither the proofs nor the queue.
+bool is_old_news(const member* known, const member_update& update)
+{
+    return known != nullptr && is_live(*known) &&
+           update.m_incarnation == known->m_info.m_incarnation &&
+           update.m_state != member_state::left && !is_newer(update, known->m_info);
+}
+
 /// A node that others reach although it is held as dead is asked to refute.
 void note_contradiction(membership_state& state, const member& known,
                         const member_update& update)
@@ -169,10 +183,13 @@
                              gravity(update.m_state) == 0 &&
                              known.m_info.m_incarnation == update.m_incarnation &&
                              known.m_info.m_revision == update.m_revision;
+    if (!contradicts || state.m_recheck.size() >= max_recheck)
+    {
+        return;
+    }
     const auto at =
         std::find(state.m_recheck.begin(), state.m_recheck.end(), update.m_node);
-    if (contradicts && at == state.m_recheck.end() &&
-        state.m_recheck.size() < max_recheck)
+    if (at == state.m_recheck.end())
     {
         state.m_recheck.push_back(update.m_node);
     }
@@ -200,7 +217,8 @@
         merge_own(state, update, actions);
         return;
     }
-    if (is_gone(state, node, update.m_incarnation))
+    member* known = state.m_members.find(node);
+    if (is_old_news(known, update) || is_gone(state, node, update.m_incarnation))
     {
         return;
     }
@@ -214,10 +232,9 @@
     {
         record_gone(state, node, incarnation{update.m_incarnation.m_value - 1}, actions);
     }
-    member* known = state.m_members.find(node);
     if (known == nullptr)
     {
-        add_member(state, update, now, actions);
+        add_member(state, update, source, now, actions);
         if (source == update_source::list)
         {
             state.m_sync_interval = state.m_settings.m_first_sync_period;
--- a/src/cluster/membership_probe.cpp
+++ b/src/cluster/membership_probe.cpp
@@ -33,6 +33,7 @@
 
 void note_event(membership_state& state, time_point now, membership_actions& actions)
 {
+    refill_budget(state, now);
     const duration gap = now - state.m_last_event;
     state.m_last_event = std::max(state.m_last_event, now);
     if (gap <= state.m_settings.m_pause_limit)
@@ -69,24 +70,13 @@
 {
 
 constexpr milliseconds scan_period{200};
+/// Time between two scans while nobody is suspected; shorter than the suspicion timeout.
+constexpr milliseconds idle_scan_period{1000};
 constexpr milliseconds relay_lifetime{2000};
 constexpr milliseconds sync_timeout{1000};
-constexpr std::uint32_t join_fanout = 3;
 
-/// Contradicted deaths checked in one tick.
-constexpr std::size_t rechecks_per_tick = 4;
-
-const node_address& address_of(const membership_state& state, const node_id& node)
-{
-    return state.m_members.find(node)->m_info.m_peer;
-}
-
-void ping_member(membership_state& state, const node_id& node,
-                 membership_actions& actions)
-{
-    const node_address address = address_of(state, node);
-    send_ping(state, node, address, actions);
-}
+/// Time between two looks for proofs that are too old.
+constexpr milliseconds gone_scan_period{60'000};
 
 /// Fills the order with all live members, shuffled, so that each is probed once in as
 /// many periods as there are members.
@@ -148,7 +138,7 @@
     for (const node_id& helper : helpers)
     {
         message.m_gossip = make_gossip(state, helper);
-        actions.emplace_back(send_datagram{address_of(state, helper), message});
+        append_datagram(state, address_of(state, helper), message, actions);
     }
 }
 
@@ -196,10 +186,12 @@
 {
     std::vector<node_id> dead;
     std::vector<node_id> forgotten;
+    bool suspected = false;
     for (const auto& entry : state.m_members)
     {
         const duration age = now - entry.m_row.m_since;
         const member_state current = entry.m_row.m_info.m_state;
+        suspected = suspected || current == member_state::suspect;
         if (current == member_state::suspect &&
             age >= state.m_settings.m_suspicion_timeout)
         {
@@ -210,6 +202,7 @@
             forgotten.push_back(entry.m_id);
         }
     }
+    state.m_next_scan = now + (suspected ? scan_period : idle_scan_period);
     for (const node_id& node : dead)
     {
         mark_member(state, node, member_state::dead, now, actions);
@@ -247,116 +240,18 @@
     }
 }
 
-void recheck_contradicted(membership_state& state, membership_actions& actions)
-{
-    for (std::size_t at = 0; at < rechecks_per_tick && !state.m_recheck.empty(); ++at)
-    {
-        const node_id node = state.m_recheck.back();
-        state.m_recheck.pop_back();
-        const member* found = state.m_members.find(node);
-        if (found != nullptr && !is_live(*found))
-        {
-            ping_member(state, node, actions);
-        }
-    }
-}
-
-/// Reads a random live member's list.
-void start_sync(membership_state& state, time_point now, random_source& random,
-                membership_actions& actions)
-{
-    const duration period = state.m_sync_interval;
-    state.m_next_sync =
-        now + std::chrono::duration_cast<duration>(period * (0.5 + uniform_unit(random)));
-    state.m_sync_interval =
-        std::min<duration>(2 * period, state.m_settings.m_sync_period);
-    const auto picked = pick_live(state, 1, node_id{}, random);
-    if (!picked.empty())
-    {
-        const node_address address = address_of(state, picked.front());
-        request_page(state, picked.front(), address, node_id{}, now, actions);
-    }
-}
-
-bool is_known_address(const membership_state& state, const node_address& address)
-{
-    if (address == state.m_self.m_peer)
-    {
-        return true;
-    }
-    return std::any_of(state.m_members.begin(), state.m_members.end(),
-                       [&](const auto& entry)
-                       {
-                           return is_live(entry.m_row) &&
-                                  entry.m_row.m_info.m_peer == address;
-                       });
-}
-
-/// Asks addresses that no live member has; a lone node asks several at once.
-void probe_hints(membership_state& state, time_point now, random_source& random,
-                 membership_actions& actions)
-{
-    const bool alone = live_count(state) == 1;
-    state.m_next_hint =
-        now + (alone ? state.m_settings.m_probe_period : state.m_settings.m_hint_period);
-    std::vector<node_address> unknown;
-    for (const node_hint& hint : state.m_hints)
-    {
-        if (!is_known_address(state, hint.m_peer))
-        {
-            unknown.push_back(hint.m_peer);
-        }
-    }
-    const std::uint32_t fanout = alone ? join_fanout : 1;
-    for (std::uint32_t asked = 0; asked < fanout && !unknown.empty(); ++asked)
-    {
-        const auto count = static_cast<std::uint32_t>(unknown.size());
-        const std::uint32_t at = uniform_below(random, count);
-        request_page(state, node_id{}, unknown[at], node_id{}, now, actions);
-        unknown.erase(unknown.begin() + at);
-    }
-}
-
-/// Tells a few members of a new configuration version or urgent state. Periodic probes
-/// alone need about 6 rounds of 1 s at 370 nodes, and an urgent state has 3 s.
-void spread_rumour(membership_state& state, time_point now, random_source& random,
-                   membership_actions& actions)
-{
-    --state.m_rumour_rounds_left;
-    state.m_next_rumour = now + state.m_settings.m_rumour_period;
-    const auto picked =
-        pick_live(state, state.m_settings.m_rumour_fanout, node_id{}, random);
-    for (const node_id& node : picked)
-    {
-        ping_member(state, node, actions);
-    }
-}
-
-/// Spreads waiting updates faster than the periodic probes do.
-void work_off_backlog(membership_state& state, time_point now, random_source& random,
-                      membership_actions& actions)
-{
-    const bool waiting = state.m_broadcasts.size() > max_piggybacked_updates;
-    if (!waiting || now < state.m_next_backlog)
-    {
-        return;
-    }
-    state.m_next_backlog = now + state.m_settings.m_backlog_period;
-    const auto picked = pick_live(state, 1, node_id{}, random);
-    if (!picked.empty())
-    {
-        ping_member(state, picked.front(), actions);
-    }
-}
-
 void run_periodic(membership_state& state, time_point now, random_source& random,
                   membership_actions& actions)
 {
     if (now >= state.m_next_scan)
     {
-        state.m_next_scan = now + scan_period;
         scan_members(state, now, actions);
     }
+    if (now >= state.m_next_gone_scan)
+    {
+        state.m_next_gone_scan = now + gone_scan_period;
+        forget_old_proofs(state, now);
+    }
     if (now >= state.m_next_unreachable_probe)
     {
         probe_unreachable(state, now, random, actions);
@@ -389,10 +284,7 @@
     run_periodic(state, now, random, actions);
     recheck_contradicted(state, actions);
     work_off_backlog(state, now, random, actions);
-    if (state.m_rumour_rounds_left > 0 && now >= state.m_next_rumour)
-    {
-        spread_rumour(state, now, random, actions);
-    }
+    spread_rumour(state, now, random, actions);
 }
 
 } // namespace geraniumdoor
--- a/src/cluster/membership_receive.cpp
+++ b/src/cluster/membership_receive.cpp
@@ -78,13 +78,28 @@
     answer.m_sequence = message.m_sequence;
     answer.m_node = state.m_self.m_node;
     answer.m_incarnation = state.m_self.m_incarnation;
-    answer.m_gossip = make_gossip(state, message.m_gossip.m_sender.m_node);
-    if (message.m_wants_members)
+    const node_id& asker = message.m_gossip.m_sender.m_node;
+    answer.m_gossip = message.m_wants_members ? make_bare_gossip(state, asker)
+                                              : make_gossip(state, asker);
+    const bool same_list =
+        message.m_list_digest != 0 && message.m_list_digest == list_digest(state);
+    if (message.m_wants_members && same_list)
+    {
+        answer.m_is_member_page = true;
+        answer.m_last_page = true;
+    }
+    else if (message.m_wants_members && may_send(state, rumour_reserve_bytes))
     {
         answer.m_is_member_page = true;
         answer.m_last_page = fill_member_page(state, message.m_after, answer.m_gossip);
     }
-    actions.emplace_back(send_datagram{from, std::move(answer)});
+    else if (message.m_wants_members)
+    {
+        // Without referrals, nodes that start together would know the seeds alone and
+        // keep them out of budget.
+        fill_referrals(state, answer.m_gossip);
+    }
+    append_datagram(state, from, std::move(answer), actions);
 }
 
 void receive(membership_state& state, const ping_req& message, const node_address& from,
@@ -112,7 +127,7 @@
     passed.m_node = message.m_node;
     passed.m_incarnation = message.m_incarnation;
     passed.m_gossip = make_gossip(state, node_id{});
-    actions.emplace_back(send_datagram{at->second.m_requester, std::move(passed)});
+    append_datagram(state, at->second.m_requester, std::move(passed), actions);
     state.m_relays.erase(at);
 }
 
@@ -120,12 +135,26 @@
                    time_point now, membership_actions& actions)
 {
     const auto& page = message.m_gossip.m_updates;
-    if (message.m_last_page || page.empty())
+    const bool is_page = message.m_is_member_page && !page.empty();
+    if (message.m_last_page)
+    {
+        state.m_sync.reset();
+        state.m_sync_after = node_id{};
+        return;
+    }
+    if (is_page)
+    {
+        state.m_sync_after = page.back().m_node;
+    }
+    if (!is_page || !may_send(state, rumour_reserve_bytes))
     {
+        // One of both nodes has used up its send budget; the next read goes on from here.
         state.m_sync.reset();
+        const time_point again = now + state.m_settings.m_continue_sync_period;
+        state.m_next_sync = std::min(state.m_next_sync, again);
         return;
     }
-    const node_id last = page.back().m_node;
+    const node_id last = state.m_sync_after;
     request_page(state, message.m_node, from, last, now, actions);
 }
 
--- a/src/daemon/entry_node_messages.cpp
+++ b/src/daemon/entry_node_messages.cpp
@@ -222,8 +222,9 @@
         }
         views.push_back(std::move(view));
     }
-    for (const auto& [node, first_not_gone] : m_membership.m_first_not_gone)
+    for (const auto& [node, proof] : m_membership.m_gone)
     {
+        const incarnation first_not_gone = proof.m_first_not_gone;
         const member_update* info = find_member(m_membership, node);
         if (info == nullptr || info->m_incarnation < first_not_gone)
         {
