Give a process ten seconds to take a new incarnation

Two live processes with one node id raised their incarnations in turn without end, because a raise was accepted at any age of the process. A limit on the number of raises was ruled out: it would not tell a clock that went back from a second process. The daemon now accepts a raise within 10 s after its start. Later it drops its authority as before and ends with an error, thrown from a handler of its own because detached coroutines swallow exceptions.

Run with three daemons on loopback, two of them named entry-1 and started 12 s apart: the first ended with exit code 1 and the error that names the node id; the second and the third went on. Two daemons that start within 10 s of each other were not run.

--- a/src/daemon/entry_node.cpp
+++ b/src/daemon/entry_node.cpp
@@ -114,6 +114,7 @@
     : m_io{io}
     , m_settings{std::move(settings)}
     , m_incarnation{started}
+    , m_started{std::chrono::steady_clock::now()}
     , m_random{started.m_value}
     , m_timers{std::chrono::steady_clock::now()}
     , m_tick_timer{io}
--- a/src/daemon/entry_node.hpp
+++ b/src/daemon/entry_node.hpp
@@ -82,6 +82,7 @@
     void apply_member(const member_update& info, time_point now);
     void publish_members();
     void raise_incarnation(incarnation own);
+    void end_unless_starting();
 
     // Actions of the modules.
     void run(const coordinator_actions& actions);
@@ -131,6 +132,7 @@
     boost::asio::io_context& m_io;
     daemon_settings m_settings;
     incarnation m_incarnation;
+    time_point m_started;
     random_source m_random;
     timer_service m_timers;
     boost::asio::steady_timer m_tick_timer;
--- a/src/daemon/entry_node_messages.cpp
+++ b/src/daemon/entry_node_messages.cpp
@@ -2,6 +2,9 @@
 
 #include <geraniumdoor/base/log.hpp>
 
+#include <boost/asio/post.hpp>
+
+#include <stdexcept>
 #include <type_traits>
 #include <utility>
 #include <variant>
@@ -9,6 +12,15 @@
 namespace geraniumdoor
 {
 
+namespace
+{
+
+/// Time after the start in which records of an earlier process, or a clock that went
+/// back, may raise the incarnation.
+constexpr seconds raise_window{10};
+
+} // namespace
+
 node_transport_callbacks entry_node::make_callbacks()
 {
     node_transport_callbacks callbacks;
@@ -187,6 +199,26 @@
     publish_members();
 }
 
+/// Ends the process when its node id is in use elsewhere: two live processes with one id
+/// would raise their incarnations in turn without end.
+void entry_node::end_unless_starting()
+{
+    if (std::chrono::steady_clock::now() - m_started <= raise_window)
+    {
+        return;
+    }
+    log_event{"node_id_in_use"}.add("node", m_settings.m_node);
+    // Coroutines swallow what they throw, so it is thrown from a handler of its own.
+    boost::asio::post(m_io,
+                      [node = m_settings.m_node.m_value]
+                      {
+                          throw std::runtime_error(
+                              "node id \"" + node +
+                              "\" is used by another live process, or an operator has "
+                              "declared this process gone");
+                      });
+}
+
 /// Nothing is done any more in the name of the former incarnation: its leases are dropped
 /// and expire.
 void entry_node::raise_incarnation(incarnation own)
@@ -202,6 +234,7 @@
     settings.m_incarnation = own;
     m_ownership = make_ownership(settings, m_timers.now());
     publish_members();
+    end_unless_starting();
 }
 
 /// Tells the ownership module which processes live and which are proven to have ended.
