Keep "not run" true and cheap when nothing has left, and replay whole answers

Cause: a refused connection to a payment service ended as "failed" and put the claim in doubt; a transaction that never left the process was settled by reading back; a repeat of a finished request ran the stages after the claimed one again.

Change: upstream_call_end carries m_sent, and the dispatcher answers such a call as not_dispatched after fencing its attempt; the coordinator excludes the upstream rather than the owner. table_outcome::not_written ends a first claim insert at once as not run; other claim writes, lease renewals, ownership claims, releases, revocations and configuration writes go on without reading back. The claim of the first non-idempotent stage receives the answer of the whole request, in the transaction that deletes the follow-up row.

Ruled out: answering "not run" for an insert that follows one of unknown effect, because the first may arrive late; it is still read back. Waiting for the answer's write before the caller is answered, because it would add a round trip; a repeat that comes before that write runs the idempotent stages left.

--- a/include/geraniumdoor/config/config_keeper.hpp
+++ b/include/geraniumdoor/config/config_keeper.hpp
@@ -112,8 +112,8 @@
 {
     config_change m_change;
     time_point m_deadline;
-    /// Whether a write that contains the change has left.
-    bool m_written = false;
+    /// Whether a write that contains the change had an unknown effect.
+    bool m_maybe_written = false;
 };
 
 /// Change that was given up although a write of it may still take effect.
--- a/include/geraniumdoor/dispatch/attempt_log.hpp
+++ b/include/geraniumdoor/dispatch/attempt_log.hpp
@@ -27,6 +27,9 @@
 bool settle_attempt(attempt_log& log, const attempt_id& id, attempt_state state,
                     time_point expires);
 
+/// Fences a dispatched attempt of which no byte has left.
+void fence_unsent_attempt(attempt_log& log, const attempt_id& id);
+
 void drop_expired_attempts(attempt_log& log, time_point now);
 
 } // namespace geraniumdoor
--- a/include/geraniumdoor/dispatch/dispatcher_actions.hpp
+++ b/include/geraniumdoor/dispatch/dispatcher_actions.hpp
@@ -76,6 +76,8 @@
     incarnation m_upstream_incarnation;
     std::string m_output;
     std::uint32_t m_tokens = 0;
+    /// False only when no byte of the request has left this process.
+    bool m_sent = true;
 };
 
 /// Load that an upstream reports of itself; arrives with a lag.
--- a/include/geraniumdoor/dispatch/ownership.hpp
+++ b/include/geraniumdoor/dispatch/ownership.hpp
@@ -34,6 +34,15 @@
     time_point m_next_send{};
 };
 
+/// What writes of unknown effect may have made of the guarantors in a lease row.
+struct guarantor_doubt
+{
+    /// Guarantors named by such writes.
+    std::vector<lease_guarantor> m_named;
+    /// Whether such a write names other guarantors than the confirmed row.
+    bool m_differs = false;
+};
+
 /// A lease that this process holds.
 struct held_lease
 {
@@ -45,10 +54,9 @@
     std::uint64_t m_version = 0;
     std::uint64_t m_counter = 0;
     std::vector<lease_guarantor> m_guarantors;
-    /// Guarantors named by writes whose effect is not known.
-    std::vector<lease_guarantor> m_doubtful_guarantors;
-    /// Whether such a write names other guarantors than the confirmed row.
-    bool m_doubt_differs = false;
+    guarantor_doubt m_doubt;
+    /// The doubt without the write in flight, restored when that was not written.
+    guarantor_doubt m_settled_doubt;
     milliseconds m_time_to_live{6000};
     /// The write in flight, if any, and when it was sent.
     std::optional<table_call_id> m_writing;
@@ -129,6 +137,8 @@
     /// Rows of the transaction, applied when it is committed.
     std::vector<std::pair<upstream_id, owner_row>> m_owners;
     time_point m_sent{};
+    /// An earlier copy of the write may still take effect.
+    bool m_repeats = false;
 };
 
 struct ownership_settings
--- a/include/geraniumdoor/platform/upstream_client.hpp
+++ b/include/geraniumdoor/platform/upstream_client.hpp
@@ -52,6 +52,9 @@
     /// Closes the connection of a running call; unknown ids are ignored.
     void abort(upstream_call_id id);
 
+    /// Closes the connections of all running calls.
+    void abort_all();
+
     boost::asio::awaitable<result<load_report, upstream_error>>
     read_load(upstream_id upstream, endpoint address, milliseconds timeout);
 
--- a/include/geraniumdoor/request/claim_rows.hpp
+++ b/include/geraniumdoor/request/claim_rows.hpp
@@ -46,6 +46,9 @@
     std::int64_t m_retention_s = 0;
     /// Output of the stage when m_state is done.
     std::string m_output;
+    /// Output of the last stage, once the whole request has been answered. Only in the
+    /// claim of the first non-idempotent stage.
+    std::optional<std::string> m_answer;
 
     bool operator==(const claim_row&) const = default;
 };
--- a/include/geraniumdoor/request/claims.hpp
+++ b/include/geraniumdoor/request/claims.hpp
@@ -58,12 +58,18 @@
     std::optional<claim_state> m_stored;
     /// State in the write that is in flight.
     claim_state m_writing = claim_state::running;
+    /// The row waits for the answer of the whole request after its outcome is stored.
+    bool m_awaits_answer = false;
+    /// Whether the write in flight, or the row, contains the answer.
+    bool m_has_answer = false;
     /// From check_claim, until insert_checked_claim.
     bool m_check_only = false;
     /// The request no longer waits for this claim.
     bool m_released = false;
     /// The insert was sent at least once.
     bool m_sent = false;
+    /// Value of m_sent before the write in flight.
+    bool m_sent_before = false;
     std::uint32_t m_failed_reads = 0;
     bool m_read_in_flight = false;
     /// Time of the next read, or of the one in flight.
@@ -95,6 +101,8 @@
     std::string m_output;
     /// Request that ran the stage, for replay.
     request_id m_original;
+    /// Answer of the whole request, for replay, when it was stored.
+    std::optional<std::string> m_answer;
 };
 
 /// What is known of a process that may hold claims.
@@ -160,6 +168,16 @@
 void settle_claim(claims& state, const attempt_id& claim, claim_state end,
                   const std::string& output, std::vector<claim_follow_up> follow_ups);
 
+/// Lets the row of a claim that is about to be settled wait for store_answer or
+/// give_up_answer.
+void await_answer(claims& state, const attempt_id& claim);
+
+/// Adds the answer of the whole request to the row of the claim.
+void store_answer(claims& state, const attempt_id& claim, const std::string& answer);
+
+/// The request ended without a whole answer.
+void give_up_answer(claims& state, const attempt_id& claim);
+
 /// The request ended without a held claim. Withdraws what may have been written. Has no
 /// effect on a settled claim.
 void release_claim(claims& state, const attempt_id& claim);
--- a/include/geraniumdoor/request/coordinator.hpp
+++ b/include/geraniumdoor/request/coordinator.hpp
@@ -48,6 +48,8 @@
 {
     /// Claim of the current stage, or empty.
     attempt_id m_claim;
+    /// Claim whose row receives the answer of the whole request, or empty.
+    attempt_id m_answer_claim;
     /// Calls sent, and those of them known not to have left the owner.
     std::uint32_t m_sent = 0;
     std::uint32_t m_fenced = 0;
--- a/include/geraniumdoor/request/coordinator_actions.hpp
+++ b/include/geraniumdoor/request/coordinator_actions.hpp
@@ -159,6 +159,8 @@
     committed,
     /// Nothing was written; the conflicting rows are given.
     conflict,
+    /// Nothing was written: the transaction has not left, or was refused as malformed.
+    not_written,
     /// No answer: the transaction may or may not have taken effect.
     unknown,
 };
--- a/src/config/config_keeper_store.cpp
+++ b/src/config/config_keeper_store.cpp
@@ -43,7 +43,7 @@
 {
     change_report report;
     report.m_id = pending.m_change.m_id;
-    if (pending.m_written)
+    if (pending.m_maybe_written)
     {
         report.m_outcome = change_outcome::unknown;
         report.m_message = "the table service did not confirm the write";
@@ -151,8 +151,7 @@
 /// Notes what the accepted change will report.
 void note_write(config_keeper& keeper, const change_effect& effect)
 {
-    pending_change& first = keeper.m_pending.front();
-    first.m_written = true;
+    const pending_change& first = keeper.m_pending.front();
     keeper.m_store.m_change = first.m_change.m_id;
     if (auto* report = keeper.m_reports.find(first.m_change.m_id))
     {
@@ -220,6 +219,18 @@
     advance_store(keeper, now, actions);
 }
 
+/// The write may still take effect, so its change is not reported as refused.
+void end_unknown(config_keeper& keeper, time_point now)
+{
+    const store_operation& store = keeper.m_store;
+    for (auto& pending : keeper.m_pending)
+    {
+        pending.m_maybe_written |= store.m_change == pending.m_change.m_id;
+    }
+    log_event("config_write_unanswered").add("row_version", store.m_checked_version);
+    retry_later(keeper, now);
+}
+
 } // namespace
 
 void advance_store(config_keeper& keeper, time_point now, config_actions& actions)
@@ -274,7 +285,9 @@
                      now, actions);
         break;
     case table_outcome::unknown:
-        log_event("config_write_unanswered").add("row_version", store.m_checked_version);
+        end_unknown(keeper, now);
+        break;
+    case table_outcome::not_written:
         retry_later(keeper, now);
         break;
     }
--- a/src/dispatch/attempt_log.cpp
+++ b/src/dispatch/attempt_log.cpp
@@ -20,6 +20,15 @@
     return true;
 }
 
+void fence_unsent_attempt(attempt_log& log, const attempt_id& id)
+{
+    const auto found = log.m_states.find(id);
+    if (found != log.m_states.end())
+    {
+        found->second = attempt_state::fenced;
+    }
+}
+
 void drop_expired_attempts(attempt_log& log, time_point now)
 {
     while (!log.m_expiry.empty() && log.m_expiry.begin()->first <= now)
--- a/src/dispatch/dispatcher_answers.cpp
+++ b/src/dispatch/dispatcher_answers.cpp
@@ -111,11 +111,31 @@
     }
 }
 
+call_outcome outcome_of(const upstream_call_end& end)
+{
+    if (end.m_answered)
+    {
+        return call_outcome::answered;
+    }
+    return end.m_sent ? call_outcome::failed : call_outcome::not_dispatched;
+}
+
+/// Fences the attempt of a call of which no byte has left, before it is answered as not
+/// dispatched: a late copy must not be sent either.
+void fence_if_unsent(dispatcher_state& state, const stage_call& call,
+                     const upstream_call_end& end)
+{
+    if (!end.m_answered && !end.m_sent && !call.m_idempotent)
+    {
+        fence_unsent_attempt(state.m_attempts, call.m_attempt_id);
+    }
+}
+
 stage_result result_of(const running_row& running, upstream_call_end&& end,
                        time_point now)
 {
     stage_result result;
-    result.m_outcome = end.m_answered ? call_outcome::answered : call_outcome::failed;
+    result.m_outcome = outcome_of(end);
     result.m_reason = end.m_answered ? call_reason::none : end.m_reason;
     result.m_upstream = running.m_upstream;
     result.m_upstream_incarnation = end.m_upstream_incarnation;
@@ -175,6 +195,7 @@
     release_slot(state, running, end, now);
     if (waits)
     {
+        fence_if_unsent(state, call->second.m_call, end);
         finish_call(state, running.m_key, result_of(running, std::move(end), now),
                     actions);
     }
--- a/src/dispatch/ownership_guard.cpp
+++ b/src/dispatch/ownership_guard.cpp
@@ -83,6 +83,7 @@
         transaction.m_writes.push_back({key_of(upstream), encode(taken)});
         pending.m_owners.emplace_back(upstream, taken);
     }
+    pending.m_repeats = record.m_revoking;
     log_event{"lease_revoke"}
         .add("lease", id)
         .add("holder", record.m_row->m_holder)
@@ -186,6 +187,11 @@
         log_event{"lease_revoked"}.add("lease", call.m_lease);
         return;
     }
+    if (end.m_outcome == table_outcome::not_written)
+    {
+        record.m_revoking = call.m_repeats;
+        return;
+    }
     if (is_settled(record, end, call.m_lease))
     {
         record.m_revoking = false;
--- a/src/dispatch/ownership_lease.cpp
+++ b/src/dispatch/ownership_lease.cpp
@@ -67,9 +67,10 @@
     row.m_counter = lease.m_counter + 1;
     row.m_time_to_live = time_to_live(state);
     row.m_guarantors = choose_guarantors(state, lease);
-    lease.m_doubt_differs =
-        lease.m_doubt_differs || row.m_guarantors != lease.m_guarantors;
-    add_missing(lease.m_doubtful_guarantors, row.m_guarantors);
+    lease.m_settled_doubt = lease.m_doubt;
+    lease.m_doubt.m_differs =
+        lease.m_doubt.m_differs || row.m_guarantors != lease.m_guarantors;
+    add_missing(lease.m_doubt.m_named, row.m_guarantors);
     lease.m_written = row;
     lease.m_written_at = now;
     lease.m_next_renewal = now + renewal_period(state);
@@ -87,8 +88,7 @@
     lease.m_version = version;
     lease.m_counter = row.m_counter;
     lease.m_guarantors = row.m_guarantors;
-    lease.m_doubtful_guarantors.clear();
-    lease.m_doubt_differs = false;
+    lease.m_doubt = {};
     lease.m_time_to_live = row.m_time_to_live;
     lease.m_renewed_until = lease.m_written_at + row.m_time_to_live;
     lease.m_next_extension = now;
@@ -101,9 +101,9 @@
 {
     lease.m_version = version;
     lease.m_counter = std::max(lease.m_counter, row.m_counter);
-    lease.m_doubt_differs =
-        lease.m_doubt_differs || row.m_guarantors != lease.m_guarantors;
-    add_missing(lease.m_doubtful_guarantors, row.m_guarantors);
+    lease.m_doubt.m_differs =
+        lease.m_doubt.m_differs || row.m_guarantors != lease.m_guarantors;
+    add_missing(lease.m_doubt.m_named, row.m_guarantors);
     lease.m_next_renewal = now;
 }
 
@@ -209,7 +209,7 @@
 std::vector<lease_guarantor> all_guarantors(const held_lease& lease)
 {
     std::vector<lease_guarantor> all = lease.m_guarantors;
-    add_missing(all, lease.m_doubtful_guarantors);
+    add_missing(all, lease.m_doubt.m_named);
     return all;
 }
 
@@ -284,6 +284,10 @@
     }
     else
     {
+        if (end.m_outcome == table_outcome::not_written)
+        {
+            lease->m_doubt = lease->m_settled_doubt;
+        }
         // The repeat is conditional on the same version: its conflict reads back the row
         // if this write took effect.
         lease->m_next_renewal = now + retry_delay;
--- a/src/dispatch/ownership_rows.cpp
+++ b/src/dispatch/ownership_rows.cpp
@@ -128,7 +128,9 @@
     release_state& release = *owner.m_release;
     const owner_row row{release.m_target, {owner.m_row.m_epoch.m_value + 1}, true};
     const auto id = start_call(
-        state, {table_purpose::release, {}, upstream, {{upstream, row}}, {}}, now);
+        state,
+        {table_purpose::release, {}, upstream, {{upstream, row}}, {}, release.m_sent},
+        now);
     release.m_sent = true;
     release.m_call = id;
     release.m_next_call = now + retry_delay;
@@ -265,6 +267,10 @@
         }
         return;
     }
+    if (end.m_outcome == table_outcome::not_written)
+    {
+        return;
+    }
     // The scan reads back a claim of unknown effect; a repeat before it would conflict.
     state.m_owners_scanned = false;
     learn_rows(state, end.m_rows, call.m_sent, now);
@@ -278,6 +284,10 @@
     if (owner.m_release && owner.m_release->m_call == end.m_id)
     {
         owner.m_release->m_call.reset();
+        if (end.m_outcome == table_outcome::not_written)
+        {
+            owner.m_release->m_sent = call.m_repeats;
+        }
     }
     if (end.m_outcome == table_outcome::committed && !end.m_rows.empty())
     {
--- a/src/dispatch/ownership_transfer.cpp
+++ b/src/dispatch/ownership_transfer.cpp
@@ -34,7 +34,7 @@
 std::optional<lease_guarantor> choose_successor(const ownership_state& state,
                                                 const held_lease& lease)
 {
-    if (lease.m_doubt_differs || has_unsettled_release(state, lease.m_id))
+    if (lease.m_doubt.m_differs || has_unsettled_release(state, lease.m_id))
     {
         return std::nullopt;
     }
--- a/src/platform/upstream_client.cpp
+++ b/src/platform/upstream_client.cpp
@@ -7,6 +7,7 @@
 
 #include <optional>
 #include <utility>
+#include <vector>
 
 namespace geraniumdoor
 {
@@ -39,6 +40,14 @@
     return end;
 }
 
+/// End of a call of which no byte has left.
+upstream_call_end unsent_end(const start_upstream_call& call)
+{
+    upstream_call_end end = failed_end(call, call_reason::upstream_error);
+    end.m_sent = false;
+    return end;
+}
+
 void log_rejected(const start_upstream_call& call, std::string_view detail)
 {
     log_event{"upstream_answer_rejected"}
@@ -120,6 +129,19 @@
     }
 }
 
+void upstream_client::abort_all()
+{
+    std::vector<control_pointer> running;
+    for (const auto& [id, control] : m_running)
+    {
+        running.push_back(control);
+    }
+    for (const auto& control : running)
+    {
+        control->abort();
+    }
+}
+
 asio::awaitable<upstream_call_end>
 upstream_client::run_with(const start_upstream_call& call, token_callback on_token,
                           control_pointer control)
@@ -128,7 +150,7 @@
     if (not is_ok(body))
     {
         log_rejected(call, error_of(body).m_detail);
-        co_return failed_end(call, call_reason::upstream_error);
+        co_return unsent_end(call);
     }
     if (call.m_kind == stage_kind::generate)
     {
@@ -145,7 +167,7 @@
     const auto address = to_tcp(call.m_endpoint);
     if (not address)
     {
-        co_return failed_end(call, call_reason::upstream_error);
+        co_return unsent_end(call);
     }
     auto request = run_request(std::move(body));
     auto options = run_options(call, std::move(control));
@@ -153,7 +175,9 @@
         co_await m_http.send(*address, std::move(request), std::move(options));
     if (not is_ok(response))
     {
-        co_return failed_end(call, reason_of(error_of(response)));
+        upstream_call_end end = failed_end(call, reason_of(error_of(response)));
+        end.m_sent = error_of(response).m_sent;
+        co_return end;
     }
     const http_response& answer = value_of(response);
     if (answer.m_status != status_ok)
@@ -186,7 +210,7 @@
     const auto address = to_tcp(call.m_endpoint);
     if (not address)
     {
-        co_return failed_end(call, call_reason::upstream_error);
+        co_return unsent_end(call);
     }
     stream_reader reader{expected_echo(call.m_call.m_key), call.m_call.m_delivered,
                          std::move(on_token)};
@@ -213,6 +237,7 @@
     if (not is_ok(response))
     {
         end.m_reason = reason_of_broken(reader, error_of(response));
+        end.m_sent = error_of(response).m_sent;
         co_return end;
     }
     if (value_of(response).m_status != status_ok)
--- a/src/request/claim_batches.cpp
+++ b/src/request/claim_batches.cpp
@@ -36,6 +36,8 @@
     }
     entry.m_write = claim_write::in_flight;
     entry.m_writing = entry.m_row.m_state;
+    entry.m_has_answer = entry.m_row.m_answer.has_value();
+    entry.m_sent_before = entry.m_sent;
     entry.m_sent = true;
 }
 
@@ -137,6 +139,7 @@
         {
             continue;
         }
+        entry->m_sent = entry->m_sent_before;
         if (const auto* row = find_row(end, entry->m_key))
         {
             any_found = true;
@@ -153,6 +156,45 @@
     }
 }
 
+/// The row is not ours yet, and no earlier insert may turn up.
+bool is_first_insert(const claim_entry& entry)
+{
+    return entry.m_step == claim_step::inserting && !entry.m_sent_before;
+}
+
+/// Refuses first inserts at once and queues the other writes again; no effect has to be
+/// read back.
+void on_not_written(claims& state, const claim_transaction& sent, time_point now,
+                    claim_effects effects)
+{
+    log_event{"claim_write_not_sent"}.add("rows", sent.m_claims.size());
+    state.m_write_after = now + write_pause;
+    note_service_down(state, now);
+    for (const auto& claim : sent.m_claims)
+    {
+        auto* entry = state.m_entries.find(claim);
+        if (entry == nullptr)
+        {
+            continue;
+        }
+        entry->m_write = claim_write::none;
+        entry->m_sent = entry->m_sent_before;
+        if (is_first_insert(*entry))
+        {
+            end_claim(state, claim, claim_event_kind::unavailable, effects);
+        }
+        else if (entry->m_step == claim_step::held)
+        {
+            queue_write(state, claim, *entry);
+        }
+        else
+        {
+            // An insert of unknown effect went before: it is read back or withdrawn.
+            settle_by_read(state, claim, *entry, now, effects);
+        }
+    }
+}
+
 void on_unknown(claims& state, const claim_transaction& sent, time_point now,
                 claim_effects effects)
 {
@@ -219,6 +261,10 @@
     {
         on_conflict(state, sent, end, now, effects);
     }
+    else if (end.m_outcome == table_outcome::not_written)
+    {
+        on_not_written(state, sent, now, effects);
+    }
     else
     {
         on_unknown(state, sent, now, effects);
--- a/src/request/claim_rows.cpp
+++ b/src/request/claim_rows.cpp
@@ -95,6 +95,10 @@
     row.m_created_unix_s = object.at("created_unix_s").to_number<std::int64_t>();
     row.m_retention_s = object.at("retention_s").to_number<std::int64_t>();
     row.m_output = text_of(object, "output");
+    if (object.contains("answer"))
+    {
+        row.m_answer = text_of(object, "answer");
+    }
     return row;
 }
 
@@ -165,17 +169,21 @@
 
 std::string to_json_text(const claim_row& row)
 {
-    return json::serialize(
-        json::value{{"attempt", row.m_attempt.m_value},
-                    {"holder", row.m_holder.m_value},
-                    {"incarnation", row.m_incarnation.m_value},
-                    {"state", state_names[static_cast<std::size_t>(row.m_state)]},
-                    {"request", request_json(row.m_request)},
-                    {"pipeline", row.m_pipeline.m_value},
-                    {"body", row.m_body},
-                    {"created_unix_s", row.m_created_unix_s},
-                    {"retention_s", row.m_retention_s},
-                    {"output", row.m_output}});
+    json::object object{{"attempt", row.m_attempt.m_value},
+                        {"holder", row.m_holder.m_value},
+                        {"incarnation", row.m_incarnation.m_value},
+                        {"state", state_names[static_cast<std::size_t>(row.m_state)]},
+                        {"request", request_json(row.m_request)},
+                        {"pipeline", row.m_pipeline.m_value},
+                        {"body", row.m_body},
+                        {"created_unix_s", row.m_created_unix_s},
+                        {"retention_s", row.m_retention_s},
+                        {"output", row.m_output}};
+    if (row.m_answer)
+    {
+        object["answer"] = *row.m_answer;
+    }
+    return json::serialize(object);
 }
 
 std::string to_json_text(const follow_up_row& row)
--- a/src/request/claim_steps.cpp
+++ b/src/request/claim_steps.cpp
@@ -28,7 +28,7 @@
     {
         entry.m_step = claim_step::checked;
         effects.m_events.push_back(
-            {entry.m_row.m_request, claim, claim_event_kind::absent, {}, {}});
+            {entry.m_row.m_request, claim, claim_event_kind::absent, {}, {}, {}});
         return;
     }
     entry.m_step = claim_step::inserting;
@@ -62,7 +62,7 @@
     {
         effects.m_events.push_back({entry.m_row.m_request, claim,
                                     claim_event_kind::replay, other.m_output,
-                                    other.m_request});
+                                    other.m_request, other.m_answer});
         forget(state, claim);
     }
     else if (other.m_state == claim_state::in_doubt)
@@ -86,10 +86,32 @@
 }
 
 void judge_own_row(claims& state, const attempt_id& claim, claim_entry& entry,
-                   const table_row& row, claim_state stored, claim_effects effects)
+                   const table_row& row, const claim_row& found, claim_effects effects)
 {
     entry.m_version = row.m_version;
-    on_row_stored(state, claim, stored, effects);
+    entry.m_has_answer = found.m_answer.has_value();
+    on_row_stored(state, claim, found.m_state, effects);
+}
+
+/// The row has the state in which the claim ends; its answer may still be missing.
+void on_end_stored(claims& state, const attempt_id& claim, claim_entry& entry)
+{
+    // Follow-up rows are inserted once: a later write must not bring them back.
+    for (const auto& follow_up : std::exchange(entry.m_follow_ups, {}))
+    {
+        if (follow_up.m_finished)
+        {
+            state.m_deletes.push_back(follow_up.m_key);
+        }
+    }
+    if (entry.m_row.m_answer && !entry.m_has_answer)
+    {
+        queue_write(state, claim, entry);
+    }
+    else if (!entry.m_awaits_answer)
+    {
+        forget(state, claim);
+    }
 }
 
 /// The row is absent although a write of ours was sent.
@@ -138,7 +160,7 @@
     const auto& found = value_of(parsed);
     if (found.m_attempt == claim)
     {
-        judge_own_row(state, claim, entry, row, found.m_state, effects);
+        judge_own_row(state, claim, entry, row, found, effects);
     }
     else if (entry.m_step == claim_step::held)
     {
@@ -169,23 +191,16 @@
     if (first && !entry.m_released)
     {
         effects.m_events.push_back(
-            {entry.m_row.m_request, claim, claim_event_kind::confirmed, {}, {}});
+            {entry.m_row.m_request, claim, claim_event_kind::confirmed, {}, {}, {}});
     }
     if (stored != entry.m_row.m_state)
     {
         queue_write(state, claim, entry);
         return;
     }
-    for (const auto& follow_up : entry.m_follow_ups)
-    {
-        if (follow_up.m_finished)
-        {
-            state.m_deletes.push_back(follow_up.m_key);
-        }
-    }
     if (stored != claim_state::running)
     {
-        forget(state, claim);
+        on_end_stored(state, claim, entry);
     }
 }
 
@@ -214,7 +229,7 @@
     const auto& entry = *state.m_entries.find(claim);
     if (!entry.m_released)
     {
-        effects.m_events.push_back({entry.m_row.m_request, claim, kind, {}, {}});
+        effects.m_events.push_back({entry.m_row.m_request, claim, kind, {}, {}, {}});
     }
     forget(state, claim);
 }
--- a/src/request/claims.cpp
+++ b/src/request/claims.cpp
@@ -60,7 +60,7 @@
              entry.m_failed_reads >= max_failed_reads)
     {
         effects.m_events.push_back(
-            {entry.m_row.m_request, claim, claim_event_kind::unsettled, {}, {}});
+            {entry.m_row.m_request, claim, claim_event_kind::unsettled, {}, {}, {}});
         release_claim(state, claim);
     }
 }
@@ -159,6 +159,39 @@
     queue_write(state, claim, *entry);
 }
 
+void await_answer(claims& state, const attempt_id& claim)
+{
+    if (auto* entry = state.m_entries.find(claim))
+    {
+        entry->m_awaits_answer = true;
+    }
+}
+
+void store_answer(claims& state, const attempt_id& claim, const std::string& answer)
+{
+    auto* entry = state.m_entries.find(claim);
+    if (entry != nullptr && entry->m_awaits_answer)
+    {
+        entry->m_awaits_answer = false;
+        entry->m_row.m_answer = answer;
+        queue_write(state, claim, *entry);
+    }
+}
+
+void give_up_answer(claims& state, const attempt_id& claim)
+{
+    auto* entry = state.m_entries.find(claim);
+    if (entry == nullptr || !entry->m_awaits_answer)
+    {
+        return;
+    }
+    entry->m_awaits_answer = false;
+    if (entry->m_write == claim_write::none && entry->m_stored == entry->m_row.m_state)
+    {
+        state.m_entries.erase(claim);
+    }
+}
+
 void release_claim(claims& state, const attempt_id& claim)
 {
     auto* entry = state.m_entries.find(claim);
--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -61,7 +61,7 @@
         retry_or_end(context, row);
         return;
     }
-    row.m_refusing_owners.push_back(owner);
+    note_not_dispatched(row, owner, result);
     if (row.m_attempts.empty())
     {
         resend_or_end(context, row);
--- a/src/request/guarded_calls.cpp
+++ b/src/request/guarded_calls.cpp
@@ -43,13 +43,29 @@
     return follow_ups;
 }
 
+/// The first claim of a request receives its answer: a repeat reads that claim first.
+void keep_for_answer(coordinator& state, active_request& row)
+{
+    auto& guarded = row.m_guarded;
+    if (!row.m_internal && !guarded.m_ran && (!row.m_ended || is_last_stage(row)))
+    {
+        guarded.m_answer_claim = guarded.m_claim;
+        await_answer(state.m_claims, guarded.m_claim);
+    }
+}
+
 void on_guarded_answer(request_context context, active_request& row,
                        const stage_result& result)
 {
     auto& state = context.m_state;
+    keep_for_answer(state, row);
     settle_claim(state.m_claims, row.m_guarded.m_claim, claim_state::done,
                  result.m_output, make_follow_ups(state, row, result.m_output));
     row.m_guarded.m_ran = true;
+    if (is_last_stage(row))
+    {
+        store_answer(state.m_claims, row.m_guarded.m_answer_claim, result.m_output);
+    }
     if (!row.m_ended)
     {
         finish_stage(context, row, result.m_output);
@@ -119,7 +135,7 @@
     }
     else if (result.m_outcome == call_outcome::not_dispatched)
     {
-        row.m_refusing_owners.push_back(owner);
+        note_not_dispatched(row, owner, result);
         on_guarded_fenced(context, row);
     }
     else
--- a/src/request/request_end.cpp
+++ b/src/request/request_end.cpp
@@ -113,6 +113,18 @@
     cancel_attempts(context, row);
 }
 
+/// A repeat is answered from the row without running a stage again.
+void settle_answer(coordinator& state, const active_request& row, answer_code code)
+{
+    const auto& claim = row.m_guarded.m_answer_claim;
+    if (code == answer_code::ok)
+    {
+        store_answer(state.m_claims, claim, row.m_input);
+        return;
+    }
+    give_up_answer(state.m_claims, claim);
+}
+
 void log_end(const active_request& row, const pipeline_answer& answer)
 {
     log_event{"request_end"}
@@ -133,6 +145,7 @@
     context.m_state.m_ended.push_back(row.m_request.m_id);
     auto answer = make_answer(context.m_state, row, code, message);
     log_end(row, answer);
+    settle_answer(context.m_state, row, code);
     stop_calls(context, row);
     if (!row.m_internal)
     {
@@ -146,6 +159,7 @@
     {
         row.m_ended = true;
         context.m_state.m_ended.push_back(row.m_request.m_id);
+        give_up_answer(context.m_state.m_claims, row.m_guarded.m_answer_claim);
         stop_calls(context, row);
     }
 }
--- a/src/request/request_steps.hpp
+++ b/src/request/request_steps.hpp
@@ -25,6 +25,11 @@
     return row.m_pipeline->m_stages[row.m_stage.m_value];
 }
 
+inline bool is_last_stage(const active_request& row)
+{
+    return row.m_stage == row.m_last_stage;
+}
+
 inline bool is_streamed(const active_request& row)
 {
     return row.m_request.m_streamed && row.m_stage == row.m_last_stage &&
@@ -89,6 +94,11 @@
 /// A call of an idempotent stage failed: retries within the budget, or ends the request.
 void retry_or_end(request_context context, active_request& row);
 
+/// Excludes what did not dispatch an attempt: the upstream that could not be reached, or
+/// the owner.
+void note_not_dispatched(active_request& row, const node_id& owner,
+                         const stage_result& result);
+
 void hedge_if_due(request_context context, active_request& row);
 
 active_attempt* find_attempt(active_request& row, stage_index stage,
--- a/src/request/stage_attempts.cpp
+++ b/src/request/stage_attempts.cpp
@@ -128,6 +128,13 @@
            reason == call_reason::node_leaving;
 }
 
+/// Whether the owner chose an upstream that could not be reached.
+bool is_unreached_upstream(call_reason reason)
+{
+    return reason == call_reason::upstream_error ||
+           reason == call_reason::upstream_timeout;
+}
+
 bool pause_and_resend(request_context context, active_request& row)
 {
     const auto pause = first_resend_pause * (1 << row.m_resend_rounds);
@@ -194,6 +201,17 @@
     return true;
 }
 
+void note_not_dispatched(active_request& row, const node_id& owner,
+                         const stage_result& result)
+{
+    if (is_unreached_upstream(result.m_reason))
+    {
+        row.m_used_upstreams.push_back(result.m_upstream);
+        return;
+    }
+    row.m_refusing_owners.push_back(owner);
+}
+
 void resend_or_end(request_context context, active_request& row)
 {
     row.m_resend_at = time_point::max();
@@ -208,7 +226,7 @@
     {
         return;
     }
-    if (!row.m_stream.m_delivered.empty())
+    if (!row.m_stream.m_delivered.empty() || is_unreached_upstream(row.m_last_reason))
     {
         end_failed_stage(context, row);
         return;
--- a/src/request/stage_steps.cpp
+++ b/src/request/stage_steps.cpp
@@ -3,7 +3,10 @@
 #include <geraniumdoor/base/invariant.hpp>
 #include <geraniumdoor/base/log.hpp>
 
+#include <boost/json.hpp>
+
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace geraniumdoor
@@ -71,6 +74,20 @@
                   });
 }
 
+/// Text of a generated answer, {"text": ...}; absent for other answers.
+std::optional<std::string> generated_text(const std::string& answer)
+{
+    boost::system::error_code error;
+    const auto value = boost::json::parse(answer, error);
+    const auto* object = error ? nullptr : value.if_object();
+    const auto* text = object == nullptr ? nullptr : object->if_contains("text");
+    if (text == nullptr || !text->is_string())
+    {
+        return std::nullopt;
+    }
+    return std::string{text->get_string()};
+}
+
 /// Notes the follow-ups that the first run of the stage has inserted.
 void owe_replayed(active_request& row, const request_id& original)
 {
@@ -84,17 +101,38 @@
     }
 }
 
-void on_replay(request_context context, active_request& row, const claim_event& event)
+/// Answers with the stored answer of the first request. A streamed repeat receives the
+/// text as one token, because the row does not keep the tokens apart.
+void replay_answer(request_context context, active_request& row,
+                   const std::string& answer)
 {
-    const auto& stages = row.m_pipeline->m_stages;
-    while (stages[row.m_stage.m_value].m_idempotent)
+    row.m_stage = row.m_last_stage;
+    row.m_input = answer;
+    const auto text = is_streamed(row) ? generated_text(answer) : std::nullopt;
+    if (text)
     {
-        ++row.m_stage.m_value;
+        row.m_stream.m_delivered.push_back(*text);
+        context.m_actions.push_back(reply_part{row.m_request.m_id, 0, *text});
     }
+    end_request(context, row, answer_code::ok, {});
+}
+
+void on_replay(request_context context, active_request& row, const claim_event& event)
+{
+    const auto& stages = row.m_pipeline->m_stages;
     ++context.m_state.m_counters.m_replayed;
     row.m_replayed = true;
     row.m_guarded.m_ran = true;
     row.m_guarded.m_claim = {};
+    if (event.m_answer)
+    {
+        replay_answer(context, row, *event.m_answer);
+        return;
+    }
+    while (stages[row.m_stage.m_value].m_idempotent)
+    {
+        ++row.m_stage.m_value;
+    }
     owe_replayed(row, event.m_original);
     finish_stage(context, row, event.m_output);
 }
--- a/tests/config/keeper_changes_test.cpp
+++ b/tests/config/keeper_changes_test.cpp
@@ -146,6 +146,25 @@
     cr_expect_eq(world.m_row.m_version, 1u);
 }
 
+Test(keeper_changes, a_change_whose_writes_never_left_is_refused)
+{
+    keeper_world world{2};
+    world.start_with_sample();
+    world.m_refuses_writes = true;
+    world.submit(0, weight_change("c1", "ade", "riders", 7));
+    world.run_for(60s);
+    cr_expect(world.outcome(0, "c1") == change_outcome::refused);
+    cr_expect(world.m_nodes[0].m_keeper.m_unsettled.empty());
+    // A write of unknown effect before it keeps the outcome open.
+    world.m_refuses_writes = false;
+    world.m_held_answers = 1;
+    world.submit(0, weight_change("c2", "ade", "riders", 8));
+    world.run_for(100ms);
+    world.m_refuses_writes = true;
+    world.run_for(60s);
+    cr_expect(world.outcome(0, "c2") == change_outcome::unknown);
+}
+
 Test(keeper_changes, a_repeated_change_id_is_made_once_whichever_node_gets_it)
 {
     keeper_world world{2};
--- a/tests/config/keeper_world.hpp
+++ b/tests/config/keeper_world.hpp
@@ -53,6 +53,8 @@
     int m_lost_answers = 0;
     /// Number of writes that get no answer and take effect when they are released.
     int m_held_answers = 0;
+    /// Writes do not leave the node, while reads are answered.
+    bool m_refuses_writes = false;
 
 private:
     void perform_one(std::size_t at, const geraniumdoor::config_action& action);
--- a/tests/dispatch/cluster_simulation.cpp
+++ b/tests/dispatch/cluster_simulation.cpp
@@ -299,6 +299,7 @@
         break;
     case 2:
         m_table.m_up = !m_table.m_up;
+        m_table.m_refuses = chance(500);
         break;
     case 3:
         if (node != other && !m_cut.erase(std::minmax(node, other)))
--- a/tests/dispatch/cluster_simulation.hpp
+++ b/tests/dispatch/cluster_simulation.hpp
@@ -19,6 +19,8 @@
 {
     std::map<std::string, table_row> m_rows;
     bool m_up = true;
+    /// Refuses connections while it is down, so that nothing of a write leaves.
+    bool m_refuses = false;
 
     table_transaction_end apply(const table_transaction& transaction);
     std::vector<table_row> scan(const std::string& prefix) const;
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -189,6 +189,30 @@
     cr_expect(owner.refused(call_reason::duplicate_attempt));
 }
 
+Test(dispatcher, answers_a_call_that_has_not_left_as_not_dispatched_and_fences_it)
+{
+    fixture owner;
+    stage_call call = owner.make_call();
+    call.m_idempotent = false;
+    call.m_attempt_id.m_value = "x";
+    owner.offer(call);
+    const auto started = owner.take<start_upstream_call>().at(0);
+    upstream_call_end end{started.m_id, false, call_reason::upstream_error};
+    end.m_sent = false;
+    on_upstream_end(owner.m_state, end, owner.m_now, owner.m_actions);
+    cr_expect(owner.refused(call_reason::upstream_error));
+    EXPECT_EQUAL(owner.take<send_result>().back().m_message.m_upstream,
+                 started.m_upstream);
+    // A late copy is refused, and a query says that nothing will be sent.
+    call.m_key.m_attempt.m_value = 2;
+    owner.offer(call);
+    cr_expect(owner.refused(call_reason::duplicate_attempt));
+    EXPECT_EQUAL(owner.take<start_upstream_call>().size(), 1U);
+    const auto status =
+        on_attempt_query(owner.m_state, {{"x"}}, owner.m_now, owner.m_actions);
+    cr_expect(status.m_state == attempt_state::fenced);
+}
+
 Test(dispatcher, cancels_queued_and_running_calls_with_one_result_each)
 {
     fixture owner;
--- a/tests/dispatch/ownership_test.cpp
+++ b/tests/dispatch/ownership_test.cpp
@@ -139,3 +139,26 @@
         cr_expect(not decode_lease_row(text) && not decode_owner_row(text), "%s", text);
     }
 }
+
+Test(ownership, a_revocation_that_never_left_does_not_hold_back_grants)
+{
+    // A repeat of a revocation of unknown effect still holds them back.
+    for (const bool repeats : {false, true})
+    {
+        const time_point now{1000s};
+        const lease_id lease{"h.1"};
+        ownership_state state = make_ownership({node_id{"g"}, {1}, {"dc"}}, now);
+        state.m_leases[lease].m_version = 3;
+        state.m_leases[lease].m_revoking = true;
+        state.m_pending[{1}] = {table_purpose::revoke, lease, {}, {}, now, repeats};
+        std::vector<ownership_action> actions;
+        on_table_transaction_end(state, {{1}, table_outcome::not_written, {}}, now,
+                                 actions);
+        actions.clear();
+        on_lease_message(state, {"h"}, lease_extend{lease, 3, 1, {1}, 6000}, now,
+                         actions);
+        cr_assert(actions.size() == 1);
+        const auto& sent = std::get<send_lease_message>(actions[0]).m_message;
+        cr_expect(std::get<lease_grant>(sent).m_granted == not repeats);
+    }
+}
--- a/tests/dispatch/simulated_network.cpp
+++ b/tests/dispatch/simulated_network.cpp
@@ -161,6 +161,17 @@
 void cluster_simulation::call_table(std::size_t node,
                                     const table_transaction& transaction)
 {
+    if (!m_table.m_up && m_table.m_refuses)
+    {
+        const table_transaction_end end{transaction.m_id, table_outcome::not_written, {}};
+        const incarnation process = m_nodes[node].m_incarnation;
+        at(m_now + random_ms(1, 30),
+           [=, this]
+           {
+               deliver_to(node, process, end_transaction(node, end));
+           });
+        return;
+    }
     call_table(node, end_transaction(node, {transaction.m_id}),
                [this, node, transaction]
                {
--- a/tests/platform/clients_test.cpp
+++ b/tests/platform/clients_test.cpp
@@ -287,6 +287,21 @@
     }
 }
 
+Test(upstream_client, says_when_no_byte_of_a_call_has_left)
+{
+    for (const auto kind : {stage_kind::service, stage_kind::generate})
+    {
+        // Nothing listens: the connection is refused.
+        fixture unreachable{body("{}"), 25900};
+        std::string tokens;
+        cr_expect(not unreachable.call(kind, &tokens).m_sent);
+        // The call arrives and its answer is lost.
+        fixture lost{{200, "", {}, true, 0ms}, 25901};
+        lost.m_server.start();
+        cr_expect(lost.call(kind, &tokens).m_sent);
+    }
+}
+
 Test(upstream_client, ends_an_aborted_call_at_once)
 {
     fixture test{{200, "{}", {}, false, 2000ms}, 29307};
