--- a/include/geraniumdoor/daemon/entry_daemon.hpp
+++ b/include/geraniumdoor/daemon/entry_daemon.hpp
@@ -20,6 +20,8 @@
     /// The incarnation must be higher than that of any earlier process of the same node.
     entry_daemon(boost::asio::io_context& io, daemon_settings settings,
                  incarnation started);
+
+    /// Closes everything at once, without the steps of a planned stop.
     ~entry_daemon();
     entry_daemon(const entry_daemon&) = delete;
     entry_daemon& operator=(const entry_daemon&) = delete;
@@ -33,7 +35,7 @@
     void begin_stop(std::function<void()> on_stopped);
 
 private:
-    std::unique_ptr<entry_node> m_node;
+    std::shared_ptr<entry_node> m_node;
 };
 
 } // namespace geraniumdoor
--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -172,6 +172,7 @@
 
 asio::awaitable<void> entry_node::serve_admin(http_exchange& exchange)
 {
+    const auto self = shared_from_this();
     const http_request& request = exchange.request();
     const bool get = request.m_method == "GET";
     http_response response;
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -1,6 +1,7 @@
 #include "answer_document.hpp"
 #include "caller_request.hpp"
 #include "entry_node.hpp"
+#include "wall_clock.hpp"
 
 #include <geraniumdoor/base/log.hpp>
 
@@ -58,6 +59,7 @@
 
 asio::awaitable<void> entry_node::serve_caller(http_exchange& exchange)
 {
+    const auto self = shared_from_this();
     const http_request& request = exchange.request();
     const bool is_pipeline = request.m_target.starts_with("/v1/pipelines/");
     if (is_pipeline && request.m_method == "POST")
@@ -97,6 +99,7 @@
         co_return;
     }
     pipeline_request wanted = std::move(value_of(checked));
+    wanted.m_received_unix_s = unix_seconds();
     wanted.m_id = request_id{m_settings.m_node, m_incarnation, ++m_last_request};
     auto session = std::make_shared<caller_session>(m_io.get_executor());
     m_sessions[wanted.m_id] = session;
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -9,11 +9,14 @@
 
 entry_daemon::entry_daemon(boost::asio::io_context& io, daemon_settings settings,
                            incarnation started)
-    : m_node{std::make_unique<entry_node>(io, std::move(settings), started)}
+    : m_node{std::make_shared<entry_node>(io, std::move(settings), started)}
 {
 }
 
-entry_daemon::~entry_daemon() = default;
+entry_daemon::~entry_daemon()
+{
+    m_node->halt();
+}
 
 void entry_daemon::start()
 {
--- a/src/daemon/entry_node.cpp
+++ b/src/daemon/entry_node.cpp
@@ -5,7 +5,6 @@
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -183,35 +182,56 @@
     m_timers.every(m_settings.m_host_list_poll,
                    [this](time_point)
                    {
-                       asio::co_spawn(m_io, poll_host_list(), asio::detached);
+                       spawn(poll_host_list());
                    });
     m_timers.every(follow_up_period,
                    [this](time_point)
                    {
-                       asio::co_spawn(m_io, sweep_follow_ups(), asio::detached);
+                       spawn(sweep_follow_ups());
                    });
     m_timers.every(claim_sweep_period,
                    [this](time_point)
                    {
-                       asio::co_spawn(m_io, sweep_claims(), asio::detached);
+                       spawn(sweep_claims());
                    });
-    asio::co_spawn(m_io, poll_host_list(), asio::detached);
+    spawn(poll_host_list());
 }
 
 void entry_node::schedule_clock()
 {
     m_tick_timer.expires_after(clock_period);
     m_tick_timer.async_wait(
-        [this](boost::system::error_code error)
+        [weak = weak_from_this()](boost::system::error_code error)
         {
-            if (!error)
+            const auto self = weak.lock();
+            if (!error && self && !self->m_halted)
             {
-                m_timers.advance_to(std::chrono::steady_clock::now());
-                schedule_clock();
+                self->m_timers.advance_to(std::chrono::steady_clock::now());
+                self->schedule_clock();
             }
         });
 }
 
+void entry_node::spawn(asio::awaitable<void> work)
+{
+    asio::co_spawn(m_io, std::move(work),
+                   [self = shared_from_this()](const std::exception_ptr&) {});
+}
+
+void entry_node::halt()
+{
+    m_halted = true;
+    m_tick_timer.cancel();
+    m_transport.close();
+    m_caller_server.close();
+    m_admin_server.close();
+    m_upstreams.abort_all();
+    for (const auto& [id, session] : std::exchange(m_sessions, {}))
+    {
+        session->close();
+    }
+}
+
 void entry_node::tick_all(time_point now)
 {
     membership_actions membership;
@@ -275,8 +295,7 @@
     {
         if (entry.m_row.m_authority_until > m_timers.now())
         {
-            asio::co_spawn(m_io, poll_load(entry.m_id, entry.m_row.m_record.m_endpoint),
-                           asio::detached);
+            spawn(poll_load(entry.m_id, entry.m_row.m_record.m_endpoint));
         }
     }
 }
--- a/src/daemon/entry_node.hpp
+++ b/src/daemon/entry_node.hpp
@@ -41,8 +41,9 @@
 };
 
 /// All parts of one entry daemon. Makes no decisions: it passes events to the modules and
-/// carries out their actions. Everything runs on the thread of the executor.
-class entry_node
+/// carries out their actions. Everything runs on the thread of the executor. Its
+/// coroutines keep it alive until they end, which may be after halt.
+class entry_node : public std::enable_shared_from_this<entry_node>
 {
 public:
     entry_node(boost::asio::io_context& io, daemon_settings settings,
@@ -57,11 +58,17 @@
     /// Starts the planned stop. The callback runs when everything is closed.
     void begin_stop(std::function<void()> on_stopped);
 
+    /// Closes everything at once, as the end of a process does. Nothing is sent
+    /// afterwards.
+    void halt();
+
 private:
     // Construction and periodic work.
     node_transport_callbacks make_callbacks();
     void subscribe_timers();
     void schedule_clock();
+    /// Runs a coroutine of this object and keeps the object alive until it ends.
+    void spawn(boost::asio::awaitable<void> work);
     void tick_all(time_point now);
     void tick_config(time_point now);
     void tick_drain(time_point now);
@@ -152,6 +159,8 @@
     std::unordered_map<request_id, std::shared_ptr<caller_session>> m_sessions;
     std::uint64_t m_last_request = 0;
     std::function<void()> m_on_stopped;
+    /// Actions are dropped.
+    bool m_halted = false;
 };
 
 } // namespace geraniumdoor
--- a/src/daemon/entry_node_actions.cpp
+++ b/src/daemon/entry_node_actions.cpp
@@ -2,8 +2,6 @@
 
 #include <geraniumdoor/base/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <type_traits>
@@ -39,19 +37,21 @@
         }
         else if constexpr (std::is_same_v<type, table_transaction>)
         {
-            asio::co_spawn(m_io, run_transaction(action, table_user::coordinator),
-                           asio::detached);
+            spawn(run_transaction(action, table_user::coordinator));
         }
         else if constexpr (std::is_same_v<type, table_read>)
         {
-            asio::co_spawn(m_io, run_read(action, table_user::coordinator),
-                           asio::detached);
+            spawn(run_read(action, table_user::coordinator));
         }
         else
         {
             m_transport.send(action.m_to, node_message{action.m_message});
         }
     };
+    if (m_halted)
+    {
+        return;
+    }
     for (const auto& action : actions)
     {
         std::visit(perform, action);
@@ -65,7 +65,7 @@
         using type = std::decay_t<decltype(action)>;
         if constexpr (std::is_same_v<type, start_upstream_call>)
         {
-            asio::co_spawn(m_io, run_upstream_call(action), asio::detached);
+            spawn(run_upstream_call(action));
         }
         else if constexpr (std::is_same_v<type, abort_upstream_call>)
         {
@@ -76,6 +76,10 @@
             m_transport.send(action.m_to, node_message{action.m_message});
         }
     };
+    if (m_halted)
+    {
+        return;
+    }
     for (const auto& action : actions)
     {
         std::visit(perform, action);
@@ -90,16 +94,15 @@
         const time_point now = m_timers.now();
         if constexpr (std::is_same_v<type, table_transaction>)
         {
-            asio::co_spawn(m_io, run_transaction(action, table_user::ownership),
-                           asio::detached);
+            spawn(run_transaction(action, table_user::ownership));
         }
         else if constexpr (std::is_same_v<type, table_read>)
         {
-            asio::co_spawn(m_io, run_read(action, table_user::ownership), asio::detached);
+            spawn(run_read(action, table_user::ownership));
         }
         else if constexpr (std::is_same_v<type, table_scan>)
         {
-            asio::co_spawn(m_io, run_scan(action), asio::detached);
+            spawn(run_scan(action));
         }
         else if constexpr (std::is_same_v<type, send_lease_message>)
         {
@@ -131,6 +134,10 @@
                                     action.m_outstanding);
         }
     };
+    if (m_halted)
+    {
+        return;
+    }
     for (const auto& action : actions)
     {
         std::visit(perform, action);
@@ -169,7 +176,8 @@
     {
         const table_error& error = error_of(outcome);
         log_event{"table_write_failed"}.add("detail", error.m_detail);
-        end.m_outcome = table_outcome::unknown;
+        const bool open = error.m_kind == table_error_kind::no_answer;
+        end.m_outcome = open ? table_outcome::unknown : table_outcome::not_written;
     }
     const time_point now = std::chrono::steady_clock::now();
     if (user == table_user::ownership)
--- a/src/daemon/entry_node_config.cpp
+++ b/src/daemon/entry_node_config.cpp
@@ -2,8 +2,6 @@
 
 #include <geraniumdoor/base/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -28,12 +26,11 @@
         using type = std::decay_t<decltype(action)>;
         if constexpr (std::is_same_v<type, table_transaction>)
         {
-            asio::co_spawn(m_io, run_transaction(action, table_user::config),
-                           asio::detached);
+            spawn(run_transaction(action, table_user::config));
         }
         else if constexpr (std::is_same_v<type, table_read>)
         {
-            asio::co_spawn(m_io, run_read(action, table_user::config), asio::detached);
+            spawn(run_read(action, table_user::config));
         }
         else if constexpr (std::is_same_v<type, configuration_in_force>)
         {
@@ -54,6 +51,10 @@
             m_transport.send(action.m_to, node_message{action.m_message});
         }
     };
+    if (m_halted)
+    {
+        return;
+    }
     for (const auto& action : actions)
     {
         std::visit(perform, action);
@@ -81,7 +82,7 @@
     m_ownership.m_settings.m_longest_call = longest_call;
     set_config_version(m_membership, config.m_version);
     m_metrics.set("gd_config_version", {}, static_cast<double>(config.m_version.m_value));
-    asio::co_spawn(m_io, poll_host_list(), asio::detached);
+    spawn(poll_host_list());
 }
 
 void entry_node::tick_config(time_point now)
--- a/src/daemon/entry_node_messages.cpp
+++ b/src/daemon/entry_node_messages.cpp
@@ -159,6 +159,10 @@
             m_metrics.add("gd_pauses_total", {});
         }
     };
+    if (m_halted)
+    {
+        return;
+    }
     for (const auto& action : actions)
     {
         std::visit(perform, action);
--- a/src/daemon/entry_node_sweep.cpp
+++ b/src/daemon/entry_node_sweep.cpp
@@ -1,12 +1,10 @@
 #include "entry_node.hpp"
+#include "wall_clock.hpp"
 
 #include <geraniumdoor/base/log.hpp>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include <chrono>
 #include <utility>
 
 namespace geraniumdoor
@@ -14,17 +12,6 @@
 
 namespace asio = boost::asio;
 
-namespace
-{
-
-std::int64_t unix_seconds()
-{
-    const auto now = std::chrono::system_clock::now().time_since_epoch();
-    return std::chrono::duration_cast<seconds>(now).count();
-}
-
-} // namespace
-
 std::vector<live_process> entry_node::live_processes() const
 {
     std::vector<live_process> live;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -377,6 +377,11 @@
         }
         co_return false;
     }
+    if (m_closed)
+    {
+        // The request was read before the server closed; its handler may be gone.
+        co_return false;
+    }
     peer.m_stream.expires_never();
     const bool keep_alive = parser.get().keep_alive() && !m_draining;
     const bool reusable =
