--- a/programs/load_report.cpp
+++ b/programs/load_report.cpp
@@ -275,8 +275,9 @@
     out << "offered_per_s=" << run.m_rate_per_s << '\n';
     out << "requests=" << counted << '\n';
     out << "attainment=" << share(attained, counted) << '\n';
-    out << "goodput_per_s=" << share(attained, to_s(run.m_length - run.m_warm_up))
-        << '\n';
+    const double counted_s = to_s(run.m_length - run.m_warm_up);
+    out << "goodput_per_s=" << share(attained, counted_s) << '\n';
+    out << "slowest_pool_goodput_per_s=" << share(attained_slowest, counted_s) << '\n';
     out << "latency_ms_p50=" << quantile(latencies, 0.5) << '\n';
     out << "latency_ms_p99=" << quantile(latencies, 0.99) << '\n';
     out << "late_send_ms_max=" << to_ms(run.m_late) << '\n';
