Learn nothing from calls that end at their own deadline

Cause: a call that leaves the queue with little time left times out early, and two such ends in a row counted as errors of the upstream and reset its limit to the cold limit. Ruled out: silent upstreams, which the whole timeout or the tick still finds. Change: a timeout before the pool's own is ignored unless it took twice the average call and nothing was heard from the upstream since.

--- a/src/dispatch/dispatcher_answers.cpp
+++ b/src/dispatch/dispatcher_answers.cpp
@@ -50,9 +50,26 @@
     pool.m_best_average_ms = std::min(pool.m_best_average_ms.value_or(average), average);
 }
 
+/// Whether a call ended at its own deadline before the upstream could be expected to
+/// answer it, or while the upstream answered others.
+bool says_nothing(const pool_row& pool, const upstream_row& row,
+                  const running_row& running, call_reason reason, time_point now)
+{
+    constexpr double late_factor = 2;
+    const duration length = now - running.m_dispatched;
+    const bool late = to_ms(length) >= late_factor * pool.m_call_ms;
+    const bool silent = row.m_heard_at <= running.m_dispatched;
+    return reason == call_reason::upstream_timeout && length < pool.m_config.m_timeout &&
+           !(late && silent);
+}
+
 void learn_failure(dispatcher_state& state, const pool_row& pool, upstream_row& row,
                    const running_row& running, call_reason reason, time_point now)
 {
+    if (says_nothing(pool, row, running, reason, now))
+    {
+        return;
+    }
     const limit_bounds bounds = bounds_of(pool.m_config);
     const bool whole_timeout = now - running.m_dispatched >= pool.m_config.m_timeout;
     if (reason == call_reason::upstream_overloaded)
--- a/tests/dispatch/dispatcher_test.cpp
+++ b/tests/dispatch/dispatcher_test.cpp
@@ -283,3 +283,31 @@
     owner.offer(owner.make_call());
     cr_expect(owner.refused(call_reason::no_capacity));
 }
+
+// Guards against the collapse of a pool under overload: calls that leave the queue with
+// little time left end early, and the upstream is as able as before.
+Test(dispatcher, a_call_that_ends_at_its_own_deadline_does_not_lower_the_limit)
+{
+    fixture owner;
+    set_upstreams(owner.m_state, {fixture::record("a")}, owner.m_now);
+    upstream_row* row = owner.m_state.m_upstreams.find({"a"});
+    row->m_limit.m_limit = 8;
+    owner.m_state.m_pools.find(pool)->m_call_ms = 100;
+    const auto time_out = [&](milliseconds after)
+    {
+        owner.offer(owner.make_call());
+        const auto id = owner.take<start_upstream_call>().back().m_id;
+        owner.m_now += after;
+        on_upstream_end(owner.m_state,
+                        {id, false, call_reason::upstream_timeout, {}, "", 0},
+                        owner.m_now, owner.m_actions);
+    };
+    for (int call = 0; call < 4; ++call)
+    {
+        time_out(10ms);
+    }
+    EXPECT_EQUAL(row->m_limit.m_limit, 8U);
+    time_out(300ms);
+    time_out(300ms);
+    EXPECT_EQUAL(row->m_limit.m_limit, 1U);
+}
