Weigh queue waits by slots and over several periods in admission

Cause: the admitted share of a pool fell by a tenth whenever the mean of the waits reported in 100 ms passed the threshold. A host of a small deployment sees about one answer of a pool in that time, so one queue in front of a cold upstream with one slot refused requests while the rest of the pool was free: all 16 refusals of the farm while a data centre returned were by admission. Ruled out: infeasible deadlines and lowered limits, of which the log has none in that time. Change: waits count by the slots of their owner, and earlier periods count with a weight of 0.8 a period; a period without a report raises the share as before.

--- a/include/geraniumdoor/request/admission.hpp
+++ b/include/geraniumdoor/request/admission.hpp
@@ -13,9 +13,11 @@
 {
     /// Share of the requests of an average workspace of priority 0 that is admitted.
     double m_share = 1;
-    /// Waits reported since the last adjustment.
+    /// Reported waits times slots, and the slots. Older reports count less.
     double m_wait_sum_ms = 0;
-    std::uint32_t m_waits = 0;
+    double m_slots = 0;
+    /// Whether a wait was reported since the last adjustment.
+    bool m_noted = false;
     /// Shortest deadline of the pipelines that use the pool.
     milliseconds m_deadline{3000};
 };
@@ -29,7 +31,10 @@
 
 void set_admission_configuration(admission& state, const configuration& config);
 
-void note_pool_wait(admission& state, const pool_id& pool, milliseconds wait);
+/// Notes the wait at one owner. The slots that it has weigh the wait, so that an owner of
+/// a cold upstream does not pass for the whole pool.
+void note_pool_wait(admission& state, const pool_id& pool, milliseconds wait,
+                    std::uint32_t slots = 1);
 
 /// Adjusts the shares once per 100 ms: times 0.9 while the mean wait exceeds a tenth of
 /// the deadline, plus 0.02 otherwise.
--- a/src/request/admission.cpp
+++ b/src/request/admission.cpp
@@ -15,6 +15,9 @@
 /// A share of zero would admit nothing that could show an end of the overload.
 constexpr double least_share = 0.02;
 constexpr double longest_wait = 0.1;
+/// Part of the reported waits that counts again in the next period. A node of a small
+/// deployment sees about one answer of a pool in 100 ms, which is too few for a mean.
+constexpr double kept_per_period = 0.8;
 
 double mean_weight(const configuration& config)
 {
@@ -32,12 +35,13 @@
 
 void adjust(pool_admission& pool)
 {
-    const double wait = pool.m_waits == 0 ? 0 : pool.m_wait_sum_ms / pool.m_waits;
-    const bool slow = wait > longest_wait * to_ms(pool.m_deadline);
+    const double wait = pool.m_slots == 0 ? 0 : pool.m_wait_sum_ms / pool.m_slots;
+    const bool slow = pool.m_noted && wait > longest_wait * to_ms(pool.m_deadline);
     pool.m_share = slow ? std::max(pool.m_share * decrease, least_share)
                         : std::min(pool.m_share + increase, 1.0);
-    pool.m_wait_sum_ms = 0;
-    pool.m_waits = 0;
+    pool.m_wait_sum_ms *= kept_per_period;
+    pool.m_slots *= kept_per_period;
+    pool.m_noted = false;
 }
 
 } // namespace
@@ -63,12 +67,15 @@
     state.m_pools = std::move(pools);
 }
 
-void note_pool_wait(admission& state, const pool_id& pool, milliseconds wait)
+void note_pool_wait(admission& state, const pool_id& pool, milliseconds wait,
+                    std::uint32_t slots)
 {
     if (auto* row = state.m_pools.find(pool))
     {
-        row->m_wait_sum_ms += to_ms(wait);
-        ++row->m_waits;
+        const double weight = std::max(slots, 1U);
+        row->m_wait_sum_ms += weight * to_ms(wait);
+        row->m_slots += weight;
+        row->m_noted = true;
     }
 }
 
--- a/src/request/coordinator.cpp
+++ b/src/request/coordinator.cpp
@@ -212,7 +212,8 @@
         return;
     }
     const milliseconds wait{result.m_hint.m_queue_wait_ms};
-    note_pool_wait(state.m_admission, current_stage(*row).m_pool, wait);
+    note_pool_wait(state.m_admission, current_stage(*row).m_pool, wait,
+                   result.m_hint.m_total_slots);
     if (is_guarded_call_out(*row))
     {
         if (result.m_outcome == call_outcome::answered)
--- a/tests/request/coordinator_test.cpp
+++ b/tests/request/coordinator_test.cpp
@@ -230,6 +230,23 @@
     EXPECT_EQUAL(admitted_share(state, {"encode"}, 1, 1), 1.0);
 }
 
+// Guards against refusals while a data centre returns: its owners have a cold upstream
+// with one slot and a queue, and the rest of the pool is free.
+Test(coordinator, the_queue_of_a_cold_owner_does_not_lower_the_share_of_the_pool)
+{
+    admission state;
+    set_admission_configuration(state, example_configuration());
+    time_point now{10s};
+    for (int step = 0; step < 30; ++step)
+    {
+        const bool cold = step % 3 == 2;
+        note_pool_wait(state, {"encode"}, cold ? 500ms : 0ms, cold ? 1 : 8);
+        now += 100ms;
+        adjust_shares(state, now);
+    }
+    EXPECT_EQUAL(admitted_share(state, {"encode"}, 1, 1), 1.0);
+}
+
 Test(coordinator, calls_prefer_the_owner_with_free_slots)
 {
     fixture world;
