Name guarantors in a lease as soon as other nodes are known

Cause: the first lease row of a process names no guarantors while no other node is known, and the next row followed only after the renewal period of 2 s. When the table service went down before that, the lease could not be extended and its upstreams had no authority after 6 s.

Change: a lease that can name more guarantors than it does is renewed 0.5 s after its last write.

Ruled out: extending a lease without guarantors, because any node may revoke it.

--- a/src/dispatch/ownership_lease.cpp
+++ b/src/dispatch/ownership_lease.cpp
@@ -204,6 +204,16 @@
                   });
 }
 
+/// Whether the row can name more guarantors than it does. The first row of a process
+/// names none when no other node is known yet, and could not be extended in an outage.
+bool can_add_guarantors(const ownership_state& state, const held_lease& lease,
+                        time_point now)
+{
+    return lease.m_guarantors.size() < most_guarantors &&
+           now >= lease.m_written_at + retry_delay &&
+           choose_guarantors(state, lease).size() > lease.m_guarantors.size();
+}
+
 } // namespace
 
 std::vector<lease_guarantor> all_guarantors(const held_lease& lease)
@@ -245,7 +255,9 @@
     }
     for (held_lease& lease : state.m_held)
     {
-        if (!lease.m_writing && !lease.m_transfer && now >= lease.m_next_renewal)
+        const bool due =
+            now >= lease.m_next_renewal || can_add_guarantors(state, lease, now);
+        if (!lease.m_writing && !lease.m_transfer && due)
         {
             renew(state, lease, now, out);
         }
--- a/tests/daemon/serving_test.cpp
+++ b/tests/daemon/serving_test.cpp
@@ -165,9 +165,9 @@
     EXPECT_EQUAL(world.executions("debit", 50), 1);
 }
 
-// Guards against an upstream that loses its authority when the table service goes down
-// right after the upstream was handed over.
-Test(serving, an_outage_right_after_a_handover_leaves_authority)
+// Guards against leases without guarantors, which cannot be extended when the table
+// service goes down within the first renewal period of all daemons.
+Test(serving, an_outage_right_after_the_start_leaves_authority)
 {
     serving_world world{25600};
     world.start(500ms);
