Fall to the cold limit on an overload answer, and keep idle connections in a drain

Changes: cold limit at once, 'Connection: close' first and idle connections closed with the listening socket, conditional reads of the host list (ETag), the load tool reads 'replayed', task_failed is logged. The limit test now demands the cold limit, which is stricter.

--- a/include/geraniumdoor/cluster/drain.hpp
+++ b/include/geraniumdoor/cluster/drain.hpp
@@ -69,12 +69,13 @@
 {
 };
 
-/// Answer further requests with "Connection: close" and close idle connections.
-struct close_idle_connections
+/// Answer further requests with "Connection: close". Idle connections stay open, because
+/// a request may be on its way on them.
+struct end_keep_alive
 {
 };
 
-/// Close the listening sockets for callers.
+/// Close the listening sockets for callers, and the idle connections.
 struct stop_listening
 {
 };
@@ -87,7 +88,7 @@
     bool m_may_announce_left = true;
 };
 
-using drain_action = std::variant<announce_stop, transfer_lease, close_idle_connections,
+using drain_action = std::variant<announce_stop, transfer_lease, end_keep_alive,
                                   stop_listening, end_process>;
 using drain_actions = std::vector<drain_action>;
 
--- a/include/geraniumdoor/net/http_server.hpp
+++ b/include/geraniumdoor/net/http_server.hpp
@@ -63,10 +63,13 @@
     /// cannot be bound.
     void start();
 
-    /// Answers further requests with "Connection: close" and closes idle connections; new
-    /// connections are still served.
+    /// Answers further requests with "Connection: close". Idle connections stay open, and
+    /// new ones are still served.
     void begin_drain();
 
+    /// Closes the connections that carry no request. One that is on its way is lost.
+    void close_idle();
+
     /// Closes the listening socket. Running exchanges go on.
     void stop_accepting();
 
--- a/include/geraniumdoor/platform/host_list_client.hpp
+++ b/include/geraniumdoor/platform/host_list_client.hpp
@@ -7,7 +7,9 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstddef>
 #include <cstdint>
+#include <optional>
 #include <string>
 
 namespace geraniumdoor
@@ -36,12 +38,23 @@
     host_list_client(http_client& http, boost::asio::ip::tcp::endpoint service,
                      milliseconds timeout);
 
-    boost::asio::awaitable<result<host_list, host_list_error>> read();
+    /// Reads the list with a conditional request. Absent when the list is the one that
+    /// was read last (status 304).
+    boost::asio::awaitable<result<std::optional<host_list>, host_list_error>> read();
+
+    /// Size of the list that was read last, in bytes.
+    std::size_t list_bytes() const
+    {
+        return m_list_bytes;
+    }
 
 private:
     http_client& m_http;
     boost::asio::ip::tcp::endpoint m_service;
     milliseconds m_timeout;
+    /// Entity tag of the list that was read last; empty when there is none.
+    std::string m_tag;
+    std::size_t m_list_bytes = 0;
 };
 
 } // namespace geraniumdoor
--- a/programs/load_outcome.cpp
+++ b/programs/load_outcome.cpp
@@ -116,7 +116,10 @@
         {
             m_outcome.m_upstreams.push_back(text_field(stage.as_object(), "upstream"));
         }
+        // A replayed answer names only the stages that ran again.
+        const auto* replayed = answer.if_contains("replayed");
         const bool all =
+            (replayed != nullptr && replayed->as_bool()) ||
             m_outcome.m_upstreams.size() == m_arrival.m_pipeline->m_stages.size();
         m_outcome.m_lost_part = m_outcome.m_lost_part || !all;
     }
--- a/src/cluster/drain.cpp
+++ b/src/cluster/drain.cpp
@@ -32,7 +32,7 @@
         return;
     }
     enter(state, drain_phase::serving_out, now);
-    actions.emplace_back(close_idle_connections{});
+    actions.emplace_back(end_keep_alive{});
 }
 
 /// A caller may connect with its last moment of the keep time and then has its deadline.
--- a/src/daemon/entry_node.cpp
+++ b/src/daemon/entry_node.cpp
@@ -91,6 +91,18 @@
     return limits;
 }
 
+std::string describe(const std::exception_ptr& failure)
+{
+    try
+    {
+        std::rethrow_exception(failure);
+    }
+    catch (const std::exception& exception)
+    {
+        return exception.what();
+    }
+}
+
 /// Limits on answers of the platform and of upstreams, which send larger bodies than
 /// callers do.
 http_limits platform_limits()
@@ -216,7 +228,13 @@
 void entry_node::spawn(asio::awaitable<void> work)
 {
     asio::co_spawn(m_io, std::move(work),
-                   [self = shared_from_this()](const std::exception_ptr&) {});
+                   [self = shared_from_this()](const std::exception_ptr& failure)
+                   {
+                       if (failure)
+                       {
+                           log_event{"task_failed"}.add("reason", describe(failure));
+                       }
+                   });
 }
 
 void entry_node::halt()
@@ -270,9 +288,14 @@
         m_metrics.add("gd_host_list_failures_total", {});
         co_return;
     }
-    const host_list& hosts = value_of(answer);
-    set_upstreams(m_dispatcher, hosts.m_upstreams, std::chrono::steady_clock::now());
-    set_peer_hints(hosts.m_entry_hosts);
+    const std::optional<host_list>& hosts = value_of(answer);
+    if (hosts)
+    {
+        m_upstream_records = hosts->m_upstreams;
+        set_peer_hints(hosts->m_entry_hosts);
+    }
+    // Repeated for an unchanged list, because the pools may have changed.
+    set_upstreams(m_dispatcher, m_upstream_records, std::chrono::steady_clock::now());
 }
 
 void entry_node::set_peer_hints(const std::vector<entry_host_record>& hosts)
--- a/src/daemon/entry_node.hpp
+++ b/src/daemon/entry_node.hpp
@@ -159,6 +159,8 @@
     membership_state m_membership;
     dispatcher_state m_dispatcher;
     ownership_state m_ownership;
+    /// Upstreams as the host list named them last.
+    std::vector<upstream_record> m_upstream_records;
     coordinator m_coordinator;
     config_keeper m_config;
     address_settings m_addresses;
--- a/src/daemon/entry_node_stop.cpp
+++ b/src/daemon/entry_node_stop.cpp
@@ -65,13 +65,14 @@
         {
             geraniumdoor::begin_stop(m_ownership);
         }
-        else if constexpr (std::is_same_v<type, close_idle_connections>)
+        else if constexpr (std::is_same_v<type, end_keep_alive>)
         {
             m_caller_server.begin_drain();
         }
         else if constexpr (std::is_same_v<type, stop_listening>)
         {
             m_caller_server.stop_accepting();
+            m_caller_server.close_idle();
         }
         else
         {
--- a/src/dispatch/concurrency_limit.cpp
+++ b/src/dispatch/concurrency_limit.cpp
@@ -149,10 +149,9 @@
 
 void record_overload(concurrency_limit& limit, const limit_bounds& bounds, time_point now)
 {
-    const std::uint32_t cut = std::max(1U, limit.m_limit / 4);
-    const std::uint32_t lowered = limit.m_limit > cut ? limit.m_limit - cut : 1;
-    start_level(limit, std::max(bounds.m_cold, lowered), now);
-    limit.m_starting = false;
+    // An upstream that refuses work within its warm limit may have turned cold without
+    // notice; a smaller cut let further calls exceed what it could carry.
+    reset_limit(limit, bounds, now);
 }
 
 void record_silence(concurrency_limit& limit, const limit_bounds& bounds, time_point now,
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -310,6 +310,10 @@
 void http_server::begin_drain()
 {
     m_state->m_draining = true;
+}
+
+void http_server::close_idle()
+{
     for (const auto& peer : m_state->m_connections)
     {
         if (peer->m_idle && peer->m_buffer.size() == 0)
--- a/standins/gd_standin_platform_main.cpp
+++ b/standins/gd_standin_platform_main.cpp
@@ -1,6 +1,8 @@
 #include "platform_stores.hpp"
 #include "standin_support.hpp"
 
+#include <geraniumdoor/base/hash.hpp>
+
 #include <algorithm>
 #include <map>
 
@@ -189,7 +191,7 @@
         }
         if (path == "/v1/hosts")
         {
-            return json_response(m_hosts.read());
+            return hosts_response(exchange);
         }
         if (path.starts_with("/v1/weights/"))
         {
@@ -198,6 +200,20 @@
         return run_object(exchange.request(), path);
     }
 
+    /// The list, or 304 without it when the reader has it already.
+    http_response hosts_response(const http_exchange& exchange)
+    {
+        http_response response = json_response(m_hosts.read());
+        const std::string tag = '"' + digest_hex(response.m_body) + '"';
+        if (find_field(exchange.request().m_fields, "If-None-Match") == tag)
+        {
+            response = http_response{};
+            response.m_status = 304;
+        }
+        response.m_fields.emplace_back("ETag", tag);
+        return response;
+    }
+
     http_response run_object(const http_request& request, const std::string& path)
     {
         if (request.m_method == "PUT" && path.starts_with("/v1/objects/"))
--- a/tests/dispatch/concurrency_limit_test.cpp
+++ b/tests/dispatch/concurrency_limit_test.cpp
@@ -89,13 +89,13 @@
     EXPECT_EQUAL(limit.m_limit, 1U);
 }
 
-Test(concurrency_limit, one_overload_lowers_by_a_quarter)
+Test(concurrency_limit, one_overload_lowers_to_the_cold_limit)
 {
     time_point now{1s};
     random_source random{7};
     concurrency_limit limit = warm_limit(now, random);
     record_overload(limit, bounds, now);
-    EXPECT_EQUAL(limit.m_limit, 6U);
+    EXPECT_EQUAL(limit.m_limit, 1U);
 }
 
 Test(concurrency_limit, offers_one_call_at_a_time_to_a_silent_upstream)
--- a/tests/platform/clients_test.cpp
+++ b/tests/platform/clients_test.cpp
@@ -369,3 +369,18 @@
     cr_assert(not is_ok(failed));
     cr_expect(error_of(failed).m_kind == host_list_error_kind::bad_status);
 }
+
+// Guards against an unchanged list that is taken for an empty one.
+Test(host_list_client, an_unchanged_list_is_told_from_an_empty_one)
+{
+    fixture test{body(R"({"hosts":[]})"), 29311};
+    test.m_server.start();
+    host_list_client client{test.m_http, test.m_address, 200ms};
+    const auto first = test.run(client.read());
+    cr_assert(is_ok(first));
+    cr_expect(value_of(first).has_value());
+    test.m_answer = body("", 304);
+    const auto second = test.run(client.read());
+    cr_assert(is_ok(second));
+    cr_expect(not value_of(second).has_value());
+}
