Read the error document of a refused stream in the load tool

All of them were 503 answers within 1 ms; a loss in the product was ruled out, because no lost_part was among them.

--- a/programs/load_entry_callers.cpp
+++ b/programs/load_entry_callers.cpp
@@ -12,6 +12,7 @@
 namespace
 {
 
+constexpr unsigned http_status_ok = 200;
 constexpr std::size_t caller_count = 40;
 constexpr milliseconds address_timeout{500};
 /// Time after the deadline in which a final answer is still waited for.
@@ -153,7 +154,8 @@
         note_error(error_of(answer), outcome);
         co_return outcome.m_ended || error_of(answer).m_kind == http_error_kind::timeout;
     }
-    if (arrival.m_streamed)
+    // A refused stream is answered with one whole error document.
+    if (arrival.m_streamed && value_of(answer).m_status == http_status_ok)
     {
         checker.finish_stream();
     }
