Put the settings of membership, retention and requests in progress into effect

Reading the daemon as a newcomer showed that settings were checked and documented but never used: membership times, claim retention, requests in progress, the lease and the queue length. Removing the keys was ruled out, because they are documented and tested.

--- a/include/geraniumdoor/request/coordinator_actions.hpp
+++ b/include/geraniumdoor/request/coordinator_actions.hpp
@@ -25,6 +25,8 @@
     std::int64_t m_received_unix_s = 0;
     /// Key given by the caller, if any.
     std::optional<std::string> m_idempotency_key;
+    /// Time for which the request's claims are kept; the standard time when absent.
+    std::optional<seconds> m_retention;
     /// Input of the first stage, as JSON text.
     std::string m_input;
     bool m_streamed = false;
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -97,6 +97,10 @@
             ? read_caller_request(exchange.request(), m_coordinator.m_config,
                                   m_settings.m_requests.m_longest_deadline, started)
             : not_ready_refusal();
+    if (is_ok(checked) && m_sessions.size() >= m_settings.m_requests.m_in_progress)
+    {
+        checked = too_many_refusal();
+    }
     if (!is_ok(checked))
     {
         m_metrics.add("gd_refused_total", {{"reason", error_of(checked).m_error.m_code}});
@@ -106,6 +110,9 @@
     }
     pipeline_request wanted = std::move(value_of(checked));
     wanted.m_received_unix_s = unix_seconds();
+    wanted.m_retention = wanted.m_idempotency_key
+                             ? m_settings.m_requests.m_supplied_key_keep
+                             : m_settings.m_requests.m_derived_key_keep;
     wanted.m_id = request_id{m_settings.m_node, m_incarnation, ++m_last_request};
     auto session = std::make_shared<caller_session>(m_io.get_executor());
     m_sessions[wanted.m_id] = session;
@@ -215,6 +222,17 @@
     }
 }
 
+request_refusal entry_node::too_many_refusal() const
+{
+    constexpr milliseconds retry_after{1000};
+    request_refusal refusal;
+    refusal.m_status = 503;
+    refusal.m_error.m_code = name_of(answer_code::overloaded);
+    refusal.m_error.m_message = "this host has as many requests in progress as it takes";
+    refusal.m_error.m_retry_after = retry_after;
+    return refusal;
+}
+
 result<pipeline_request, request_refusal> entry_node::not_ready_refusal() const
 {
     constexpr milliseconds retry_after{1000};
--- a/src/daemon/entry_node.cpp
+++ b/src/daemon/entry_node.cpp
@@ -66,6 +66,19 @@
     return self;
 }
 
+membership_settings make_membership_settings(const membership_times& times)
+{
+    membership_settings settings;
+    settings.m_probe_period = times.m_probe_period;
+    settings.m_direct_timeout = times.m_indirect_probe_after;
+    // The suspicion starts before the next probe, as with the standard times.
+    settings.m_probe_timeout = times.m_probe_period * 4 / 5;
+    settings.m_suspicion_timeout = times.m_suspicion_timeout;
+    settings.m_keep_unreachable =
+        std::chrono::ceil<std::chrono::hours>(times.m_unreachable_keep);
+    return settings;
+}
+
 ownership_settings make_ownership_settings(const daemon_settings& settings,
                                            incarnation started)
 {
@@ -150,7 +163,8 @@
                      {
                          return serve_admin(exchange);
                      }}
-    , m_membership{make_membership({}, make_self(m_settings, started), m_timers.now())}
+    , m_membership{make_membership(make_membership_settings(m_settings.m_membership),
+                                   make_self(m_settings, started), m_timers.now())}
     , m_dispatcher{make_dispatcher(started, started.m_value)}
     , m_ownership{make_ownership(make_ownership_settings(m_settings, started),
                                  m_timers.now())}
--- a/src/daemon/entry_node.hpp
+++ b/src/daemon/entry_node.hpp
@@ -117,6 +117,7 @@
     // HTTP.
     bool is_ready() const;
     result<pipeline_request, request_refusal> not_ready_refusal() const;
+    request_refusal too_many_refusal() const;
     boost::asio::awaitable<void> wait_until_ready();
     std::string encode_address_answer();
     http_response hosts_response() const;
--- a/src/request/stage_steps.cpp
+++ b/src/request/stage_steps.cpp
@@ -34,8 +34,9 @@
 
 claim_row claim_row_of(const active_request& row)
 {
-    const auto retention =
+    const auto standard =
         row.m_request.m_idempotency_key ? supplied_key_retention : derived_key_retention;
+    const auto retention = row.m_request.m_retention.value_or(standard);
     claim_row claim;
     claim.m_request = row.m_request.m_id;
     claim.m_pipeline = row.m_pipeline->m_id;
