--- a/programs/gdcall_main.cpp
+++ b/programs/gdcall_main.cpp
@@ -269,29 +269,5 @@
 
 int main(int count, char** values)
 {
-    try
-    {
-        auto options = make_options();
-        const auto arguments = options.parse(count, values);
-        if (arguments.count("help") != 0)
-        {
-            std::cout << options.help();
-            return exit_ok;
-        }
-        if (arguments.count("version") != 0)
-        {
-            std::cout << "gdcall " << GD_VERSION << '\n';
-            return exit_ok;
-        }
-        return run(arguments);
-    }
-    catch (const cxxopts::exceptions::exception& error)
-    {
-        return usage_error(error.what());
-    }
-    catch (const std::exception& error)
-    {
-        std::cerr << "gdcall: " << error.what() << '\n';
-        return exit_failed;
-    }
+    return run_program("gdcall", count, values, make_options, run);
 }
--- a/programs/geraniumdoord_main.cpp
+++ b/programs/geraniumdoord_main.cpp
@@ -100,30 +100,5 @@
 
 int main(int count, char** values)
 {
-    try
-    {
-        auto options = make_options();
-        const auto arguments = options.parse(count, values);
-        if (arguments.count("help") != 0)
-        {
-            std::cout << options.help();
-            return exit_ok;
-        }
-        if (arguments.count("version") != 0)
-        {
-            std::cout << "geraniumdoord " << GD_VERSION << '\n';
-            return exit_ok;
-        }
-        return run(arguments);
-    }
-    catch (const cxxopts::exceptions::exception& error)
-    {
-        std::cerr << "geraniumdoord: " << error.what() << "; see --help\n";
-        return exit_usage;
-    }
-    catch (const std::exception& error)
-    {
-        std::cerr << "geraniumdoord: " << error.what() << '\n';
-        return exit_failed;
-    }
+    return run_program("geraniumdoord", count, values, make_options, run);
 }
--- a/programs/program_support.cpp
+++ b/programs/program_support.cpp
@@ -4,7 +4,9 @@
 
 #include <cerrno>
 #include <cstring>
+#include <exception>
 #include <fstream>
+#include <iostream>
 #include <sstream>
 
 namespace geraniumdoor
@@ -40,4 +42,36 @@
     google::InitGoogleLogging(program);
 }
 
+int run_program(const std::string& name, int count, char** values,
+                const std::function<cxxopts::Options()>& make_options,
+                const std::function<int(const cxxopts::ParseResult&)>& run)
+{
+    try
+    {
+        auto options = make_options();
+        const auto arguments = options.parse(count, values);
+        if (arguments.count("help") != 0)
+        {
+            std::cout << options.help();
+            return exit_ok;
+        }
+        if (arguments.count("version") != 0)
+        {
+            std::cout << name << ' ' << GD_VERSION << '\n';
+            return exit_ok;
+        }
+        return run(arguments);
+    }
+    catch (const cxxopts::exceptions::exception& error)
+    {
+        std::cerr << name << ": " << error.what() << "; see --help\n";
+        return exit_usage;
+    }
+    catch (const std::exception& error)
+    {
+        std::cerr << name << ": " << error.what() << '\n';
+        return exit_failed;
+    }
+}
+
 } // namespace geraniumdoor
--- a/programs/program_support.hpp
+++ b/programs/program_support.hpp
@@ -1,5 +1,9 @@
 #pragma once
 
+#include <cxxopts.hpp>
+
+#include <cstddef>
+#include <functional>
 #include <string>
 #include <variant>
 
@@ -28,4 +32,11 @@
 /// Sets up glog: to standard error, or to files in the directory when it is not empty.
 void start_logging(const char* program, const std::string& directory, bool to_stderr);
 
+/// Parses the command line, answers --help and --version, and runs the program. Returns
+/// its exit code: exit_usage for a wrong command line, exit_failed for any other
+/// exception.
+int run_program(const std::string& name, int count, char** values,
+                const std::function<cxxopts::Options()>& make_options,
+                const std::function<int(const cxxopts::ParseResult&)>& run);
+
 } // namespace geraniumdoor
