--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -190,6 +190,74 @@
     }
 };
 
-using datagram = std::variant<ping, ping_req, ack>;
+/// Work that a host has in progress at one upstream.
+struct upstream_load
+{
+    /// First 32 bits of the stable hash of the upstream's id.
+    std::uint32_t m_upstream = 0;
+    std::uint16_t m_requests = 0;
+    std::uint32_t m_tokens = 0;
+
+    bool operator==(const upstream_load&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_upstream, m_requests, m_tokens);
+    }
+};
+
+/// Wait at the queue of a pool that a host runs.
+struct pool_wait
+{
+    /// First 32 bits of the stable hash of the pool's id.
+    std::uint32_t m_pool = 0;
+    std::uint32_t m_wait_ms = 0;
+
+    bool operator==(const pool_wait&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_pool, m_wait_ms);
+    }
+};
+
+/// Most loads in one report; an upstream left out counts as idle there.
+constexpr std::size_t max_reported_loads = 70;
+constexpr std::size_t max_reported_waits = 16;
+
+/// State of a host, sent to all others a few times a second.
+struct host_report
+{
+    node_id m_node;
+    incarnation m_incarnation;
+    /// Counts the reports of one incarnation.
+    std::uint32_t m_sequence = 0;
+    data_centre_id m_data_centre;
+    node_address m_peer;
+    node_address m_caller;
+    bool m_ready = false;
+    bool m_stopping = false;
+    /// Versions of the operator's rows and of the registry that the host holds.
+    std::uint64_t m_intent_version = 0;
+    std::uint64_t m_registry_version = 0;
+    /// Processor time in thousandths of a core.
+    std::uint32_t m_processor = 0;
+    std::vector<upstream_load> m_loads;
+    std::vector<pool_wait> m_waits;
+
+    bool operator==(const host_report&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(short_text{m_node.m_value}, m_incarnation, m_sequence,
+                short_text{m_data_centre.m_value}, m_peer, m_caller, m_ready, m_stopping,
+                m_intent_version, m_registry_version, m_processor, m_loads, m_waits);
+    }
+};
+
+using datagram = std::variant<ping, ping_req, ack, host_report>;
 
 } // namespace geraniumdoor
--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -372,11 +372,132 @@
     }
 };
 
+/// To the host that runs a pool's queue: make all pieces of one stage of one request.
+struct pieces_request
+{
+    /// Counter of the sender.
+    std::uint64_t m_job = 0;
+    pool_id m_pool;
+    attempt_id m_request;
+    stage_index m_stage;
+    std::uint32_t m_pieces = 0;
+    /// Input of a stage without predecessors.
+    std::string m_key;
+    /// Results of the stages before.
+    std::vector<std::string> m_inputs;
+    /// Time left to meet the response-time goal, in milliseconds; may be negative.
+    std::int32_t m_due_ms = 0;
+    /// Time left to be of any use, in milliseconds.
+    std::int32_t m_deadline_ms = 0;
+    std::uint32_t m_rank = 0;
+    data_centre_id m_preferred;
+    std::uint64_t m_result_bytes = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_job, m_pool, m_request, m_stage, m_pieces, m_key, m_inputs, m_due_ms,
+                m_deadline_ms, m_rank, m_preferred, m_result_bytes);
+    }
+};
+
+enum class pieces_outcome : std::uint8_t
+{
+    done,
+    /// Not in time; m_retry_after_ms says when there is capacity again.
+    refused,
+    /// An input is gone.
+    input_gone,
+    failed,
+};
+
+struct pieces_result
+{
+    std::uint64_t m_job = 0;
+    pieces_outcome m_outcome = pieces_outcome::failed;
+    /// One for each piece, in order, when the outcome is done.
+    std::vector<std::string> m_handles;
+    std::uint32_t m_retry_after_ms = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_job, m_outcome, m_handles, m_retry_after_ms);
+    }
+};
+
+struct pieces_cancel
+{
+    std::uint64_t m_job = 0;
+    pool_id m_pool;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_job, m_pool);
+    }
+};
+
+/// Results that nobody needs any more.
+struct results_release
+{
+    pool_id m_pool;
+    std::vector<std::string> m_handles;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_pool, m_handles);
+    }
+};
+
+/// A row of the platform's store, undecoded.
+struct stored_row
+{
+    std::string m_key;
+    std::string m_value;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_key, m_value);
+    }
+};
+
+/// Asks a host for what it holds of the platform's store beyond these versions.
+struct state_pull
+{
+    std::uint64_t m_intent_version = 0;
+    std::uint64_t m_registry_version = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_intent_version, m_registry_version);
+    }
+};
+
+/// Whole tables as of their versions; a version of zero leaves a table out.
+struct state_push
+{
+    std::uint64_t m_intent_version = 0;
+    std::vector<stored_row> m_intent;
+    std::uint64_t m_registry_version = 0;
+    std::vector<stored_row> m_registry;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_intent_version, m_intent, m_registry_version, m_registry);
+    }
+};
+
 using node_message =
     std::variant<hello, stage_call, stage_chunk, stage_result, stage_cancel,
                  attempt_query, attempt_status, ownership_announce, lease_extend,
                  lease_grant, lease_transfer, lease_transfer_ack, transfer_outstanding,
-                 config_pull, config_push>;
+                 config_pull, config_push, pieces_request, pieces_result, pieces_cancel,
+                 results_release, state_pull, state_push>;
 
 } // namespace geraniumdoor
 
--- /dev/null
+++ b/include/geraniumdoor/edge/edge_settings.hpp
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <geraniumdoor/base/ids.hpp>
+#include <geraniumdoor/base/result.hpp>
+#include <geraniumdoor/config/daemon_settings.hpp>
+#include <geraniumdoor/config/document_reader.hpp>
+#include <geraniumdoor/serving/retry_allowance.hpp>
+
+#include <cstdint>
+#include <optional>
+#include <string_view>
+#include <vector>
+
+namespace geraniumdoor::edge
+{
+
+/// Settings of an edge host, JSON with comments.
+struct edge_settings
+{
+    node_id m_node;
+    data_centre_id m_data_centre;
+    region_id m_region;
+    /// Where callers connect.
+    ip_endpoint m_callers;
+    /// Where readiness and metrics are served.
+    ip_endpoint m_readiness;
+    /// Where callers ask for addresses.
+    ip_endpoint m_directory;
+    /// Where other hosts connect, over TCP and UDP.
+    ip_endpoint m_peers;
+    ip_endpoint m_store;
+    /// Hosts that may know others; any of them may be down.
+    std::vector<ip_endpoint> m_seeds;
+    /// Processor time of this host in cores.
+    double m_processor_share = 1;
+    /// Descriptors that the process may open.
+    std::uint32_t m_open_files = 1024;
+    serving::retry_bound m_retries;
+    /// A cold upstream bears this multiple of its rate, and this many requests more, in
+    /// one second.
+    double m_cold_factor = 1;
+    double m_cold_extra = 0;
+    /// Time that a process has from SIGTERM to its end.
+    milliseconds m_stop_time{8000};
+    /// Longest time for which callers may keep an address answer.
+    seconds m_longest_address_life{5};
+};
+
+/// Returns all faults of the settings, each with its key.
+result<edge_settings, document_faults> parse_edge_settings(std::string_view text);
+
+} // namespace geraniumdoor::edge
--- /dev/null
+++ b/include/geraniumdoor/net/http_call.hpp
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <geraniumdoor/base/result.hpp>
+#include <geraniumdoor/net/http_types.hpp>
+
+#include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/ip/tcp.hpp>
+
+#include <memory>
+#include <optional>
+#include <string>
+
+namespace geraniumdoor
+{
+
+/// Status and fields of an answer whose body is read in parts.
+struct http_answer_head
+{
+    unsigned m_status = 0;
+    http_fields m_fields;
+    /// Length of the body as announced; empty for a chunked body or one that ends with
+    /// its connection.
+    std::optional<std::uint64_t> m_length;
+};
+
+/// One call on a connection of its own whose answer is read in parts as they arrive. The
+/// request is written while the answer is read, so that an early answer is seen.
+class http_call
+{
+public:
+    http_call(boost::asio::any_io_executor executor, http_limits limits);
+    ~http_call();
+    http_call(const http_call&) = delete;
+    http_call& operator=(const http_call&) = delete;
+
+    /// Fails with connect_failed or timeout; no byte of a request has left then.
+    boost::asio::awaitable<result<done, http_error>>
+    connect(boost::asio::ip::tcp::endpoint endpoint, milliseconds limit);
+
+    /// Starts to send the request and waits for the head of the final answer.
+    /// Precondition: connect succeeded.
+    boost::asio::awaitable<result<http_answer_head, http_error>>
+    send(http_request request, milliseconds limit);
+
+    /// Returns the next bytes of the body; an empty text is its end. An answer that was
+    /// cut off ends in an error.
+    boost::asio::awaitable<result<std::string, http_error>> read_part(milliseconds limit);
+
+    /// Closes the connection; a pending operation ends with http_error_kind::aborted.
+    void close();
+
+private:
+    struct state;
+
+    std::shared_ptr<state> m_state;
+};
+
+} // namespace geraniumdoor
--- a/include/geraniumdoor/net/http_server.hpp
+++ b/include/geraniumdoor/net/http_server.hpp
@@ -7,8 +7,10 @@
 #include <boost/asio/ip/tcp.hpp>
 
 #include <cstddef>
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -33,12 +35,19 @@
     virtual boost::asio::awaitable<void> begin_stream(unsigned status,
                                                       std::string content_type) = 0;
 
+    /// Starts a response with these fields. With a length, the parts that follow are sent
+    /// as they are and must add up to it; without, they are sent as chunks.
+    virtual boost::asio::awaitable<void>
+    begin_answer(unsigned status, http_fields fields,
+                 std::optional<std::uint64_t> length) = 0;
+
     /// Sends one chunk. Returns false when the peer has gone.
     virtual boost::asio::awaitable<bool> write_part(std::string part) = 0;
 
     virtual boost::asio::awaitable<void> end_stream() = 0;
 
-    /// Closes the connection without an answer. Stand-ins use it to lose answers.
+    /// Closes the connection without an answer, or in the middle of one, so that the peer
+    /// cannot take what it has for a whole answer.
     virtual void drop() = 0;
 
     /// The callback runs once if the peer closes the connection before the answer is
@@ -63,6 +72,9 @@
     /// cannot be bound.
     void start();
 
+    /// Limits of requests that have not begun to arrive.
+    void set_limits(http_limits limits);
+
     /// Answers further requests with "Connection: close". Idle connections stay open, and
     /// new ones are still served.
     void begin_drain();
--- /dev/null
+++ b/include/geraniumdoor/serving/engine_choice.hpp
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <geraniumdoor/serving/upstreams.hpp>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace geraniumdoor::serving
+{
+
+/// One part of a prompt. Engines keep the parts that several prompts begin with.
+struct prompt_part
+{
+    std::string m_id;
+    std::uint32_t m_tokens = 0;
+};
+
+struct prompt
+{
+    std::vector<prompt_part> m_parts;
+    std::uint32_t m_prompt_tokens = 0;
+    std::uint32_t m_output_tokens = 0;
+};
+
+/// Prompt tokens that an engine reads in one millisecond. Source: the sheet of both
+/// users, 48.2.
+inline constexpr double prefill_tokens_per_ms = 48.2;
+
+/// Time that each request in progress adds to the next one's first token, in
+/// milliseconds: its share of a step and of the prompts read between the steps.
+inline constexpr double running_request_ms = 4;
+
+/// Chooses the engine for a prompt.
+///
+/// Load pattern: prompts of which four fifths are shared parts that take 50 to 300 ms to
+/// read when they are not in an engine's memory, with one key at times getting a third of
+/// the traffic. The first shared part picks an engine by rendezvous hashing, so that all
+/// hosts agree without talking; a request goes to the next engine in that order when the
+/// wait at the first exceeds the time to read the shared parts again.
+/// @param tried engines that the request was already sent to
+/// @param preferred data centre where the inputs lie; empty for none
+const upstream* choose_engine(const upstream_table& table, const pool_id& pool,
+                              const prompt& wanted, const engine_limits& limits,
+                              const std::vector<upstream_id>& tried,
+                              const data_centre_id& preferred, time_point now);
+
+/// Time until the first token that choose_engine expects, in milliseconds.
+/// @param cached whether the shared parts are taken to be in the engine's memory
+double expected_first_token_ms(const upstream& engine, const prompt& wanted, bool cached);
+
+} // namespace geraniumdoor::serving
--- /dev/null
+++ b/include/geraniumdoor/serving/path_estimate.hpp
@@ -0,0 +1,48 @@
+#pragma once
+
+#include <geraniumdoor/base/units.hpp>
+#include <geraniumdoor/serving/routing.hpp>
+
+#include <cstdint>
+#include <vector>
+
+namespace geraniumdoor::serving
+{
+
+/// What one stage of a request is expected to take.
+struct stage_estimate
+{
+    /// Before its first call begins.
+    milliseconds m_wait{0};
+    /// From there to its last result.
+    milliseconds m_work{0};
+};
+
+/// Expected course of a request over all its stages.
+struct path_estimate
+{
+    /// Time from now to the end of each stage, and to the first byte of the answer.
+    std::vector<milliseconds> m_stage_ends;
+    milliseconds m_first_byte{0};
+    /// Time from the end of each stage to the first byte of the answer, without waits.
+    std::vector<milliseconds> m_after_stage;
+};
+
+/// Follows the stages of a route. A stage with no pieces takes no time.
+/// @param stages one estimate for each stage of the route
+/// @param pieces pieces of each stage; missing ones count as zero
+/// @param answer time from the last input to the first byte
+path_estimate estimate_path(const route& chosen,
+                            const std::vector<stage_estimate>& stages,
+                            const std::vector<std::uint32_t>& pieces,
+                            milliseconds answer);
+
+/// Time for one stage without waiting, for calls that run side by side.
+milliseconds stage_work(const piece_limits& limits, std::uint32_t pieces);
+
+/// Time after which the caller of a refused request should return: when there is
+/// capacity again, but not later than a third of the time the caller has, which is as
+/// long as callers are ready to wait.
+milliseconds time_to_return(milliseconds until_capacity, milliseconds left);
+
+} // namespace geraniumdoor::serving
--- /dev/null
+++ b/include/geraniumdoor/serving/stage_queue.hpp
@@ -0,0 +1,141 @@
+#pragma once
+
+#include <geraniumdoor/base/ids.hpp>
+#include <geraniumdoor/base/units.hpp>
+#include <geraniumdoor/serving/routing.hpp>
+
+#include <cstdint>
+#include <map>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace geraniumdoor::serving
+{
+
+/// Identifies a stage of a request at the host that runs the queue.
+struct job_id
+{
+    node_id m_host;
+    incarnation m_incarnation;
+    std::uint64_t m_counter = 0;
+
+    auto operator<=>(const job_id&) const = default;
+};
+
+enum class piece_state : std::uint8_t
+{
+    waiting,
+    running,
+    done,
+};
+
+struct piece
+{
+    piece_state m_state = piece_state::waiting;
+    /// Calls in progress that carry it; more than one when a slow call is repeated.
+    std::uint32_t m_calls = 0;
+    std::uint32_t m_failures = 0;
+    /// Where the result lies; empty until it is done.
+    std::string m_handle;
+};
+
+/// All pieces of one stage of one request.
+struct stage_job
+{
+    attempt_id m_request;
+    stage_index m_stage;
+    std::vector<piece> m_pieces;
+    /// Input of a stage without predecessors; empty otherwise.
+    std::string m_key;
+    /// Results of the stages before.
+    std::vector<std::string> m_inputs;
+    /// When the stage must end for the request to meet its response-time goal.
+    time_point m_due{};
+    /// When the stage must end for the request to be answered at all.
+    time_point m_deadline{};
+    /// Rank of workspace and route; 0 first.
+    std::uint32_t m_rank = 0;
+    /// Data centre in which the results are wanted; empty for any.
+    data_centre_id m_preferred;
+    std::uint64_t m_result_bytes = 0;
+    time_point m_arrived{};
+};
+
+/// An upstream that runs pieces, as the host that feeds it sees it.
+struct stage_worker
+{
+    data_centre_id m_data_centre;
+    /// When the call in progress is expected to end; empty when it is idle.
+    std::optional<time_point> m_busy_until;
+    time_point m_call_began{};
+    /// Not to be used before, after an answer that it is full, failed or has no room.
+    time_point m_blocked_until{};
+    /// Bytes of results that were made there and not freed.
+    std::uint64_t m_room_used = 0;
+    /// Time of its calls against the expectation; 1 is as expected.
+    double m_slowness = 1;
+    std::uint32_t m_failures_in_row = 0;
+};
+
+/// Work that waits for the upstreams of one pool, and these upstreams.
+struct stage_queue
+{
+    piece_limits m_limits;
+    std::map<job_id, stage_job> m_jobs;
+    std::map<upstream_id, stage_worker> m_workers;
+    /// Moving average of the time for a piece, in milliseconds, at an upstream of normal
+    /// speed; 0 until there is a sample.
+    double m_piece_ms = 0;
+};
+
+struct piece_ref
+{
+    job_id m_job;
+    std::uint32_t m_piece = 0;
+};
+
+/// Order of jobs: the earlier one goes first.
+struct job_urgency
+{
+    /// Jobs that can no longer meet their goal go after all that can.
+    bool m_late = false;
+    time_point m_virtual_due{};
+
+    auto operator<=>(const job_urgency&) const = default;
+};
+
+/// Later due time of a job for each step of its rank. A request of rank 2 overtakes one
+/// of rank 0 only when its goal is 500 ms closer.
+inline constexpr milliseconds rank_step{250};
+
+/// Returns the expected time of a call with that many pieces.
+milliseconds expected_call_time(const stage_queue& queue, std::size_t pieces,
+                                double slowness);
+
+job_urgency urgency_of(const stage_queue& queue, const stage_job& job, time_point now);
+
+/// Chooses the pieces of the next call to an idle upstream; none when it should wait.
+///
+/// Load pattern: calls take 150 ms plus a few milliseconds for each piece, so capacity
+/// comes from full calls, and one request brings 1 to 40 pieces. Whole jobs go first, in
+/// order of urgency; a job is split only when the pieces that wait fill more than one
+/// call. Under overload the jobs that can still meet their goal go before those that
+/// cannot, and higher ranks before lower ones.
+std::vector<piece_ref> next_call(const stage_queue& queue, const upstream_id& worker,
+                                 time_point now);
+
+/// When a job that arrives now would be done.
+time_point predicted_end(const stage_queue& queue, const stage_job& job, time_point now);
+
+/// Wait for a job of the lowest rank that arrives now, in milliseconds, before its own
+/// call begins.
+milliseconds backlog_wait(const stage_queue& queue, time_point now);
+
+/// Jobs whose deadline cannot be met any more.
+std::vector<job_id> hopeless_jobs(const stage_queue& queue, time_point now);
+
+/// Calls that take so long that their pieces should run elsewhere as well.
+std::vector<upstream_id> overdue_workers(const stage_queue& queue, time_point now);
+
+} // namespace geraniumdoor::serving
--- /dev/null
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <geraniumdoor/base/table.hpp>
+#include <geraniumdoor/config/daemon_settings.hpp>
+#include <geraniumdoor/serving/routing.hpp>
+
+#include <cstdint>
+#include <string>
+#include <unordered_map>
+#include <unordered_set>
+#include <vector>
+
+namespace geraniumdoor::serving
+{
+
+/// What an upstream says of itself in the registry.
+struct upstream_entry
+{
+    upstream_id m_id;
+    pool_id m_pool;
+    ip_endpoint m_address;
+    data_centre_id m_data_centre;
+    bool m_leaving = false;
+    std::uint32_t m_concurrency = 1;
+    /// How much longer it stays cold, when the entry was written.
+    milliseconds m_cold_for{0};
+    /// Start of the process in Unix milliseconds; a restart under the same id changes it.
+    std::int64_t m_started = 0;
+};
+
+/// Times of the circuit breaker that keeps failing upstreams out of the choice.
+/// A dark upstream costs each request that tries it one connect timeout; the registry
+/// drops it after about 4 s.
+inline constexpr milliseconds first_ejection{700};
+inline constexpr milliseconds longest_ejection{5000};
+
+/// Weight of the newest sample in moving averages of response times and failures.
+inline constexpr double sample_weight = 0.2;
+
+/// An upstream and what this host has seen of it.
+struct upstream
+{
+    upstream_entry m_entry;
+    /// Requests that this host has in progress there.
+    std::uint32_t m_running = 0;
+    /// Prompt tokens of these requests.
+    std::uint64_t m_running_tokens = 0;
+    /// Requests and tokens that other hosts report to have there.
+    std::uint32_t m_running_elsewhere = 0;
+    std::uint64_t m_tokens_elsewhere = 0;
+    time_point m_cold_until{};
+    /// Failures in a row that point to the upstream itself.
+    std::uint32_t m_failures_in_row = 0;
+    time_point m_ejected_until{};
+    /// Moving average of the share of answers that failed.
+    double m_failure_share = 0;
+    /// Moving average of the time to an answer against what was expected; 1 is as
+    /// expected.
+    double m_slowness = 1;
+    /// When the last request was sent while it was cold.
+    time_point m_last_cold_send{};
+};
+
+/// Upstreams by id, and what the operator has said of data centres.
+struct upstream_table
+{
+    table<upstream_id, upstream> m_rows;
+    std::unordered_set<data_centre_id> m_evacuated;
+};
+
+/// Takes over a registry entry. A changed start, pool or address forgets what was seen of
+/// the process before.
+void put_entry(upstream_table& table, const upstream_entry& entry, time_point now);
+
+/// Whether new work may go to the upstream at all.
+bool accepts_work(const upstream_table& table, const upstream& candidate);
+
+/// Whether the upstream also looks healthy to this host.
+bool is_available(const upstream_table& table, const upstream& candidate, time_point now);
+
+/// Notes an answer: whether it was good and how long it took against the expectation.
+void note_answer(upstream& row, bool good, double slowness);
+
+/// Notes a connection that could not be made, broke, or stayed silent. Ejects the
+/// upstream for a time that doubles with each failure in a row.
+void note_unreachable(upstream& row, time_point now);
+
+/// Load that counts for a choice: requests of all hosts against the slots.
+double load_of(const upstream& row);
+
+/// Chooses the upstream of a plain service for one request.
+///
+/// Load pattern: a service of a few upstreams with few slots, of which some work slowly
+/// or fail part of their answers while their status check is good. Picks the lowest
+/// expected response time, that is slowness times load, with a share of failures counted
+/// as repeated work, and prefers the host's own data centre on a tie.
+/// @param tried upstreams that the request was already sent to
+const upstream* choose_plain(const upstream_table& table, const pool_id& pool,
+                             const data_centre_id& own,
+                             const std::vector<upstream_id>& tried, time_point now);
+
+} // namespace geraniumdoor::serving
--- /dev/null
+++ b/programs/edge/geraniumdoor_edge_main.cpp
@@ -0,0 +1,227 @@
+#include "program_support.hpp"
+
+#include <geraniumdoor/base/bounded_log.hpp>
+#include <geraniumdoor/base/log.hpp>
+#include <geraniumdoor/edge/edge_daemon.hpp>
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <cxxopts.hpp>
+
+#include <chrono>
+#include <csignal>
+#include <cstdlib>
+#include <iostream>
+
+#include <malloc.h>
+#include <sys/stat.h>
+#include <unistd.h>
+
+using namespace geraniumdoor;
+
+namespace
+{
+
+/// Variable that names the settings file; the platform sets it.
+constexpr const char* settings_variable = "GERANIUMDOOR_CONFIG";
+
+constexpr std::size_t max_settings_bytes = std::size_t{64} * 1024;
+
+/// Period in which the settings file is looked at for changes without a signal.
+constexpr milliseconds settings_check{1000};
+
+cxxopts::Options make_options()
+{
+    cxxopts::Options options{
+        "geraniumdoor_edge",
+        "Edge host: serves callers on the users' platform.\n"
+        "Exit codes: 0 stopped as planned, 1 failed, 2 wrong command line or settings."};
+    options.add_options()(
+        "settings", "settings file, JSON with comments; default: $GERANIUMDOOR_CONFIG",
+        cxxopts::value<std::string>(), "FILE")("check", "check the settings and exit")(
+        "version", "print the version and exit")("help", "print this text and exit");
+    return options;
+}
+
+std::variant<edge::edge_settings, file_error> read_settings(const std::string& path)
+{
+    const auto text = read_text_file(path, max_settings_bytes);
+    if (const auto* error = std::get_if<file_error>(&text))
+    {
+        return *error;
+    }
+    auto settings = edge::parse_edge_settings(std::get<std::string>(text));
+    if (!is_ok(settings))
+    {
+        return file_error{path + ": " + to_text(error_of(settings))};
+    }
+    return value_of(std::move(settings));
+}
+
+/// Milliseconds since 1970, so that a restarted process has a higher incarnation.
+incarnation incarnation_now()
+{
+    const auto now = std::chrono::system_clock::now().time_since_epoch();
+    const auto count = std::chrono::duration_cast<milliseconds>(now).count();
+    return {static_cast<std::uint64_t>(count)};
+}
+
+/// Reads the settings again on SIGHUP and when the file has changed.
+class settings_watch
+{
+public:
+    settings_watch(boost::asio::io_context& io, edge::edge_daemon& daemon,
+                   std::string path)
+        : m_daemon{daemon}, m_path{std::move(path)}, m_hangup{io, SIGHUP}, m_timer{io}
+    {
+    }
+
+    void start()
+    {
+        m_changed = change_time();
+        wait_for_signal();
+        wait_for_change();
+    }
+
+private:
+    std::pair<std::int64_t, std::int64_t> change_time() const
+    {
+        struct stat facts
+        {
+        };
+        if (::stat(m_path.c_str(), &facts) != 0)
+        {
+            return {};
+        }
+        return {facts.st_mtim.tv_sec, facts.st_mtim.tv_nsec};
+    }
+
+    void reload()
+    {
+        m_changed = change_time();
+        const auto settings = read_settings(m_path);
+        if (const auto* error = std::get_if<file_error>(&settings))
+        {
+            // The settings in force stay.
+            log_event{"settings_rejected"}.add("reason", error->m_message);
+            return;
+        }
+        m_daemon.apply(std::get<edge::edge_settings>(settings));
+    }
+
+    void wait_for_signal()
+    {
+        m_hangup.async_wait(
+            [this](const boost::system::error_code& error, int)
+            {
+                if (!error)
+                {
+                    reload();
+                    wait_for_signal();
+                }
+            });
+    }
+
+    void wait_for_change()
+    {
+        m_timer.expires_after(settings_check);
+        m_timer.async_wait(
+            [this](const boost::system::error_code& error)
+            {
+                if (error)
+                {
+                    return;
+                }
+                if (change_time() != m_changed)
+                {
+                    reload();
+                }
+                wait_for_change();
+            });
+    }
+
+    edge::edge_daemon& m_daemon;
+    std::string m_path;
+    boost::asio::signal_set m_hangup;
+    boost::asio::steady_timer m_timer;
+    std::pair<std::int64_t, std::int64_t> m_changed{};
+};
+
+/// Runs until the planned stop that SIGTERM or SIGINT starts has ended.
+int serve(edge::edge_settings settings, const std::string& path)
+{
+    boost::asio::io_context io{1};
+    edge::edge_daemon daemon{io, std::move(settings), incarnation_now()};
+    boost::asio::signal_set signals{io, SIGTERM, SIGINT};
+    signals.async_wait(
+        [&](const boost::system::error_code& error, int)
+        {
+            if (!error)
+            {
+                daemon.begin_stop(
+                    [&io]
+                    {
+                        io.stop();
+                    });
+            }
+        });
+    settings_watch watch{io, daemon, path};
+    watch.start();
+    daemon.start();
+    io.run();
+    return exit_ok;
+}
+
+int run(const cxxopts::ParseResult& arguments)
+{
+    if (!arguments.unmatched().empty())
+    {
+        std::cerr << "geraniumdoor_edge: \"" << arguments.unmatched().front()
+                  << "\" is not an option; see --help\n";
+        return exit_usage;
+    }
+    const char* from_platform = std::getenv(settings_variable);
+    if (arguments.count("settings") == 0 && from_platform == nullptr)
+    {
+        std::cerr << "geraniumdoor_edge: --settings FILE or $" << settings_variable
+                  << " is required\n";
+        return exit_usage;
+    }
+    const std::string path = arguments.count("settings") != 0
+                                 ? arguments["settings"].as<std::string>()
+                                 : std::string{from_platform};
+    auto settings = read_settings(path);
+    if (const auto* error = std::get_if<file_error>(&settings))
+    {
+        std::cerr << "geraniumdoor_edge: " << error->m_message << '\n';
+        return exit_usage;
+    }
+    if (arguments.count("check") != 0)
+    {
+        std::cout << path << ": the settings are valid\n";
+        return exit_ok;
+    }
+    bounded_log log{STDOUT_FILENO, {}};
+    set_log_sink(
+        [&log](std::string_view line)
+        {
+            log.write(line, std::chrono::steady_clock::now());
+        });
+    const int code =
+        serve(std::get<edge::edge_settings>(std::move(settings)), path);
+    set_log_sink({});
+    return code;
+}
+
+} // namespace
+
+int main(int count, char** values)
+{
+    std::signal(SIGPIPE, SIG_IGN);
+    // Returns freed memory early: the resident set is what a host is billed for.
+    constexpr int trim_bytes = 128 * 1024;
+    ::mallopt(M_TRIM_THRESHOLD, trim_bytes);
+    ::mallopt(M_ARENA_MAX, 1);
+    return run_program("geraniumdoor_edge", count, values, make_options, run);
+}
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -119,6 +119,17 @@
     return in_range(message.m_gossip);
 }
 
+bool in_range(const host_report& message)
+{
+    return message.m_loads.size() <= max_reported_loads &&
+           message.m_waits.size() <= max_reported_waits;
+}
+
+bool in_range(const pieces_result& message)
+{
+    return message.m_outcome <= pieces_outcome::failed;
+}
+
 /// Decodes the body as alternative Index of the variant.
 template<class Variant, std::size_t Index>
 result<Variant, codec_error> decode_alternative(std::string_view bytes)
--- a/src/cluster/membership_budget.cpp
+++ b/src/cluster/membership_budget.cpp
@@ -29,9 +29,13 @@
                      membership_actions& actions)
 {
     const std::size_t bytes = std::visit(
-        [&](const auto& body)
+        [&](const auto& body) -> std::size_t
         {
-            return largest_bytes(body.m_gossip, node_id{});
+            if constexpr (requires { body.m_gossip; })
+            {
+                return largest_bytes(body.m_gossip, node_id{});
+            }
+            return max_datagram_bytes;
         },
         message);
     // Probes and acks alone may exceed the rate. The debt is limited, so that updates are
--- a/src/cluster/membership_receive.cpp
+++ b/src/cluster/membership_receive.cpp
@@ -190,7 +190,11 @@
     std::visit(
         [&](const auto& body)
         {
-            receive(state, body, from, now, actions);
+            // Reports of edge hosts are none of the membership protocol's datagrams.
+            if constexpr (requires { body.m_gossip; })
+            {
+                receive(state, body, from, now, actions);
+            }
         },
         message);
 }
--- /dev/null
+++ b/src/edge/request_relay.hpp
@@ -0,0 +1,143 @@
+#pragma once
+
+#include "edge_state.hpp"
+#include "stage_client.hpp"
+#include "stage_service.hpp"
+
+#include <geraniumdoor/net/http_call.hpp>
+#include <geraniumdoor/net/http_server.hpp>
+#include <geraniumdoor/serving/attempt_rules.hpp>
+#include <geraniumdoor/serving/engine_choice.hpp>
+#include <geraniumdoor/serving/path_estimate.hpp>
+
+#include <platform/exchange.hpp>
+
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace geraniumdoor::edge
+{
+
+/// One request of a caller on its way through the system.
+struct relayed_request
+{
+    explicit relayed_request(http_exchange& exchange,
+                             const boost::asio::any_io_executor& executor)
+        : m_exchange{exchange}, m_wake{executor}
+    {
+    }
+
+    http_exchange& m_exchange;
+    platform::caller_head m_head;
+    /// Configuration that was in force when the request came.
+    std::shared_ptr<const serving::routing> m_routing;
+    const serving::route* m_route = nullptr;
+    serving::workspace m_workspace;
+    pool_id m_pool;
+    time_point m_arrived{};
+    /// When the caller leaves or the route's time is over, whichever is first.
+    time_point m_deadline{};
+    /// When the first byte should reach the caller.
+    time_point m_goal{};
+    bool m_caller_gone = false;
+    /// An answer was begun or sent.
+    bool m_answered = false;
+
+    /// Handles of each stage; empty until it is made.
+    std::vector<std::vector<std::string>> m_results;
+    std::vector<std::uint64_t> m_jobs;
+    std::vector<bool> m_stage_done;
+    std::vector<bool> m_stage_submitted;
+    pieces_result m_failed_stage;
+    bool m_stage_failed = false;
+    /// Set whenever a stage ends or the caller leaves.
+    boost::asio::steady_timer m_wake;
+    data_centre_id m_inputs_near;
+    bool m_inputs_fetched = false;
+    std::uint32_t m_prepared_again = 0;
+
+    serving::attempt_state m_attempts;
+    std::vector<upstream_id> m_tried;
+    std::shared_ptr<http_call> m_call;
+    upstream_id m_upstream;
+    /// Whole answer of an upstream that has not gone to the caller yet.
+    std::optional<http_response> m_answer;
+    /// Last event of a stream that went to the caller, and bytes of one that is not whole.
+    std::string m_last_event;
+    std::string m_partial_event;
+    time_point m_first_byte{};
+    std::string m_detail;
+};
+
+/// Serves callers: finds the route, checks the key, has the stages made, chooses an
+/// upstream, and relays its answer.
+class request_relay
+{
+public:
+    request_relay(edge_state& state, stage_client& stages, const stage_service& queues);
+
+    boost::asio::awaitable<void> serve(http_exchange& exchange);
+
+    /// Requests in progress.
+    std::size_t active() const
+    {
+        return m_active;
+    }
+
+private:
+    using request = relayed_request;
+
+    /// Fills the request, or returns the answer that rejects it.
+    std::optional<http_response> accept(request& current);
+    boost::asio::awaitable<void> run(request& current);
+    boost::asio::awaitable<void> reject(request& current, http_response response);
+    boost::asio::awaitable<void> refuse(request& current, milliseconds until_capacity,
+                                        const char* reason);
+
+    std::optional<milliseconds> path_excess(const request& current) const;
+    std::vector<serving::stage_estimate> stage_estimates(const request& current) const;
+    milliseconds expected_answer(const request& current) const;
+    milliseconds wait_at(const pool_id& pool, std::uint32_t rank) const;
+    void choose_near(request& current) const;
+
+    /// Returns whether all stages are made; otherwise the request was answered.
+    boost::asio::awaitable<bool> prepare(request& current);
+    void submit_ready_stages(request& current);
+    bool stage_is_ready(const request& current, std::uint32_t stage) const;
+    bool stages_complete(const request& current) const;
+    void release_results(request& current, bool all);
+    void cancel_stages(request& current);
+    std::vector<std::string> final_inputs(const request& current) const;
+
+    const serving::upstream* choose(const request& current) const;
+    boost::asio::awaitable<void> attempt_all(request& current);
+    boost::asio::awaitable<serving::attempt_end> attempt(request& current,
+                                                         const serving::upstream& chosen);
+    boost::asio::awaitable<serving::attempt_end> read_answer(request& current,
+                                                             http_answer_head head);
+    boost::asio::awaitable<serving::attempt_end> relay_whole(request& current,
+                                                             http_answer_head head);
+    boost::asio::awaitable<serving::attempt_end>
+    relay_stream(request& current, const http_answer_head& head, std::string begun);
+    boost::asio::awaitable<bool> pass_on(request& current, std::string part);
+    milliseconds time_left(const request& current) const;
+    milliseconds first_byte_limit(const request& current) const;
+    void note_attempt(request& current, serving::attempt_end end, time_point began);
+    void log_end(const request& current, const char* outcome, unsigned status);
+    boost::asio::awaitable<void> fail(request& current);
+    void restart_stages(request& current);
+    void answer_caller_gone(request& current);
+
+    edge_state& m_state;
+    stage_client& m_stages;
+    const stage_service& m_queues;
+    std::size_t m_active = 0;
+    /// Moving average of the time to the first byte in each pool, in milliseconds.
+    std::unordered_map<pool_id, double> m_usual_ms;
+};
+
+} // namespace geraniumdoor::edge
--- /dev/null
+++ b/src/edge/stage_client.cpp
@@ -0,0 +1,166 @@
+#include "stage_client.hpp"
+
+#include <geraniumdoor/base/log.hpp>
+
+#include <utility>
+
+namespace geraniumdoor::edge
+{
+
+namespace
+{
+
+/// Period of the check for hosts that fell silent.
+constexpr milliseconds check_period{50};
+
+/// Time beyond a job's deadline after which a missing answer of its queue counts as a
+/// refusal. The queue itself answers at the deadline.
+constexpr milliseconds answer_grace{150};
+
+constexpr std::uint32_t retry_after_lost_ms = 200;
+
+} // namespace
+
+stage_client::stage_client(edge_state& state, sender send)
+    : m_state{state}, m_send{std::move(send)}
+{
+}
+
+void stage_client::start()
+{
+    m_state.m_timers.every(check_period,
+                           [this](time_point)
+                           {
+                               check();
+                           });
+}
+
+std::uint64_t stage_client::submit(pieces_request request, completion done)
+{
+    const std::uint64_t id = ++m_last_job;
+    request.m_job = id;
+    const time_point at = now();
+    open_job& job = m_jobs[id];
+    job.m_due = at + milliseconds{request.m_due_ms};
+    job.m_deadline = at + milliseconds{request.m_deadline_ms};
+    job.m_request = std::move(request);
+    job.m_done = std::move(done);
+    send_job(job);
+    return id;
+}
+
+void stage_client::send_job(open_job& job)
+{
+    const time_point at = now();
+    job.m_host = queue_host_of(m_state, job.m_request.m_pool);
+    job.m_sent = true;
+    pieces_request request = job.m_request;
+    const auto due = std::chrono::duration_cast<milliseconds>(job.m_due - at);
+    const auto deadline = std::chrono::duration_cast<milliseconds>(job.m_deadline - at);
+    request.m_due_ms = static_cast<std::int32_t>(due.count());
+    request.m_deadline_ms = static_cast<std::int32_t>(deadline.count());
+    m_send(job.m_host, std::move(request));
+}
+
+void stage_client::cancel(std::uint64_t job)
+{
+    const auto at = m_jobs.find(job);
+    if (at == m_jobs.end())
+    {
+        return;
+    }
+    m_send(at->second.m_host, pieces_cancel{job, at->second.m_request.m_pool});
+    m_jobs.erase(at);
+}
+
+void stage_client::release(const pool_id& pool, std::vector<std::string> handles)
+{
+    if (!handles.empty())
+    {
+        m_send(queue_host_of(m_state, pool), results_release{pool, std::move(handles)});
+    }
+}
+
+void stage_client::on_result(const node_id& from, const pieces_result& result)
+{
+    const auto at = m_jobs.find(result.m_job);
+    if (at == m_jobs.end())
+    {
+        // The job was cancelled, or another host has answered: nobody needs the results.
+        if (!result.m_handles.empty())
+        {
+            log_event{"results_unwanted"}.add("host", from).add(
+                "results", result.m_handles.size());
+        }
+        return;
+    }
+    const std::size_t pieces = at->second.m_request.m_pieces;
+    pieces_result checked = result;
+    if (checked.m_outcome == pieces_outcome::done && checked.m_handles.size() != pieces)
+    {
+        log_event{"results_incomplete"}.add("host", from).add("pieces", pieces);
+        checked.m_outcome = pieces_outcome::failed;
+    }
+    finish(result.m_job, std::move(checked));
+}
+
+void stage_client::finish(std::uint64_t job, pieces_result result)
+{
+    const auto at = m_jobs.find(job);
+    completion done = std::move(at->second.m_done);
+    m_jobs.erase(at);
+    done(std::move(result));
+}
+
+void stage_client::on_lost(const node_id& host)
+{
+    for (auto& [id, job] : m_jobs)
+    {
+        job.m_sent = job.m_sent && job.m_host != host;
+    }
+}
+
+void stage_client::on_not_sent(const node_id& host, const node_message& message)
+{
+    if (const auto* request = std::get_if<pieces_request>(&message))
+    {
+        const auto at = m_jobs.find(request->m_job);
+        if (at != m_jobs.end() && at->second.m_host == host)
+        {
+            at->second.m_sent = false;
+        }
+    }
+}
+
+void stage_client::check()
+{
+    const time_point at = now();
+    std::vector<std::uint64_t> expired;
+    for (auto& [id, job] : m_jobs)
+    {
+        if (at > job.m_deadline + answer_grace)
+        {
+            expired.push_back(id);
+            continue;
+        }
+        const auto host = m_state.m_hosts.m_hosts.find(job.m_host);
+        const bool silent =
+            job.m_host != m_state.m_own.m_node &&
+            (host == m_state.m_hosts.m_hosts.end() ||
+             !serving::is_live(host->second, live_for(m_state), at));
+        if (!job.m_sent || silent)
+        {
+            log_event{"stage_sent_again"}
+                .add("request", job.m_request.m_request)
+                .add("host", job.m_host)
+                .add("silent", silent);
+            send_job(job);
+        }
+    }
+    for (const std::uint64_t id : expired)
+    {
+        finish(id, {id, pieces_outcome::refused, {}, retry_after_lost_ms});
+    }
+}
+
+} // namespace geraniumdoor::edge
--- /dev/null
+++ b/src/edge/stage_client.hpp
@@ -0,0 +1,64 @@
+#pragma once
+
+#include "edge_state.hpp"
+
+#include <geraniumdoor/cluster/messages.hpp>
+
+#include <functional>
+#include <map>
+#include <unordered_map>
+
+namespace geraniumdoor::edge
+{
+
+/// Stages of this host's requests at the queues of all hosts.
+class stage_client
+{
+public:
+    using completion = std::function<void(pieces_result)>;
+    using sender = std::function<void(const node_id& host, node_message message)>;
+
+    stage_client(edge_state& state, sender send);
+
+    /// Starts the periodic work.
+    void start();
+
+    /// Hands a stage to the host that runs the pool's queue. The completion is called
+    /// once, never from within this call, unless the job is cancelled.
+    /// @return number of the job, for cancel
+    std::uint64_t submit(pieces_request request, completion done);
+
+    /// Gives up a job. Its results are released.
+    void cancel(std::uint64_t job);
+
+    /// Gives back results that are not needed any more.
+    void release(const pool_id& pool, std::vector<std::string> handles);
+
+    void on_result(const node_id& from, const pieces_result& result);
+
+    /// A connection with the host broke: what was sent to it may be lost.
+    void on_lost(const node_id& host);
+    void on_not_sent(const node_id& host, const node_message& message);
+
+private:
+    struct open_job
+    {
+        pieces_request m_request;
+        completion m_done;
+        node_id m_host;
+        time_point m_due{};
+        time_point m_deadline{};
+        bool m_sent = false;
+    };
+
+    void send_job(open_job& job);
+    void finish(std::uint64_t job, pieces_result result);
+    void check();
+
+    edge_state& m_state;
+    sender m_send;
+    std::map<std::uint64_t, open_job> m_jobs;
+    std::uint64_t m_last_job = 0;
+};
+
+} // namespace geraniumdoor::edge
--- /dev/null
+++ b/src/edge/store_watch.cpp
@@ -0,0 +1,478 @@
+#include "store_watch.hpp"
+
+#include <geraniumdoor/base/log.hpp>
+
+#include <platform/rows.hpp>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <utility>
+
+namespace geraniumdoor::edge
+{
+
+namespace asio = boost::asio;
+
+namespace
+{
+
+/// Time that a read of the operator's rows waits at the store for a change. An answer
+/// that is lost or a connection that falls silent is noticed after this and the limit.
+constexpr milliseconds intent_wait{1000};
+
+/// Pause between two reads of the registry. The store drops nothing: entries change
+/// about once a second for each upstream, so that a held read would return at once.
+constexpr milliseconds registry_pause{600};
+
+/// Time for an answer beyond the time that the store holds the call. The slow store of
+/// the sites answers within 500 ms.
+constexpr milliseconds answer_limit{900};
+
+/// First and longest pause after a failed call.
+constexpr milliseconds retry_pause{150};
+
+/// An outage begins with a read that has failed for this long.
+constexpr milliseconds outage_after{1500};
+
+/// Entries that are missing for this long after an outage are gone. Source: the platform
+/// promises that live ones are back within two seconds.
+constexpr milliseconds return_time{2200};
+
+/// Time between two reads of the rows in which hosts name their addresses.
+constexpr milliseconds host_rows_pause{4000};
+
+asio::ip::tcp::endpoint to_tcp(const ip_endpoint& endpoint)
+{
+    return {endpoint.m_address, endpoint.m_port};
+}
+
+std::vector<stored_row> rows_of(const held_table& table)
+{
+    std::vector<stored_row> rows;
+    for (const auto& [key, value] : table.m_rows)
+    {
+        rows.push_back({key, value});
+    }
+    return rows;
+}
+
+platform::row_page page_of(const std::vector<stored_row>& rows, std::uint64_t version)
+{
+    platform::row_page page;
+    page.m_version = version;
+    for (const stored_row& entry : rows)
+    {
+        page.m_rows.push_back({entry.m_key, entry.m_value, false});
+    }
+    return page;
+}
+
+} // namespace
+
+store_watch::store_watch(edge_state& state, std::function<void()> on_change)
+    : m_state{state}
+    , m_on_change{std::move(on_change)}
+    , m_store{state.m_executor, to_tcp(state.m_settings.m_store)}
+{
+    m_intent.m_name = platform::intent_table;
+    m_registry.m_name = platform::registry_table;
+}
+
+void store_watch::start()
+{
+    asio::co_spawn(m_state.m_executor, watch(m_intent, intent_wait, milliseconds{20}),
+                   asio::detached);
+    asio::co_spawn(m_state.m_executor,
+                   watch(m_registry, milliseconds{0}, registry_pause), asio::detached);
+    asio::co_spawn(m_state.m_executor, keep_host_row(), asio::detached);
+}
+
+void store_watch::stop()
+{
+    m_stopped = true;
+}
+
+asio::awaitable<void> store_watch::pause_for(milliseconds length)
+{
+    asio::steady_timer timer{m_state.m_executor, length};
+    boost::system::error_code ignored;
+    co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
+}
+
+asio::awaitable<void> store_watch::watch(held_table& table, milliseconds wait,
+                                         milliseconds pause)
+{
+    while (!m_stopped)
+    {
+        const bool good = co_await read_once(table, wait);
+        drop_lapsed();
+        co_await pause_for(good ? pause : retry_pause);
+    }
+}
+
+asio::awaitable<bool> store_watch::read_once(held_table& table, milliseconds wait)
+{
+    if (table.m_version == 0)
+    {
+        auto page = co_await read_whole(table.m_name);
+        const bool good = is_ok(page);
+        note_result(table, good, good ? "" : error_of(page).m_detail);
+        if (good)
+        {
+            apply(table, value_of(page), true);
+        }
+        co_return good;
+    }
+    auto page = co_await m_store.changes(table.m_name, table.m_version, wait,
+                                         wait + answer_limit);
+    if (!is_ok(page) &&
+        error_of(page).m_kind == platform::store_error_kind::history_gone)
+    {
+        log_event{"store_history_gone"}.add("table", table.m_name);
+        page = co_await read_whole(table.m_name);
+        if (is_ok(page))
+        {
+            note_result(table, true, "");
+            apply(table, value_of(page), true);
+            co_return true;
+        }
+    }
+    const bool good = is_ok(page);
+    note_result(table, good, good ? "" : error_of(page).m_detail);
+    if (good)
+    {
+        apply(table, value_of(page), false);
+    }
+    co_return good;
+}
+
+asio::awaitable<result<platform::row_page, platform::store_error>>
+store_watch::read_whole(std::string table)
+{
+    platform::row_page whole;
+    std::string from;
+    while (true)
+    {
+        auto page = co_await m_store.read(table, from, answer_limit);
+        if (!is_ok(page))
+        {
+            co_return error_of(page);
+        }
+        // Rows of a later page may be newer; the feed repeats what came between.
+        const std::uint64_t version = value_of(page).m_version;
+        whole.m_version =
+            whole.m_version == 0 ? version : std::min(whole.m_version, version);
+        for (platform::row& entry : value_of(page).m_rows)
+        {
+            whole.m_rows.push_back(std::move(entry));
+        }
+        if (!value_of(page).m_has_more || whole.m_rows.empty())
+        {
+            break;
+        }
+        from = whole.m_rows.back().m_key + '\0';
+    }
+    co_return whole;
+}
+
+void store_watch::note_result(held_table& table, bool good, const std::string& detail)
+{
+    const time_point at = now();
+    if (good)
+    {
+        if (table.m_lost)
+        {
+            table.m_lost = false;
+            table.m_regained = at;
+            for (auto& [key, until] : table.m_lapsed)
+            {
+                until = at + return_time;
+            }
+            log_event{"store_regained"}.add("table", table.m_name);
+        }
+        table.m_last_success = at;
+        return;
+    }
+    m_state.m_metrics.add("store_failures", {{"table", table.m_name}});
+    if (!table.m_lost && at - table.m_last_success > outage_after)
+    {
+        table.m_lost = true;
+        log_event{"store_lost"}.add("table", table.m_name).add("reason", detail);
+    }
+}
+
+void store_watch::apply(held_table& table, const platform::row_page& page, bool whole)
+{
+    if (page.m_version < table.m_version)
+    {
+        log_event{"store_read_stale"}
+            .add("table", table.m_name)
+            .add("version", page.m_version)
+            .add("held", table.m_version);
+        return;
+    }
+    const bool changed = whole || !page.m_rows.empty();
+    if (whole)
+    {
+        std::vector<std::string> missing;
+        for (const auto& [key, value] : table.m_rows)
+        {
+            const bool present =
+                std::any_of(page.m_rows.begin(), page.m_rows.end(),
+                            [&](const platform::row& entry)
+                            {
+                                return entry.m_key == key && !entry.m_removed;
+                            });
+            if (!present)
+            {
+                missing.push_back(key);
+            }
+        }
+        for (const std::string& key : missing)
+        {
+            remove_row(table, key);
+        }
+    }
+    for (const platform::row& entry : page.m_rows)
+    {
+        if (entry.m_removed)
+        {
+            remove_row(table, entry.m_key);
+            continue;
+        }
+        table.m_lapsed.erase(entry.m_key);
+        const auto held = table.m_rows.find(entry.m_key);
+        const bool same = held != table.m_rows.end() && held->second == entry.m_value;
+        table.m_rows[entry.m_key] = entry.m_value;
+        if (!same || table.m_name == platform::registry_table)
+        {
+            apply_row(table, entry.m_key, &table.m_rows[entry.m_key]);
+        }
+    }
+    table.m_version = page.m_version;
+    m_state.m_own.m_intent_version = m_intent.m_version;
+    m_state.m_own.m_registry_version = m_registry.m_version;
+    m_state.m_registry_known = m_registry.m_version != 0;
+    if (changed)
+    {
+        m_on_change();
+    }
+}
+
+void store_watch::remove_row(held_table& table, const std::string& key)
+{
+    const bool is_registry = &table == &m_registry;
+    const bool may_return =
+        is_registry && (table.m_lost || now() - table.m_regained < return_time);
+    if (may_return && table.m_rows.contains(key))
+    {
+        table.m_lapsed.try_emplace(key, table.m_regained + return_time);
+        return;
+    }
+    table.m_lapsed.erase(key);
+    if (table.m_rows.erase(key) > 0)
+    {
+        apply_row(table, key, nullptr);
+    }
+}
+
+void store_watch::drop_lapsed()
+{
+    const time_point at = now();
+    std::vector<std::string> gone;
+    for (const auto& [key, until] : m_registry.m_lapsed)
+    {
+        if (until <= at && !m_registry.m_lost)
+        {
+            gone.push_back(key);
+        }
+    }
+    for (const std::string& key : gone)
+    {
+        m_registry.m_lapsed.erase(key);
+        m_registry.m_rows.erase(key);
+        apply_row(m_registry, key, nullptr);
+    }
+    if (!gone.empty())
+    {
+        m_on_change();
+    }
+}
+
+void store_watch::apply_row(const held_table& table, const std::string& key,
+                            const std::string* value)
+{
+    if (&table == &m_intent)
+    {
+        apply_intent(key, value);
+    }
+    else
+    {
+        apply_upstream(key, value);
+    }
+}
+
+void store_watch::apply_intent(const std::string& key, const std::string* value)
+{
+    if (const auto data_centre = platform::evacuated_data_centre(key))
+    {
+        if (value != nullptr)
+        {
+            m_state.m_upstreams.m_evacuated.insert(*data_centre);
+        }
+        else
+        {
+            m_state.m_upstreams.m_evacuated.erase(*data_centre);
+        }
+        log_event{value != nullptr ? "evacuation_begun" : "evacuation_ended"}.add(
+            "data_centre", *data_centre);
+        return;
+    }
+    if (key != platform::configuration_key || value == nullptr)
+    {
+        return;
+    }
+    auto config = platform::decode_configuration(*value);
+    if (!is_ok(config))
+    {
+        log_event{"configuration_rejected"}.add("reason", error_of(config).m_detail);
+        return;
+    }
+    const auto held = m_state.m_routing;
+    if (held && value_of(config).m_version <= held->m_version)
+    {
+        log_event{"configuration_not_newer"}
+            .add("version", value_of(config).m_version)
+            .add("held", held->m_version);
+        return;
+    }
+    m_state.m_routing =
+        std::make_shared<const serving::routing>(value_of(std::move(config)));
+    log_event{"configuration_in_force"}
+        .add("version", m_state.m_routing->m_version)
+        .add("routes", m_state.m_routing->m_routes.size())
+        .add("keys", m_state.m_routing->m_keys.size());
+}
+
+void store_watch::apply_upstream(const std::string& key, const std::string* value)
+{
+    const upstream_id id{key};
+    if (value == nullptr)
+    {
+        if (m_state.m_upstreams.m_rows.erase(id))
+        {
+            log_event{"upstream_gone"}.add("upstream", id);
+        }
+        return;
+    }
+    const auto entry = platform::decode_upstream(key, *value);
+    if (!is_ok(entry))
+    {
+        log_event{"registry_entry_rejected"}.add("upstream", id).add(
+            "reason", error_of(entry).m_detail);
+        m_state.m_upstreams.m_rows.erase(id);
+        return;
+    }
+    const auto* known = m_state.m_upstreams.m_rows.find(id);
+    const bool news = known == nullptr ||
+                      known->m_entry.m_leaving != value_of(entry).m_leaving ||
+                      known->m_entry.m_started != value_of(entry).m_started;
+    serving::put_entry(m_state.m_upstreams, value_of(entry), now());
+    if (news)
+    {
+        log_event{"upstream_known"}
+            .add("upstream", id)
+            .add("pool", value_of(entry).m_pool)
+            .add("data_centre", value_of(entry).m_data_centre)
+            .add("leaving", value_of(entry).m_leaving)
+            .add("cold_ms", value_of(entry).m_cold_for.count());
+    }
+}
+
+state_push store_watch::answer_to(const state_pull& pull) const
+{
+    state_push push;
+    if (m_intent.m_version > pull.m_intent_version)
+    {
+        push.m_intent_version = m_intent.m_version;
+        push.m_intent = rows_of(m_intent);
+    }
+    if (m_registry.m_version > pull.m_registry_version)
+    {
+        push.m_registry_version = m_registry.m_version;
+        push.m_registry = rows_of(m_registry);
+    }
+    return push;
+}
+
+void store_watch::take(const state_push& push)
+{
+    if (push.m_intent_version > m_intent.m_version)
+    {
+        apply(m_intent, page_of(push.m_intent, push.m_intent_version), true);
+    }
+    if (push.m_registry_version > m_registry.m_version)
+    {
+        apply(m_registry, page_of(push.m_registry, push.m_registry_version), true);
+    }
+}
+
+asio::awaitable<void> store_watch::keep_host_row()
+{
+    bool written = false;
+    while (!m_stopped)
+    {
+        if (!written)
+        {
+            written = co_await write_host_row();
+        }
+        co_await read_host_rows();
+        co_await pause_for(host_rows_pause);
+    }
+}
+
+asio::awaitable<bool> store_watch::write_host_row()
+{
+    const ip_endpoint& peers = m_state.m_settings.m_peers;
+    std::vector<platform::row_write> rows;
+    rows.push_back({platform::host_table_name, m_state.m_settings.m_node.m_value,
+                    to_text(peers), false});
+    const auto written = co_await m_store.write(std::move(rows), answer_limit);
+    if (!is_ok(written))
+    {
+        log_event{"host_row_not_written"}.add("reason", error_of(written).m_detail);
+    }
+    co_return is_ok(written);
+}
+
+asio::awaitable<void> store_watch::read_host_rows()
+{
+    const auto page = co_await read_whole(platform::host_table_name);
+    if (!is_ok(page))
+    {
+        co_return;
+    }
+    auto& seeds = m_state.m_hosts.m_seeds;
+    for (const platform::row& entry : value_of(page).m_rows)
+    {
+        const auto endpoint = parse_endpoint(entry.m_value);
+        if (!endpoint)
+        {
+            log_event{"host_row_rejected"}.add("host", entry.m_key);
+            continue;
+        }
+        const node_address address{endpoint->m_address.to_string(), endpoint->m_port};
+        if (std::find(seeds.begin(), seeds.end(), address) == seeds.end())
+        {
+            seeds.push_back(address);
+        }
+    }
+}
+
+} // namespace geraniumdoor::edge
--- /dev/null
+++ b/src/edge/store_watch.hpp
@@ -0,0 +1,81 @@
+#pragma once
+
+#include "edge_state.hpp"
+
+#include <geraniumdoor/cluster/messages.hpp>
+
+#include <platform/store_client.hpp>
+
+#include <boost/asio/awaitable.hpp>
+
+#include <functional>
+#include <map>
+#include <string>
+
+namespace geraniumdoor::edge
+{
+
+/// Rows of one table of the store as this host holds them.
+struct held_table
+{
+    std::string m_name;
+    std::map<std::string, std::string> m_rows;
+    /// Version of the store as of which the rows are; zero when nothing was read.
+    std::uint64_t m_version = 0;
+    /// Removed during an outage or just after, each with the time at which it counts as
+    /// gone.
+    std::map<std::string, time_point> m_lapsed;
+    time_point m_last_success{};
+    /// When an outage ended.
+    time_point m_regained{};
+    bool m_lost = false;
+};
+
+/// Keeps the operator's rows and the registry of upstreams up to date, and hands them to
+/// other hosts.
+class store_watch
+{
+public:
+    /// @param on_change called after each change of the state
+    store_watch(edge_state& state, std::function<void()> on_change);
+
+    /// Starts to read. Runs until stop.
+    void start();
+    void stop();
+
+    /// Rows for a host that asks; tables that are not newer are left out.
+    state_push answer_to(const state_pull& pull) const;
+
+    /// Takes over tables of another host that are newer than the own ones.
+    void take(const state_push& push);
+
+
+private:
+    boost::asio::awaitable<void> watch(held_table& table, milliseconds wait,
+                                       milliseconds pause);
+    boost::asio::awaitable<bool> read_once(held_table& table, milliseconds wait);
+    boost::asio::awaitable<result<platform::row_page, platform::store_error>>
+    read_whole(std::string table);
+    boost::asio::awaitable<void> keep_host_row();
+    boost::asio::awaitable<bool> write_host_row();
+    boost::asio::awaitable<void> read_host_rows();
+    boost::asio::awaitable<void> pause_for(milliseconds length);
+
+    void apply(held_table& table, const platform::row_page& page, bool whole);
+    void apply_row(const held_table& table, const std::string& key,
+                   const std::string* value);
+    void apply_intent(const std::string& key, const std::string* value);
+    void apply_upstream(const std::string& key, const std::string* value);
+    void remove_row(held_table& table, const std::string& key);
+    void drop_lapsed();
+    void note_result(held_table& table, bool good, const std::string& detail);
+
+    edge_state& m_state;
+    std::function<void()> m_on_change;
+    platform::store_client m_store;
+    held_table m_intent;
+    held_table m_registry;
+    bool m_stopped = false;
+};
+
+} // namespace geraniumdoor::edge
--- /dev/null
+++ b/src/net/http_call.cpp
@@ -0,0 +1,215 @@
+#include <geraniumdoor/net/http_call.hpp>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+
+#include <array>
+#include <utility>
+
+namespace geraniumdoor
+{
+
+namespace
+{
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+namespace http = boost::beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
+
+/// Bytes of the body that one read returns at most.
+constexpr std::size_t part_bytes = 4096;
+
+/// Whether the error says that the bytes are no answer of the protocol.
+bool is_protocol_error(beast::error_code error)
+{
+    return error.category() == make_error_code(http::error::bad_version).category() &&
+           error != http::error::end_of_stream && error != http::error::partial_message;
+}
+
+} // namespace
+
+struct http_call::state : std::enable_shared_from_this<http_call::state>
+{
+    state(asio::any_io_executor executor, http_limits limits)
+        : m_stream{std::move(executor)}, m_limits{limits}
+    {
+    }
+
+    http_error error_from(beast::error_code error) const;
+    asio::awaitable<void> write_request();
+    asio::awaitable<beast::error_code> read_head();
+
+    beast::tcp_stream m_stream;
+    http_limits m_limits;
+    beast::flat_buffer m_buffer;
+    std::optional<http::response_parser<http::buffer_body>> m_parser;
+    http::request<http::string_body> m_request;
+    std::array<char, part_bytes> m_part{};
+    bool m_closed = false;
+    /// Bytes of the request may have left this process.
+    bool m_sent = false;
+};
+
+http_error http_call::state::error_from(beast::error_code error) const
+{
+    http_error failure;
+    failure.m_sent = m_sent;
+    failure.m_detail = error.message();
+    if (m_closed)
+    {
+        failure.m_kind = http_error_kind::aborted;
+    }
+    else if (error == beast::error::timeout)
+    {
+        failure.m_kind = http_error_kind::timeout;
+    }
+    else if (is_protocol_error(error))
+    {
+        failure.m_kind = http_error_kind::malformed;
+    }
+    else
+    {
+        failure.m_kind =
+            m_sent ? http_error_kind::closed : http_error_kind::connect_failed;
+    }
+    return failure;
+}
+
+asio::awaitable<void> http_call::state::write_request()
+{
+    // A failed write shows in the read of the answer, which may still arrive.
+    co_await http::async_write(m_stream, m_request, use_tuple);
+}
+
+asio::awaitable<beast::error_code> http_call::state::read_head()
+{
+    while (true)
+    {
+        m_parser.emplace();
+        m_parser->header_limit(static_cast<std::uint32_t>(m_limits.m_header_bytes));
+        m_parser->body_limit(boost::none);
+        m_parser->skip(m_request.method() == http::verb::head);
+        const auto [error, size] =
+            co_await http::async_read_header(m_stream, m_buffer, *m_parser, use_tuple);
+        const bool interim =
+            !error && http::to_status_class(m_parser->get().result()) ==
+                          http::status_class::informational;
+        if (!interim)
+        {
+            co_return error;
+        }
+    }
+}
+
+http_call::http_call(asio::any_io_executor executor, http_limits limits)
+    : m_state{std::make_shared<state>(std::move(executor), limits)}
+{
+}
+
+http_call::~http_call()
+{
+    close();
+}
+
+asio::awaitable<result<done, http_error>> http_call::connect(tcp::endpoint endpoint,
+                                                             milliseconds limit)
+{
+    const auto self = m_state;
+    self->m_stream.expires_after(limit);
+    const auto [error] = co_await self->m_stream.async_connect(endpoint, use_tuple);
+    if (error || self->m_closed)
+    {
+        co_return self->error_from(error);
+    }
+    beast::error_code ignored;
+    self->m_stream.socket().set_option(tcp::no_delay{true}, ignored);
+    co_return done{};
+}
+
+asio::awaitable<result<http_answer_head, http_error>>
+http_call::send(http_request request, milliseconds limit)
+{
+    const auto self = m_state;
+    self->m_request.version(11);
+    self->m_request.method_string(request.m_method);
+    self->m_request.target(request.m_target);
+    for (const auto& [name, value] : request.m_fields)
+    {
+        self->m_request.insert(name, value);
+    }
+    self->m_request.body() = std::move(request.m_body);
+    if (!self->m_request.body().empty() || request.m_method == "POST" ||
+        request.m_method == "PUT")
+    {
+        self->m_request.content_length(self->m_request.body().size());
+    }
+    self->m_sent = true;
+    self->m_stream.expires_after(limit);
+    asio::co_spawn(
+        self->m_stream.get_executor(),
+        [self]
+        {
+            return self->write_request();
+        },
+        asio::detached);
+    const beast::error_code error = co_await self->read_head();
+    if (error || self->m_closed)
+    {
+        co_return self->error_from(error);
+    }
+    http_answer_head head;
+    const auto& message = self->m_parser->get();
+    head.m_status = message.result_int();
+    for (const auto& field : message)
+    {
+        head.m_fields.emplace_back(field.name_string(), field.value());
+    }
+    if (const auto length = self->m_parser->content_length())
+    {
+        head.m_length = *length;
+    }
+    co_return head;
+}
+
+asio::awaitable<result<std::string, http_error>> http_call::read_part(milliseconds limit)
+{
+    const auto self = m_state;
+    while (!self->m_parser->is_done())
+    {
+        auto& body = self->m_parser->get().body();
+        body.data = self->m_part.data();
+        body.size = self->m_part.size();
+        self->m_stream.expires_after(limit);
+        auto [error, size] = co_await http::async_read_some(
+            self->m_stream, self->m_buffer, *self->m_parser, use_tuple);
+        if (error == http::error::need_buffer)
+        {
+            error = {};
+        }
+        if (self->m_closed || error)
+        {
+            co_return self->error_from(error);
+        }
+        const std::size_t received = self->m_part.size() - body.size;
+        if (received > 0)
+        {
+            co_return std::string{self->m_part.data(), received};
+        }
+    }
+    co_return std::string{};
+}
+
+void http_call::close()
+{
+    m_state->m_closed = true;
+    m_state->m_stream.close();
+}
+
+} // namespace geraniumdoor
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -94,11 +94,11 @@
 
 asio::awaitable<void> beast_exchange::respond(http_response response)
 {
-    begin_answer();
+    mark_answered();
     http::response<http::string_body> message{http::int_to_status(response.m_status), 11};
     for (const auto& [name, value] : response.m_fields)
     {
-        message.set(name, value);
+        message.insert(name, value);
     }
     message.keep_alive(m_keep_alive);
     message.body() = std::move(response.m_body);
@@ -111,11 +111,32 @@
 asio::awaitable<void> beast_exchange::begin_stream(unsigned status,
                                                    std::string content_type)
 {
-    begin_answer();
+    http_fields fields;
+    fields.emplace_back("Content-Type", std::move(content_type));
+    co_await begin_answer(status, std::move(fields), std::nullopt);
+}
+
+asio::awaitable<void> beast_exchange::begin_answer(unsigned status, http_fields fields,
+                                                   std::optional<std::uint64_t> length)
+{
+    mark_answered();
     m_streaming = true;
-    http::response<http::empty_body> message{http::int_to_status(status), 11};
-    message.set(http::field::content_type, content_type);
-    message.chunked(true);
+    m_left = length;
+    http::response<http::empty_body> message;
+    message.version(11);
+    message.result(status);
+    for (const auto& [name, value] : fields)
+    {
+        message.insert(name, value);
+    }
+    if (length)
+    {
+        message.content_length(*length);
+    }
+    else
+    {
+        message.chunked(true);
+    }
     message.keep_alive(m_keep_alive);
     http::response_serializer<http::empty_body> serializer{message};
     m_stream.expires_after(m_limits.m_receive_timeout);
@@ -131,6 +152,16 @@
         co_return !m_broken;
     }
     m_stream.expires_after(m_limits.m_receive_timeout);
+    if (m_left)
+    {
+        require_invariant(part.size() <= *m_left, "answer_within_its_length",
+                          m_request.m_target);
+        *m_left -= part.size();
+        const auto [error, size] =
+            co_await asio::async_write(m_stream, asio::buffer(part), use_tuple);
+        note_written(error);
+        co_return !m_broken;
+    }
     const auto chunk = http::make_chunk(asio::buffer(part));
     const auto [error, size] = co_await asio::async_write(m_stream, chunk, use_tuple);
     note_written(error);
@@ -139,7 +170,11 @@
 
 asio::awaitable<void> beast_exchange::end_stream()
 {
-    if (!m_broken)
+    if (m_left && *m_left > 0)
+    {
+        drop();
+    }
+    if (!m_broken && !m_left)
     {
         m_stream.expires_after(m_limits.m_receive_timeout);
         const auto last = http::make_chunk_last();
@@ -165,7 +200,7 @@
     watch_peer(m_stream.socket(), m_watch);
 }
 
-void beast_exchange::begin_answer()
+void beast_exchange::mark_answered()
 {
     require_invariant(!m_answered, "one_answer_per_request", m_request.m_target);
     m_answered = true;
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -24,6 +24,9 @@
     boost::asio::awaitable<void> respond(http_response response) override;
     boost::asio::awaitable<void> begin_stream(unsigned status,
                                               std::string content_type) override;
+    boost::asio::awaitable<void>
+    begin_answer(unsigned status, http_fields fields,
+                 std::optional<std::uint64_t> length) override;
     boost::asio::awaitable<bool> write_part(std::string part) override;
     boost::asio::awaitable<void> end_stream() override;
     void drop() override;
@@ -41,7 +44,7 @@
     }
 
 private:
-    void begin_answer();
+    void mark_answered();
     void note_written(boost::beast::error_code error);
     void end_watch();
 
@@ -51,6 +54,8 @@
     http_limits m_limits;
     bool m_answered = false;
     bool m_streaming = false;
+    /// Bytes that are left of an answer with a length.
+    std::optional<std::uint64_t> m_left;
     bool m_broken = false;
     std::shared_ptr<peer_watch> m_watch;
 };
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -42,6 +42,25 @@
     return request;
 }
 
+/// Whether the end of the request is beyond doubt. Beast takes a transfer coding that it
+/// does not know for none, and the body would be read as a second request.
+bool has_clear_framing(const http::request<http::string_body>& message)
+{
+    const auto count = [&](http::field name)
+    {
+        const auto [first, last] = message.equal_range(name);
+        return std::distance(first, last);
+    };
+    const auto codings = count(http::field::transfer_encoding);
+    const bool coding_known =
+        codings == 0 ||
+        (codings == 1 &&
+         beast::iequals(message[http::field::transfer_encoding], "chunked"));
+    const bool both = codings > 0 && count(http::field::content_length) > 0;
+    return coding_known && !both && count(http::field::content_length) <= 1 &&
+           count(http::field::host) <= 1;
+}
+
 struct connection
 {
     explicit connection(tcp::socket socket) : m_stream{std::move(socket)} {}
@@ -142,6 +161,8 @@
     asio::awaitable<void> serve(std::shared_ptr<connection> peer);
     asio::awaitable<bool> serve_one(connection& peer);
     asio::awaitable<bool> wait_for_request(connection& peer);
+    asio::awaitable<beast::error_code> read_request(connection& peer,
+                                                    request_parser& parser);
     asio::awaitable<bool> run_handler(connection& peer, http_request request,
                                       bool keep_alive);
 
@@ -220,6 +241,36 @@
     co_return !error && size != 0;
 }
 
+asio::awaitable<beast::error_code>
+http_server::state::read_request(connection& peer, request_parser& parser)
+{
+    peer.m_stream.expires_after(m_limits.m_receive_timeout);
+    const auto [header_error, header_size] =
+        co_await http::async_read_header(peer.m_stream, peer.m_buffer, parser, use_tuple);
+    if (header_error)
+    {
+        co_return header_error;
+    }
+    if (!has_clear_framing(parser.get()))
+    {
+        co_return make_error_code(http::error::bad_transfer_encoding);
+    }
+    if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
+    {
+        const http::response<http::empty_body> proceed{http::status::continue_, 11};
+        const auto [write_error, written] =
+            co_await http::async_write(peer.m_stream, proceed, use_tuple);
+        if (write_error)
+        {
+            co_return write_error;
+        }
+    }
+    peer.m_stream.expires_after(m_limits.m_idle_timeout);
+    const auto [error, size] =
+        co_await http::async_read(peer.m_stream, peer.m_buffer, parser, use_tuple);
+    co_return error;
+}
+
 asio::awaitable<bool> http_server::state::serve_one(connection& peer)
 {
     const bool received = co_await wait_for_request(peer);
@@ -230,9 +281,7 @@
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(m_limits.m_header_bytes));
     parser.body_limit(m_limits.m_body_bytes);
-    peer.m_stream.expires_after(m_limits.m_receive_timeout);
-    const auto [error, size] =
-        co_await http::async_read(peer.m_stream, peer.m_buffer, parser, use_tuple);
+    const beast::error_code error = co_await read_request(peer, parser);
     if (error)
     {
         const unsigned status = status_for(error);
@@ -307,6 +356,11 @@
     asio::co_spawn(m_state->m_executor, m_state->accept_loop(), asio::detached);
 }
 
+void http_server::set_limits(http_limits limits)
+{
+    m_state->m_limits = limits;
+}
+
 void http_server::begin_drain()
 {
     m_state->m_draining = true;
--- /dev/null
+++ b/src/serving/engine_choice.cpp
@@ -0,0 +1,127 @@
+#include <geraniumdoor/base/hash.hpp>
+#include <geraniumdoor/serving/engine_choice.hpp>
+
+#include <algorithm>
+
+namespace geraniumdoor::serving
+{
+
+namespace
+{
+
+/// First token of an idle engine, in milliseconds. Source: the sheet of both users.
+constexpr double idle_first_token_ms = 14;
+
+/// Cost of an engine outside the data centre of the inputs, in milliseconds: their
+/// transfer, and the price of bytes between data centres.
+constexpr double remote_inputs_ms = 5;
+
+constexpr double ejected_ms = 100000;
+constexpr double cold_ms = 400;
+constexpr double full_ms = 5000;
+constexpr double failed_answer_ms = 1500;
+
+std::uint64_t shared_tokens(const prompt& wanted)
+{
+    std::uint64_t tokens = 0;
+    for (std::size_t at = 0; at + 1 < wanted.m_parts.size(); ++at)
+    {
+        tokens += wanted.m_parts[at].m_tokens;
+    }
+    return tokens;
+}
+
+/// The longest run of shared parts decides, so that sessions that share only a short
+/// general part spread over the engines.
+std::string_view affinity_key(const prompt& wanted)
+{
+    if (wanted.m_parts.empty())
+    {
+        return {};
+    }
+    const std::size_t last_shared =
+        wanted.m_parts.size() > 1 ? wanted.m_parts.size() - 2 : 0;
+    return wanted.m_parts[last_shared].m_id;
+}
+
+/// Tokens of all requests in progress against the memory, as a share.
+double memory_share(const upstream& engine, const engine_limits& limits)
+{
+    if (limits.m_memory_tokens == 0)
+    {
+        return 0;
+    }
+    return static_cast<double>(engine.m_running_tokens + engine.m_tokens_elsewhere) /
+           static_cast<double>(limits.m_memory_tokens);
+}
+
+double engine_cost(const upstream& engine, const prompt& wanted,
+                   const engine_limits& limits, bool cached,
+                   const data_centre_id& preferred, time_point now)
+{
+    double cost = expected_first_token_ms(engine, wanted, cached);
+    cost += failed_answer_ms * engine.m_failure_share;
+    const bool full = load_of(engine) >= 1 || memory_share(engine, limits) >= 1;
+    cost += full ? full_ms : 0;
+    cost += engine.m_cold_until > now ? cold_ms : 0;
+    cost += engine.m_ejected_until > now ? ejected_ms : 0;
+    const bool remote =
+        !preferred.m_value.empty() && engine.m_entry.m_data_centre != preferred;
+    return cost + (remote ? remote_inputs_ms : 0);
+}
+
+} // namespace
+
+double expected_first_token_ms(const upstream& engine, const prompt& wanted, bool cached)
+{
+    const std::uint64_t shared = shared_tokens(wanted);
+    const std::uint64_t own =
+        wanted.m_prompt_tokens > shared ? wanted.m_prompt_tokens - shared : 0;
+    const std::uint64_t read = cached ? own : own + shared;
+    const double running = engine.m_running + engine.m_running_elsewhere;
+    return engine.m_slowness *
+           (idle_first_token_ms + static_cast<double>(read) / prefill_tokens_per_ms +
+            running * running_request_ms);
+}
+
+const upstream* choose_engine(const upstream_table& table, const pool_id& pool,
+                              const prompt& wanted, const engine_limits& limits,
+                              const std::vector<upstream_id>& tried,
+                              const data_centre_id& preferred, time_point now)
+{
+    const std::string_view key = affinity_key(wanted);
+    const upstream* home = nullptr;
+    std::uint64_t home_weight = 0;
+    std::vector<const upstream*> candidates;
+    for (const auto& [id, row] : table.m_rows)
+    {
+        const bool fits = row.m_entry.m_pool == pool && accepts_work(table, row) &&
+                          std::find(tried.begin(), tried.end(), id) == tried.end();
+        if (!fits)
+        {
+            continue;
+        }
+        candidates.push_back(&row);
+        const std::uint64_t weight = rendezvous_weight(key, id.m_value);
+        if (row.m_ejected_until <= now && (home == nullptr || weight > home_weight))
+        {
+            home = &row;
+            home_weight = weight;
+        }
+    }
+    const upstream* best = nullptr;
+    double best_cost = 0;
+    for (const upstream* candidate : candidates)
+    {
+        const double cost = engine_cost(*candidate, wanted, limits, candidate == home,
+                                        preferred, now);
+        if (best == nullptr || cost < best_cost)
+        {
+            best = candidate;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace geraniumdoor::serving
--- /dev/null
+++ b/src/serving/host_table.cpp
@@ -0,0 +1,123 @@
+#include <geraniumdoor/base/hash.hpp>
+#include <geraniumdoor/serving/host_table.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace geraniumdoor::serving
+{
+
+namespace
+{
+
+/// Hosts heard of within this time count as senders. Longer than any cut that a day
+/// plays.
+constexpr seconds sender_memory{60};
+
+/// Weight of a host for the queue of a pool. Weighted rendezvous hashing: the share of
+/// pools that a host gets is proportional to its processor time.
+double queue_weight(const pool_id& pool, const node_id& host, std::uint32_t processor)
+{
+    constexpr double scale = 18446744073709551616.0;
+    const double unit =
+        (static_cast<double>(rendezvous_weight(pool.m_value, host.m_value)) + 0.5) / scale;
+    return -static_cast<double>(std::max<std::uint32_t>(1, processor)) / std::log(unit);
+}
+
+std::string address_text(const node_address& address)
+{
+    return address.m_ip + ':' + std::to_string(address.m_port);
+}
+
+} // namespace
+
+bool note_report(host_table& table, const host_report& report, duration live_for,
+                 time_point now)
+{
+    const auto [at, inserted] = table.m_hosts.try_emplace(report.m_node);
+    peer_host& host = at->second;
+    const bool older =
+        !inserted && (report.m_incarnation < host.m_report.m_incarnation ||
+                      (report.m_incarnation == host.m_report.m_incarnation &&
+                       report.m_sequence <= host.m_report.m_sequence));
+    if (older)
+    {
+        return false;
+    }
+    const bool was_live = !inserted && is_live(host, live_for, now) &&
+                          report.m_incarnation == host.m_report.m_incarnation;
+    host.m_report = report;
+    host.m_heard = now;
+    return !was_live;
+}
+
+bool is_live(const peer_host& host, duration live_for, time_point now)
+{
+    return now - host.m_heard <= live_for;
+}
+
+std::size_t hosts_that_may_send(const host_table& table, time_point now)
+{
+    const auto recent = std::count_if(table.m_hosts.begin(), table.m_hosts.end(),
+                                      [&](const auto& entry)
+                                      {
+                                          return is_live(entry.second, sender_memory, now);
+                                      });
+    return static_cast<std::size_t>(recent) + 1;
+}
+
+node_id queue_host(const host_table& table, const host_report& own, const pool_id& pool,
+                   duration live_for, time_point now)
+{
+    node_id best = own.m_node;
+    double best_weight =
+        own.m_stopping ? 0 : queue_weight(pool, own.m_node, own.m_processor);
+    for (const auto& [id, host] : table.m_hosts)
+    {
+        const bool fits = is_live(host, live_for, now) && !host.m_report.m_stopping &&
+                          host.m_report.m_ready;
+        const double weight =
+            fits ? queue_weight(pool, id, host.m_report.m_processor) : 0;
+        if (weight > best_weight)
+        {
+            best = id;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+std::vector<std::string> caller_addresses(const host_table& table, const host_report& own,
+                                          const data_centre_id& near, std::size_t enough,
+                                          duration live_for, time_point now)
+{
+    std::vector<std::string> local;
+    std::vector<std::string> remote;
+    const auto add = [&](const host_report& report)
+    {
+        if (report.m_ready && !report.m_stopping)
+        {
+            auto& list = report.m_data_centre == near ? local : remote;
+            list.push_back(address_text(report.m_caller));
+        }
+    };
+    add(own);
+    for (const auto& [id, host] : table.m_hosts)
+    {
+        if (is_live(host, live_for, now))
+        {
+            add(host.m_report);
+        }
+    }
+    for (auto& address : remote)
+    {
+        if (local.size() >= enough)
+        {
+            break;
+        }
+        local.push_back(std::move(address));
+    }
+    return local;
+}
+
+} // namespace geraniumdoor::serving
--- /dev/null
+++ b/src/serving/path_estimate.cpp
@@ -0,0 +1,75 @@
+#include <geraniumdoor/serving/path_estimate.hpp>
+
+#include <algorithm>
+
+namespace geraniumdoor::serving
+{
+
+namespace
+{
+
+constexpr milliseconds shortest_return{100};
+
+bool has_pieces(const std::vector<std::uint32_t>& pieces, std::size_t stage)
+{
+    return stage < pieces.size() && pieces[stage] > 0;
+}
+
+} // namespace
+
+path_estimate estimate_path(const route& chosen,
+                            const std::vector<stage_estimate>& stages,
+                            const std::vector<std::uint32_t>& pieces, milliseconds answer)
+{
+    const std::size_t count = chosen.m_stages.size();
+    path_estimate path;
+    path.m_stage_ends.assign(count, milliseconds{0});
+    path.m_after_stage.assign(count, answer);
+    milliseconds last_end{0};
+    // The platform lists a stage after those it needs.
+    for (std::size_t at = 0; at < count; ++at)
+    {
+        milliseconds begin{0};
+        for (const std::uint32_t before : chosen.m_stages[at].m_after)
+        {
+            if (before < at)
+            {
+                begin = std::max(begin, path.m_stage_ends[before]);
+            }
+        }
+        const bool runs = has_pieces(pieces, at);
+        path.m_stage_ends[at] =
+            runs ? begin + stages[at].m_wait + stages[at].m_work : begin;
+        last_end = std::max(last_end, path.m_stage_ends[at]);
+    }
+    for (std::size_t at = count; at-- > 0;)
+    {
+        const milliseconds own =
+            has_pieces(pieces, at) ? stages[at].m_work : milliseconds{0};
+        for (const std::uint32_t before : chosen.m_stages[at].m_after)
+        {
+            if (before < at)
+            {
+                path.m_after_stage[before] =
+                    std::max(path.m_after_stage[before], path.m_after_stage[at] + own);
+            }
+        }
+    }
+    path.m_first_byte = last_end + answer;
+    return path;
+}
+
+milliseconds stage_work(const piece_limits& limits, std::uint32_t pieces)
+{
+    const std::uint32_t in_call = std::min(pieces, std::max(1U, limits.m_batch));
+    return limits.m_call_time +
+           milliseconds{static_cast<std::int64_t>(limits.m_piece_ms * in_call)};
+}
+
+milliseconds time_to_return(milliseconds until_capacity, milliseconds left)
+{
+    const milliseconds longest = std::max(shortest_return, left / 3);
+    return std::clamp(until_capacity, shortest_return, longest);
+}
+
+} // namespace geraniumdoor::serving
--- /dev/null
+++ b/src/serving/stage_queue.cpp
@@ -0,0 +1,314 @@
+#include <geraniumdoor/serving/stage_queue.hpp>
+
+#include <algorithm>
+#include <cmath>
+
+namespace geraniumdoor::serving
+{
+
+namespace
+{
+
+/// A call counts as overdue after this multiple of its expected time, and this much more.
+constexpr double overdue_factor = 2.2;
+constexpr milliseconds overdue_slack{100};
+
+/// An upstream that is slower than this is left idle while faster ones can do the work.
+constexpr double slow_worker = 1.8;
+
+/// Time for which a job waits for an upstream in the data centre where its results are
+/// wanted. One result of 3 MB that crosses costs a thirtieth of the request's worth.
+constexpr milliseconds locality_wait{120};
+
+/// Results below this size may be made anywhere.
+constexpr std::uint64_t large_result_bytes = 1'000'000;
+
+struct waiting_job
+{
+    job_urgency m_urgency;
+    const job_id* m_id = nullptr;
+    const stage_job* m_job = nullptr;
+    std::uint32_t m_waiting = 0;
+};
+
+std::uint32_t count_waiting(const stage_job& job)
+{
+    return static_cast<std::uint32_t>(std::count_if(
+        job.m_pieces.begin(), job.m_pieces.end(),
+        [](const piece& part)
+        {
+            return part.m_state == piece_state::waiting;
+        }));
+}
+
+bool is_usable(const stage_worker& worker, time_point now)
+{
+    return worker.m_blocked_until <= now;
+}
+
+/// Whether the job should wait for an upstream in its preferred data centre.
+bool waits_for_locality(const stage_queue& queue, const stage_job& job,
+                        const stage_worker& worker, time_point now)
+{
+    const bool local = job.m_preferred.m_value.empty() ||
+                       job.m_preferred == worker.m_data_centre ||
+                       job.m_result_bytes < large_result_bytes;
+    if (local || now - job.m_arrived >= locality_wait)
+    {
+        return false;
+    }
+    return std::any_of(queue.m_workers.begin(), queue.m_workers.end(),
+                       [&](const auto& entry)
+                       {
+                           const stage_worker& other = entry.second;
+                           const bool soon = !other.m_busy_until ||
+                                             *other.m_busy_until < now + locality_wait;
+                           return other.m_data_centre == job.m_preferred &&
+                                  is_usable(other, now) && soon &&
+                                  other.m_slowness < slow_worker;
+                       });
+}
+
+std::vector<waiting_job> waiting_in_order(const stage_queue& queue, time_point now)
+{
+    std::vector<waiting_job> order;
+    for (const auto& [id, job] : queue.m_jobs)
+    {
+        const std::uint32_t waiting = count_waiting(job);
+        if (waiting > 0)
+        {
+            order.push_back({urgency_of(queue, job, now), &id, &job, waiting});
+        }
+    }
+    std::sort(order.begin(), order.end(),
+              [](const waiting_job& a, const waiting_job& b)
+              {
+                  return a.m_urgency < b.m_urgency;
+              });
+    return order;
+}
+
+void take_pieces(std::vector<piece_ref>& call, const waiting_job& from, std::size_t limit)
+{
+    for (std::uint32_t at = 0; at < from.m_job->m_pieces.size() && call.size() < limit;
+         ++at)
+    {
+        if (from.m_job->m_pieces[at].m_state == piece_state::waiting)
+        {
+            call.push_back({*from.m_id, at});
+        }
+    }
+}
+
+/// Pieces a second that the usable upstreams finish with full calls.
+double throughput(const stage_queue& queue, time_point now)
+{
+    double pieces_per_s = 0;
+    for (const auto& [id, worker] : queue.m_workers)
+    {
+        if (is_usable(worker, now))
+        {
+            const auto full =
+                expected_call_time(queue, queue.m_limits.m_batch, worker.m_slowness);
+            pieces_per_s += queue.m_limits.m_batch / std::max(0.001, to_s(full));
+        }
+    }
+    return pieces_per_s;
+}
+
+/// Earliest time at which some upstream is idle.
+time_point first_idle(const stage_queue& queue, time_point now)
+{
+    std::optional<time_point> first;
+    for (const auto& [id, worker] : queue.m_workers)
+    {
+        const time_point idle =
+            std::max({now, worker.m_busy_until.value_or(now), worker.m_blocked_until});
+        first = first ? std::min(*first, idle) : idle;
+    }
+    constexpr seconds no_worker{60};
+    return first.value_or(now + no_worker);
+}
+
+/// Whether faster upstreams would finish all waiting pieces before this one finishes a
+/// call.
+bool leave_to_faster(const stage_queue& queue, const stage_worker& worker,
+                     std::size_t waiting, time_point now)
+{
+    if (worker.m_slowness < slow_worker)
+    {
+        return false;
+    }
+    double others_per_s = 0;
+    for (const auto& [id, other] : queue.m_workers)
+    {
+        if (other.m_slowness < slow_worker && is_usable(other, now))
+        {
+            const auto full = expected_call_time(queue, queue.m_limits.m_batch, 1);
+            others_per_s += queue.m_limits.m_batch / std::max(0.001, to_s(full));
+        }
+    }
+    const auto own = expected_call_time(queue, queue.m_limits.m_batch, worker.m_slowness);
+    return static_cast<double>(waiting) < others_per_s * to_s(own);
+}
+
+std::size_t room_for(const stage_queue& queue, const stage_worker& worker,
+                     std::uint64_t result_bytes)
+{
+    if (queue.m_limits.m_room_bytes == 0 || result_bytes == 0)
+    {
+        return queue.m_limits.m_batch;
+    }
+    const std::uint64_t room = queue.m_limits.m_room_bytes > worker.m_room_used
+                                   ? queue.m_limits.m_room_bytes - worker.m_room_used
+                                   : 0;
+    return static_cast<std::size_t>(room / result_bytes);
+}
+
+} // namespace
+
+milliseconds expected_call_time(const stage_queue& queue, std::size_t pieces,
+                                double slowness)
+{
+    const double piece_ms =
+        queue.m_piece_ms > 0 ? queue.m_piece_ms : queue.m_limits.m_piece_ms;
+    const double call_ms = static_cast<double>(queue.m_limits.m_call_time.count());
+    return milliseconds{static_cast<std::int64_t>(
+        slowness * (call_ms + piece_ms * static_cast<double>(pieces)))};
+}
+
+job_urgency urgency_of(const stage_queue& queue, const stage_job& job, time_point now)
+{
+    const std::size_t call = std::min<std::size_t>(count_waiting(job),
+                                                   queue.m_limits.m_batch);
+    const bool late = now + expected_call_time(queue, call, 1) > job.m_due;
+    return {late, job.m_due + rank_step * job.m_rank};
+}
+
+std::vector<piece_ref> next_call(const stage_queue& queue, const upstream_id& worker,
+                                 time_point now)
+{
+    const auto at = queue.m_workers.find(worker);
+    if (at == queue.m_workers.end() || at->second.m_busy_until ||
+        !is_usable(at->second, now))
+    {
+        return {};
+    }
+    const auto order = waiting_in_order(queue, now);
+    std::size_t waiting = 0;
+    for (const waiting_job& entry : order)
+    {
+        waiting += entry.m_waiting;
+    }
+    if (waiting == 0 || leave_to_faster(queue, at->second, waiting, now))
+    {
+        return {};
+    }
+    const std::size_t batch = std::max<std::uint32_t>(1, queue.m_limits.m_batch);
+    std::vector<piece_ref> call;
+    std::uint64_t bytes = 0;
+    const waiting_job* split = nullptr;
+    for (const waiting_job& entry : order)
+    {
+        const std::uint64_t size = entry.m_job->m_result_bytes;
+        stage_worker after = at->second;
+        after.m_room_used += bytes;
+        const std::size_t room = room_for(queue, after, size);
+        const std::size_t left = std::min(batch - call.size(), room);
+        if (left == 0 || waits_for_locality(queue, *entry.m_job, at->second, now))
+        {
+            continue;
+        }
+        const bool whole = entry.m_waiting <= left;
+        if (!whole && !call.empty())
+        {
+            split = split == nullptr ? &entry : split;
+            continue;
+        }
+        const std::size_t before = call.size();
+        take_pieces(call, entry, before + left);
+        bytes += size * (call.size() - before);
+    }
+    const bool backlog = waiting > 2 * batch;
+    if (split != nullptr && backlog && call.size() < batch)
+    {
+        stage_worker after = at->second;
+        after.m_room_used += bytes;
+        const std::size_t room = room_for(queue, after, split->m_job->m_result_bytes);
+        take_pieces(call, *split, std::min(batch, call.size() + room));
+    }
+    return call;
+}
+
+time_point predicted_end(const stage_queue& queue, const stage_job& job, time_point now)
+{
+    const job_urgency own = urgency_of(queue, job, now);
+    std::size_t ahead = 0;
+    for (const auto& [id, other] : queue.m_jobs)
+    {
+        if (urgency_of(queue, other, now) <= own)
+        {
+            ahead += count_waiting(other);
+        }
+    }
+    const double rate = std::max(0.001, throughput(queue, now));
+    const auto wait = std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(static_cast<double>(ahead) / rate));
+    const std::size_t batch = std::max<std::uint32_t>(1, queue.m_limits.m_batch);
+    const std::size_t call = std::min(job.m_pieces.size(), batch);
+    return first_idle(queue, now) + wait + expected_call_time(queue, call, 1);
+}
+
+milliseconds backlog_wait(const stage_queue& queue, time_point now)
+{
+    std::size_t waiting = 0;
+    for (const auto& [id, job] : queue.m_jobs)
+    {
+        waiting += count_waiting(job);
+    }
+    const double rate = std::max(0.001, throughput(queue, now));
+    const auto idle = std::chrono::duration_cast<milliseconds>(first_idle(queue, now) - now);
+    constexpr double longest_ms = 60000;
+    const double wait_ms =
+        std::min(longest_ms, 1000 * static_cast<double>(waiting) / rate);
+    return idle + milliseconds{static_cast<std::int64_t>(wait_ms)};
+}
+
+std::vector<job_id> hopeless_jobs(const stage_queue& queue, time_point now)
+{
+    std::vector<job_id> result;
+    for (const auto& [id, job] : queue.m_jobs)
+    {
+        const std::uint32_t waiting = count_waiting(job);
+        const std::size_t call = std::min<std::size_t>(waiting, queue.m_limits.m_batch);
+        const time_point soonest =
+            waiting > 0 ? now + expected_call_time(queue, call, 1) : now;
+        if (soonest > job.m_deadline)
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+std::vector<upstream_id> overdue_workers(const stage_queue& queue, time_point now)
+{
+    std::vector<upstream_id> result;
+    for (const auto& [id, worker] : queue.m_workers)
+    {
+        if (!worker.m_busy_until)
+        {
+            continue;
+        }
+        const auto expected = *worker.m_busy_until - worker.m_call_began;
+        const auto limit = std::chrono::duration_cast<duration>(expected * overdue_factor) +
+                           overdue_slack;
+        if (now - worker.m_call_began > limit)
+        {
+            result.push_back(id);
+        }
+    }
+    return result;
+}
+
+} // namespace geraniumdoor::serving
--- /dev/null
+++ b/src/serving/upstreams.cpp
@@ -0,0 +1,111 @@
+#include <geraniumdoor/serving/upstreams.hpp>
+
+#include <algorithm>
+
+namespace geraniumdoor::serving
+{
+
+namespace
+{
+
+/// Cost of a cold upstream in a choice, in loads: it is used when the warm ones are full.
+constexpr double cold_penalty = 4;
+/// Cost of leaving the data centre, in loads; small enough to only break ties.
+constexpr double remote_penalty = 0.05;
+/// Cost of an answer that fails: the request has to run again elsewhere.
+constexpr double failure_weight = 4;
+
+double plain_cost(const upstream& row, const data_centre_id& own, time_point now)
+{
+    double cost = row.m_slowness * (1 + load_of(row));
+    cost *= 1 + failure_weight * row.m_failure_share;
+    if (row.m_cold_until > now)
+    {
+        cost += cold_penalty;
+    }
+    if (row.m_entry.m_data_centre != own)
+    {
+        cost += remote_penalty;
+    }
+    return cost;
+}
+
+} // namespace
+
+void put_entry(upstream_table& table, const upstream_entry& entry, time_point now)
+{
+    upstream* known = table.m_rows.find(entry.m_id);
+    const bool same_process = known != nullptr &&
+                              known->m_entry.m_started == entry.m_started &&
+                              known->m_entry.m_pool == entry.m_pool &&
+                              known->m_entry.m_address == entry.m_address;
+    if (!same_process)
+    {
+        known = &table.m_rows.put(entry.m_id, upstream{});
+    }
+    known->m_entry = entry;
+    known->m_cold_until = now + entry.m_cold_for;
+}
+
+bool accepts_work(const upstream_table& table, const upstream& candidate)
+{
+    return !candidate.m_entry.m_leaving &&
+           !table.m_evacuated.contains(candidate.m_entry.m_data_centre);
+}
+
+bool is_available(const upstream_table& table, const upstream& candidate, time_point now)
+{
+    return accepts_work(table, candidate) && candidate.m_ejected_until <= now;
+}
+
+void note_answer(upstream& row, bool good, double slowness)
+{
+    row.m_failures_in_row = 0;
+    row.m_ejected_until = {};
+    row.m_failure_share += sample_weight * ((good ? 0.0 : 1.0) - row.m_failure_share);
+    row.m_slowness += sample_weight * (slowness - row.m_slowness);
+}
+
+void note_unreachable(upstream& row, time_point now)
+{
+    constexpr std::uint32_t most_doublings = 3;
+    const auto doublings = std::min(row.m_failures_in_row, most_doublings);
+    ++row.m_failures_in_row;
+    row.m_ejected_until =
+        now + std::min<milliseconds>(first_ejection * (1U << doublings), longest_ejection);
+}
+
+double load_of(const upstream& row)
+{
+    const double slots = std::max<std::uint32_t>(1, row.m_entry.m_concurrency);
+    return (row.m_running + row.m_running_elsewhere) / slots;
+}
+
+const upstream* choose_plain(const upstream_table& table, const pool_id& pool,
+                             const data_centre_id& own,
+                             const std::vector<upstream_id>& tried, time_point now)
+{
+    const upstream* best = nullptr;
+    double best_cost = 0;
+    for (const auto& [id, row] : table.m_rows)
+    {
+        const bool fits = row.m_entry.m_pool == pool && accepts_work(table, row) &&
+                          std::find(tried.begin(), tried.end(), id) == tried.end();
+        if (!fits)
+        {
+            continue;
+        }
+        // An ejected upstream is a last resort, better than a refusal.
+        constexpr double ejected_penalty = 1000;
+        const double cost = plain_cost(row, own, now) +
+                            (row.m_ejected_until > now ? ejected_penalty : 0);
+        if (best == nullptr || cost < best_cost)
+        {
+            best = &row;
+            best_cost = cost;
+        }
+    }
+    return best;
+}
+
+} // namespace geraniumdoor::serving
