Trace stages and queues, order late work behind, and wait for local results

Each request logs the end of each stage, each call of pieces and each queue logs its state. Due times count the waits at later stages; late jobs use spare capacity and half of the room; requests are refused when the path cannot end within a stream's patience (four goals), and inputs bound the wait of the next stage. Phantom bytes in the room of an upstream are gone.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -212,14 +212,16 @@
 {
     /// First 32 bits of the stable hash of the pool's id.
     std::uint32_t m_pool = 0;
-    std::uint32_t m_wait_ms = 0;
+    /// For a job that can meet its response-time goal, and for one that cannot.
+    std::uint32_t m_on_time_ms = 0;
+    std::uint32_t m_late_ms = 0;
 
     bool operator==(const pool_wait&) const = default;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_pool, m_wait_ms);
+        archive(m_pool, m_on_time_ms, m_late_ms);
     }
 };
 
--- a/include/geraniumdoor/serving/engine_choice.hpp
+++ b/include/geraniumdoor/serving/engine_choice.hpp
@@ -46,6 +46,12 @@
                               const std::vector<upstream_id>& tried,
                               const data_centre_id& preferred, time_point now);
 
+/// Order in which an engine should admit a prompt, 0 first to 9.
+///
+/// Load pattern: short prompts that wait behind one of 50,000 tokens, which takes an engine
+/// more than a second to read. Shortest first keeps the sum of the waits lowest.
+std::uint32_t engine_urgency(const prompt& wanted);
+
 /// Time until the first token that choose_engine expects, in milliseconds.
 /// @param cached whether the shared parts are taken to be in the engine's memory
 double expected_first_token_ms(const upstream& engine, const prompt& wanted, bool cached);
--- a/include/geraniumdoor/serving/path_estimate.hpp
+++ b/include/geraniumdoor/serving/path_estimate.hpp
@@ -25,7 +25,9 @@
     std::vector<milliseconds> m_stage_ends;
     milliseconds m_first_byte{0};
     /// Time from the end of each stage to the first byte of the answer, without waits.
-    std::vector<milliseconds> m_after_stage;
+    std::vector<milliseconds> m_work_after;
+    /// The same with the waits at the later stages.
+    std::vector<milliseconds> m_time_after;
 };
 
 /// Follows the stages of a route. A stage with no pieces takes no time.
--- a/include/geraniumdoor/serving/routing.hpp
+++ b/include/geraniumdoor/serving/routing.hpp
@@ -74,6 +74,8 @@
     /// Time for each piece of a call, in milliseconds.
     double m_piece_ms = 0;
     std::uint64_t m_room_bytes = 0;
+    /// Time for which a result is kept after the end of its call.
+    milliseconds m_result_life{4000};
 };
 
 /// Limits of a model engine.
--- a/include/geraniumdoor/serving/stage_queue.hpp
+++ b/include/geraniumdoor/serving/stage_queue.hpp
@@ -84,11 +84,18 @@
     piece_limits m_limits;
     std::map<job_id, stage_job> m_jobs;
     std::map<upstream_id, stage_worker> m_workers;
-    /// Moving average of the time for a piece, in milliseconds, at an upstream of normal
-    /// speed; 0 until there is a sample.
-    double m_piece_ms = 0;
+    /// Pieces a second that arrive with a chance to meet their goal, averaged over
+    /// inflow_window.
+    double m_inflow_per_s = 0;
+    time_point m_inflow_at{};
 };
 
+/// Time over which arrivals are averaged; a burst of a class lasts about five seconds.
+inline constexpr milliseconds inflow_window{1000};
+
+/// Counts the pieces of a job that has arrived.
+void note_arrival(stage_queue& queue, const stage_job& job, time_point now);
+
 struct piece_ref
 {
     job_id m_job;
@@ -121,16 +128,40 @@
 /// comes from full calls, and one request brings 1 to 40 pieces. Whole jobs go first, in
 /// order of urgency; a job is split only when the pieces that wait fill more than one
 /// call. Under overload the jobs that can still meet their goal go before those that
-/// cannot, and higher ranks before lower ones.
+/// cannot, and higher ranks before lower ones. Late jobs leave half of the room for
+/// results to the others, because their results lie there while they wait at a later
+/// stage.
 std::vector<piece_ref> next_call(const stage_queue& queue, const upstream_id& worker,
                                  time_point now);
 
-/// When a job that arrives now would be done.
+/// When a job that arrives now would be done. A late job only gets the capacity that the
+/// arrivals with a chance to meet their goal leave.
 time_point predicted_end(const stage_queue& queue, const stage_job& job, time_point now);
 
-/// Wait for a job of the lowest rank that arrives now, in milliseconds, before its own
-/// call begins.
-milliseconds backlog_wait(const stage_queue& queue, time_point now);
+/// Waits of a job that arrives now before its own call begins.
+struct queue_waits
+{
+    /// When it can meet its goal.
+    milliseconds m_on_time{0};
+    /// When it cannot.
+    milliseconds m_late{0};
+};
+
+queue_waits waits_of(const stage_queue& queue, time_point now);
+
+/// State of a queue for logs.
+struct queue_summary
+{
+    /// Pieces that wait, by whether their job can still meet its goal.
+    std::size_t m_on_time = 0;
+    std::size_t m_late = 0;
+    std::size_t m_running = 0;
+    std::size_t m_idle_upstreams = 0;
+    /// Room for results that is taken, as a share of all room.
+    double m_room_share = 0;
+};
+
+queue_summary summarize(const stage_queue& queue, time_point now);
 
 /// Jobs whose deadline cannot be met any more.
 std::vector<job_id> hopeless_jobs(const stage_queue& queue, time_point now);
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -52,18 +52,12 @@
 constexpr double output_token_ms = 3.5;
 constexpr milliseconds longest_output{1500};
 
+/// Part of the life of a result that is left for the next stage's call.
+constexpr milliseconds result_life_margin{500};
+
 /// Times that the stages of one request are made again after a result was lost.
 constexpr std::uint32_t most_prepared_again = 2;
 
-/// Share of a pool's backlog that is ahead of a request of each rank. The queue decides
-/// exactly; this keeps requests out that have no chance at a later stage.
-double backlog_share(std::uint32_t rank)
-{
-    constexpr double first = 0.4;
-    constexpr double step = 0.15;
-    return std::min(1.0, first + step * rank);
-}
-
 asio::ip::tcp::endpoint to_tcp(const ip_endpoint& endpoint)
 {
     return {endpoint.m_address, endpoint.m_port};
@@ -87,6 +81,16 @@
            repeat == repeatability::stream_resumable;
 }
 
+/// Time after which callers abandon a stream without an event. Source: the platform's
+/// page on requests.
+milliseconds stream_patience(const route& chosen)
+{
+    constexpr milliseconds least{2000};
+    constexpr int goals = 4;
+    constexpr int pauses = 8;
+    return std::max({least, chosen.m_goal * goals, chosen.m_pause_goal * pauses});
+}
+
 std::uint32_t rank_of(const relayed_request& current)
 {
     // The workspace's rank goes before the route's.
@@ -230,6 +234,13 @@
         current.m_route->m_timeout);
     current.m_deadline = current.m_arrived + wait - answer_margin;
     current.m_goal = current.m_arrived + current.m_route->m_goal;
+    current.m_first_byte_deadline = current.m_deadline;
+    if (is_stream(current.m_route->m_repeat))
+    {
+        current.m_first_byte_deadline =
+            std::min(current.m_deadline,
+                     current.m_arrived + stream_patience(*current.m_route) - answer_margin);
+    }
     current.m_attempts.m_repeat = current.m_route->m_repeat;
     current.m_attempts.m_max_upstreams = current.m_route->m_max_upstreams;
     return std::nullopt;
@@ -276,32 +287,26 @@
     return ms_between(now(), current.m_deadline);
 }
 
-milliseconds request_relay::wait_at(const pool_id& pool, std::uint32_t rank) const
+queue_waits request_relay::waits_at(const pool_id& pool) const
 {
     const node_id host = queue_host_of(m_state, pool);
-    std::optional<milliseconds> wait;
     if (host == m_state.m_own.m_node)
     {
-        wait = m_queues.wait_of(pool);
+        return m_queues.waits_at(pool);
     }
-    else
+    const auto hash = short_hash(pool.m_value);
+    for (const pool_wait& entry : m_state.m_hosts.m_hosts.at(host).m_report.m_waits)
     {
-        const auto known = m_state.m_hosts.m_hosts.find(host);
-        const auto hash = short_hash(pool.m_value);
-        for (const pool_wait& entry : known->second.m_report.m_waits)
+        if (entry.m_pool == hash)
         {
-            if (entry.m_pool == hash)
-            {
-                wait = milliseconds{entry.m_wait_ms};
-            }
+            return {milliseconds{entry.m_on_time_ms}, milliseconds{entry.m_late_ms}};
         }
     }
-    const double share = backlog_share(rank);
-    const double full = static_cast<double>(wait.value_or(milliseconds{0}).count());
-    return milliseconds{static_cast<std::int64_t>(full * share)};
+    return {};
 }
 
-std::vector<stage_estimate> request_relay::stage_estimates(const request& current) const
+std::vector<stage_estimate> request_relay::stage_estimates(const request& current,
+                                                           bool late) const
 {
     std::vector<stage_estimate> estimates;
     const auto& stages = current.m_route->m_stages;
@@ -313,7 +318,8 @@
                            pool->second.m_pieces.has_value();
         if (known && pieces_of(current, at) > 0)
         {
-            estimate.m_wait = wait_at(stages[at].m_pool, rank_of(current));
+            const queue_waits waits = waits_at(stages[at].m_pool);
+            estimate.m_wait = late ? waits.m_late : waits.m_on_time;
             estimate.m_work = stage_work(*pool->second.m_pieces, pieces_of(current, at));
         }
         estimates.push_back(estimate);
@@ -338,14 +344,23 @@
     {
         return std::nullopt;
     }
-    const auto path = estimate_path(*current.m_route, stage_estimates(current),
-                                    current.m_head.m_pieces, expected_answer(current));
+    const milliseconds answer = expected_answer(current);
+    const auto on_time = estimate_path(*current.m_route, stage_estimates(current, false),
+                                       current.m_head.m_pieces, answer);
+    if (now() + on_time.m_first_byte <= current.m_goal)
+    {
+        return std::nullopt;
+    }
+    const auto late = estimate_path(*current.m_route, stage_estimates(current, true),
+                                    current.m_head.m_pieces, answer);
     const milliseconds output = std::min(
         longest_output, milliseconds{static_cast<std::int64_t>(
                             output_token_ms * current.m_head.m_prompt.m_output_tokens)});
-    const milliseconds needed = path.m_first_byte + output;
-    const milliseconds left = time_left(current);
-    return needed > left ? std::optional{needed - left} : std::nullopt;
+    const milliseconds whole = late.m_first_byte + output - time_left(current);
+    const milliseconds first =
+        late.m_first_byte - ms_between(now(), current.m_first_byte_deadline);
+    const milliseconds excess = std::max(whole, first);
+    return excess > milliseconds{0} ? std::optional{excess} : std::nullopt;
 }
 
 void request_relay::choose_near(request& current) const
@@ -412,7 +427,7 @@
             }
         }
     }
-    const auto path = estimate_path(*current.m_route, stage_estimates(current),
+    const auto path = estimate_path(*current.m_route, stage_estimates(current, false),
                                     current.m_head.m_pieces, expected_answer(current));
     const time_point at_now = now();
     for (std::uint32_t at = 0; at < stages.size(); ++at)
@@ -433,11 +448,16 @@
             const auto& inputs = current.m_results[before];
             wanted.m_inputs.insert(wanted.m_inputs.end(), inputs.begin(), inputs.end());
         }
-        const milliseconds after = path.m_after_stage[at];
         wanted.m_due_ms = static_cast<std::int32_t>(
-            ms_between(at_now, current.m_goal - after).count());
+            ms_between(at_now, current.m_goal - path.m_time_after[at]).count());
         wanted.m_deadline_ms = static_cast<std::int32_t>(
-            ms_between(at_now, current.m_deadline - after).count());
+            ms_between(at_now, current.m_first_byte_deadline - path.m_work_after[at])
+                .count());
+        if (!wanted.m_inputs.empty())
+        {
+            wanted.m_deadline_ms =
+                std::min(wanted.m_deadline_ms, input_life_ms(current, at));
+        }
         wanted.m_rank = rank_of(current);
         wanted.m_preferred = current.m_inputs_near;
         wanted.m_result_bytes = stages[at].m_result_bytes;
@@ -450,6 +470,7 @@
                 {
                     current.m_results[at] = std::move(result.m_handles);
                     current.m_stage_done[at] = true;
+                    note_stage_end(current, at);
                     release_results(current, false);
                     submit_ready_stages(current);
                 }
@@ -463,6 +484,35 @@
     }
 }
 
+void request_relay::note_stage_end(request& current, std::uint32_t stage)
+{
+    const auto& pool = current.m_route->m_stages[stage].m_pool;
+    const duration since = now() - current.m_arrived;
+    const auto count = std::chrono::duration_cast<milliseconds>(since).count();
+    current.m_stage_times += current.m_stage_times.empty() ? "" : ",";
+    current.m_stage_times += std::to_string(stage) + ':' + std::to_string(count);
+    m_state.m_metrics.observe("stage_end_seconds", {{"pool", pool.m_value}},
+                              to_s(since));
+}
+
+std::int32_t request_relay::input_life_ms(const request& current,
+                                          std::uint32_t stage) const
+{
+    milliseconds life = milliseconds::max();
+    for (const std::uint32_t before : current.m_route->m_stages[stage].m_after)
+    {
+        const auto& pool_name = current.m_route->m_stages[before].m_pool;
+        const auto known = current.m_routing->m_pools.find(pool_name);
+        if (known != current.m_routing->m_pools.end() && known->second.m_pieces)
+        {
+            life = std::min(life, known->second.m_pieces->m_result_life);
+        }
+    }
+    constexpr milliseconds longest{60000};
+    return static_cast<std::int32_t>(
+        (std::min(life, longest) - result_life_margin).count());
+}
+
 asio::awaitable<bool> request_relay::prepare(request& current)
 {
     submit_ready_stages(current);
@@ -488,12 +538,12 @@
                                                                     : "stage_failed");
             co_return false;
         }
-        if (time_left(current) < least_attempt)
+        if (now() + least_attempt > current.m_first_byte_deadline)
         {
             co_await refuse(current, milliseconds{0}, "stages_late");
             co_return false;
         }
-        current.m_wake.expires_at(current.m_deadline);
+        current.m_wake.expires_at(current.m_first_byte_deadline - least_attempt);
         boost::system::error_code ignored;
         co_await current.m_wake.async_wait(
             asio::redirect_error(asio::use_awaitable, ignored));
@@ -583,6 +633,7 @@
             }
             first = false;
             const time_point began = now();
+            current.m_sent = began;
             const upstream_id id = chosen->m_entry.m_id;
             end = co_await attempt(current, *chosen);
             note_attempt(current, end, began);
@@ -735,6 +786,10 @@
     head.m_left = time_left(current);
     head.m_inputs = final_inputs(current);
     head.m_after_event = current.m_last_event;
+    if (is_stream(current.m_route->m_repeat))
+    {
+        head.m_urgency = engine_urgency(current.m_head.m_prompt);
+    }
     const auto answer = co_await call->send(
         platform::to_upstream(current.m_exchange.request(), head),
         first_byte_limit(current));
@@ -976,13 +1031,24 @@
         .add("upstream", current.m_upstream)
         .add("ran", current.m_attempts.m_ran)
         .add("not_run", current.m_attempts.m_not_run)
-        .add("left_ms", time_left(current).count())
         .add("total_ms", ms_between(current.m_arrived, at).count());
     if (current.m_first_byte != time_point{})
     {
         line.add("first_byte_ms",
                  ms_between(current.m_arrived, current.m_first_byte).count());
     }
+    if (current.m_deadline != time_point{})
+    {
+        line.add("left_ms", time_left(current).count());
+    }
+    if (!current.m_stage_times.empty())
+    {
+        line.add("stages", current.m_stage_times);
+    }
+    if (current.m_sent != time_point{})
+    {
+        line.add("sent_ms", ms_between(current.m_arrived, current.m_sent).count());
+    }
     if (!current.m_detail.empty())
     {
         line.add("reason", current.m_detail);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -43,6 +43,8 @@
     time_point m_deadline{};
     /// When the first byte should reach the caller.
     time_point m_goal{};
+    /// When a caller abandons an answer of which nothing has come.
+    time_point m_first_byte_deadline{};
     bool m_caller_gone = false;
     /// An answer was begun or sent.
     bool m_answered = false;
@@ -70,6 +72,10 @@
     std::string m_last_event;
     std::string m_partial_event;
     time_point m_first_byte{};
+    /// When the last attempt began.
+    time_point m_sent{};
+    /// End of each stage in milliseconds after the arrival, as "stage:ms", for the log.
+    std::string m_stage_times;
     std::string m_detail;
 };
 
@@ -99,9 +105,13 @@
                                         const char* reason);
 
     std::optional<milliseconds> path_excess(const request& current) const;
-    std::vector<serving::stage_estimate> stage_estimates(const request& current) const;
+    /// @param late whether the request cannot meet its goal
+    std::vector<serving::stage_estimate> stage_estimates(const request& current,
+                                                         bool late) const;
     milliseconds expected_answer(const request& current) const;
-    milliseconds wait_at(const pool_id& pool, std::uint32_t rank) const;
+    serving::queue_waits waits_at(const pool_id& pool) const;
+    /// Time for which the inputs of a stage are kept by their makers.
+    std::int32_t input_life_ms(const request& current, std::uint32_t stage) const;
     void choose_near(request& current) const;
 
     /// Returns whether all stages are made; otherwise the request was answered.
@@ -130,6 +140,7 @@
     void log_end(const request& current, const char* outcome, unsigned status);
     boost::asio::awaitable<void> fail(request& current);
     void restart_stages(request& current);
+    void note_stage_end(request& current, std::uint32_t stage);
     void answer_caller_gone(request& current);
 
     edge_state& m_state;
--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -22,6 +22,9 @@
 /// Period of the checks for hopeless jobs, overdue calls and handles to release.
 constexpr milliseconds check_period{25};
 
+/// Period of the log line on a queue that has work.
+constexpr milliseconds queue_log_period{1000};
+
 /// Pause of an upstream that says it is full: another host feeds it at the moment.
 constexpr milliseconds full_pause{40};
 
@@ -187,6 +190,7 @@
                        static_cast<std::uint32_t>(wait.count())});
         return;
     }
+    note_arrival(service->m_queue, job, at);
     service->m_queue.m_jobs.emplace(id, std::move(job));
     pump(request.m_pool, *service);
 }
@@ -341,7 +345,16 @@
     worker.m_slowness += 0.5 * (std::max(0.7, slowness) - worker.m_slowness);
     m_state.m_metrics.observe("pieces_call_seconds", {{"pool", pool.m_value}},
                               to_s(took));
-    (void)expected;
+    log_event{"pieces_call"}
+        .add("pool", pool)
+        .add("upstream", upstream)
+        .add("pieces", ended.m_pieces.size())
+        .add("jobs", service.m_queue.m_jobs.size())
+        .add("took_ms", took.count())
+        .add("expected_ms", expected.count())
+        .add("slowness", worker.m_slowness)
+        .add("held_kb", worker.m_room_used / 1000)
+        .add("results", service.m_results.size());
     for (std::size_t index = 0; index < ended.m_pieces.size(); ++index)
     {
         const piece_ref& ref = ended.m_pieces[index];
@@ -365,8 +378,6 @@
         if (piece_result.m_failure == platform::piece_failure::no_room)
         {
             worker.m_blocked_until = at + no_room_pause;
-            worker.m_room_used =
-                std::max(worker.m_room_used, service.m_queue.m_limits.m_room_bytes / 2);
         }
         else if (piece_result.m_failure == platform::piece_failure::input_gone)
         {
@@ -561,6 +572,7 @@
     repeat_overdue(service);
     expire_results(service);
     flush_releases(service);
+    log_queue(pool, service);
     for (auto& [id, worker] : service.m_queue.m_workers)
     {
         if (!worker.m_busy_until)
@@ -571,12 +583,37 @@
     pump(pool, service);
 }
 
+void stage_service::log_queue(const pool_id& pool, pool_service& service)
+{
+    const time_point at = now();
+    if (at - service.m_last_log < queue_log_period || service.m_queue.m_jobs.empty())
+    {
+        return;
+    }
+    service.m_last_log = at;
+    const queue_summary summary = summarize(service.m_queue, at);
+    const queue_waits waits = waits_of(service.m_queue, at);
+    log_event{"queue"}
+        .add("pool", pool)
+        .add("jobs", service.m_queue.m_jobs.size())
+        .add("waiting_on_time", summary.m_on_time)
+        .add("waiting_late", summary.m_late)
+        .add("running", summary.m_running)
+        .add("results", service.m_results.size())
+        .add("idle_upstreams", summary.m_idle_upstreams)
+        .add("upstreams", service.m_queue.m_workers.size())
+        .add("room_share", summary.m_room_share)
+        .add("inflow_per_s", service.m_queue.m_inflow_per_s)
+        .add("on_time_wait_ms", waits.m_on_time.count())
+        .add("late_wait_ms", waits.m_late.count());
+}
+
 void stage_service::refuse_hopeless(pool_service& service)
 {
     const time_point at = now();
     for (const job_id& id : hopeless_jobs(service.m_queue, at))
     {
-        const auto wait = std::max(shortest_retry, backlog_wait(service.m_queue, at));
+        const auto wait = std::max(shortest_retry, waits_of(service.m_queue, at).m_late);
         finish_job(service, id,
                    {0, pieces_outcome::refused, {},
                     static_cast<std::uint32_t>(wait.count())});
@@ -648,22 +685,19 @@
     {
         if (at - service.m_last_work < recent && list.size() < max_reported_waits)
         {
+            const queue_waits waits = waits_of(service.m_queue, at);
             list.push_back({short_hash(pool.m_value),
-                            static_cast<std::uint32_t>(
-                                backlog_wait(service.m_queue, at).count())});
+                            static_cast<std::uint32_t>(waits.m_on_time.count()),
+                            static_cast<std::uint32_t>(waits.m_late.count())});
         }
     }
     return list;
 }
 
-std::optional<milliseconds> stage_service::wait_of(const pool_id& pool) const
+queue_waits stage_service::waits_at(const pool_id& pool) const
 {
     const auto at = m_pools.find(pool);
-    if (at == m_pools.end())
-    {
-        return std::nullopt;
-    }
-    return backlog_wait(at->second.m_queue, now());
+    return at == m_pools.end() ? queue_waits{} : waits_of(at->second.m_queue, now());
 }
 
 std::size_t stage_service::open_jobs() const
--- a/src/edge/stage_service.hpp
+++ b/src/edge/stage_service.hpp
@@ -41,8 +41,8 @@
     /// Waits of all queues that have had work lately.
     std::vector<pool_wait> waits() const;
 
-    /// Wait at the own queue of a pool; empty when this host has none.
-    std::optional<milliseconds> wait_of(const pool_id& pool) const;
+    /// Waits at the own queue of a pool; zero when this host has none.
+    serving::queue_waits waits_at(const pool_id& pool) const;
 
     /// Jobs that are not answered yet.
     std::size_t open_jobs() const;
@@ -72,6 +72,7 @@
         /// Handles to release, by upstream.
         std::unordered_map<upstream_id, std::vector<std::string>> m_to_release;
         time_point m_last_work{};
+        time_point m_last_log{};
     };
 
     pool_service* find_service(const pool_id& pool);
@@ -95,6 +96,7 @@
     boost::asio::awaitable<void> send_release(ip_endpoint address,
                                               std::vector<std::string> handles);
     void check(const pool_id& pool, pool_service& service);
+    void log_queue(const pool_id& pool, pool_service& service);
     void refuse_hopeless(pool_service& service);
     void repeat_overdue(pool_service& service);
     void expire_results(pool_service& service);
--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -72,6 +72,13 @@
 
 } // namespace
 
+std::uint32_t engine_urgency(const prompt& wanted)
+{
+    constexpr std::uint32_t tokens_per_step = 3000;
+    constexpr std::uint32_t last = 9;
+    return std::min(last, wanted.m_prompt_tokens / tokens_per_step);
+}
+
 double expected_first_token_ms(const upstream& engine, const prompt& wanted, bool cached)
 {
     const std::uint64_t shared = shared_tokens(wanted);
--- a/src/serving/path_estimate.cpp
+++ b/src/serving/path_estimate.cpp
@@ -24,7 +24,8 @@
     const std::size_t count = chosen.m_stages.size();
     path_estimate path;
     path.m_stage_ends.assign(count, milliseconds{0});
-    path.m_after_stage.assign(count, answer);
+    path.m_work_after.assign(count, answer);
+    path.m_time_after.assign(count, answer);
     milliseconds last_end{0};
     // The platform lists a stage after those it needs.
     for (std::size_t at = 0; at < count; ++at)
@@ -44,14 +45,17 @@
     }
     for (std::size_t at = count; at-- > 0;)
     {
-        const milliseconds own =
-            has_pieces(pieces, at) ? stages[at].m_work : milliseconds{0};
+        const bool runs = has_pieces(pieces, at);
+        const milliseconds work = runs ? stages[at].m_work : milliseconds{0};
+        const milliseconds wait = runs ? stages[at].m_wait : milliseconds{0};
         for (const std::uint32_t before : chosen.m_stages[at].m_after)
         {
             if (before < at)
             {
-                path.m_after_stage[before] =
-                    std::max(path.m_after_stage[before], path.m_after_stage[at] + own);
+                path.m_work_after[before] =
+                    std::max(path.m_work_after[before], path.m_work_after[at] + work);
+                path.m_time_after[before] = std::max(
+                    path.m_time_after[before], path.m_time_after[at] + work + wait);
             }
         }
     }
--- a/src/serving/stage_queue.cpp
+++ b/src/serving/stage_queue.cpp
@@ -16,9 +16,10 @@
 /// An upstream that is slower than this is left idle while faster ones can do the work.
 constexpr double slow_worker = 1.8;
 
-/// Time for which a job waits for an upstream in the data centre where its results are
-/// wanted. One result of 3 MB that crosses costs a thirtieth of the request's worth.
-constexpr milliseconds locality_wait{120};
+/// Time that must be left to the goal for a job to wait for an upstream in the data centre
+/// where its results are wanted. One result of 3 MB that crosses costs a thirtieth of the
+/// request's worth; a late answer costs most of it.
+constexpr milliseconds locality_margin{120};
 
 /// Results below this size may be made anywhere.
 constexpr std::uint64_t large_result_bytes = 1'000'000;
@@ -46,27 +47,37 @@
     return worker.m_blocked_until <= now;
 }
 
-/// Whether the job should wait for an upstream in its preferred data centre.
+/// Whether the job should wait for an upstream in its preferred data centre: one becomes
+/// idle early enough, and the jobs that wait for it before this one fit into one call.
 bool waits_for_locality(const stage_queue& queue, const stage_job& job,
-                        const stage_worker& worker, time_point now)
+                        const stage_worker& worker, std::uint64_t local_bytes_ahead,
+                        time_point now)
 {
-    const bool local = job.m_preferred.m_value.empty() ||
-                       job.m_preferred == worker.m_data_centre ||
-                       job.m_result_bytes < large_result_bytes;
-    if (local || now - job.m_arrived >= locality_wait)
+    const bool anywhere = job.m_preferred.m_value.empty() ||
+                          job.m_preferred == worker.m_data_centre ||
+                          job.m_result_bytes < large_result_bytes;
+    if (anywhere)
     {
         return false;
     }
-    return std::any_of(queue.m_workers.begin(), queue.m_workers.end(),
-                       [&](const auto& entry)
-                       {
-                           const stage_worker& other = entry.second;
-                           const bool soon = !other.m_busy_until ||
-                                             *other.m_busy_until < now + locality_wait;
-                           return other.m_data_centre == job.m_preferred &&
-                                  is_usable(other, now) && soon &&
-                                  other.m_slowness < slow_worker;
-                       });
+    const std::size_t call = std::min<std::size_t>(count_waiting(job),
+                                                   queue.m_limits.m_batch);
+    std::uint64_t room = 0;
+    for (const auto& [id, other] : queue.m_workers)
+    {
+        if (other.m_data_centre != job.m_preferred || other.m_slowness >= slow_worker)
+        {
+            continue;
+        }
+        const time_point idle =
+            std::max({now, other.m_busy_until.value_or(now), other.m_blocked_until});
+        const time_point end = idle + expected_call_time(queue, call, other.m_slowness);
+        if (end + locality_margin <= job.m_due)
+        {
+            room += std::uint64_t{queue.m_limits.m_batch} * job.m_result_bytes;
+        }
+    }
+    return local_bytes_ahead + job.m_result_bytes * call <= room;
 }
 
 std::vector<waiting_job> waiting_in_order(const stage_queue& queue, time_point now)
@@ -116,6 +127,26 @@
     return pieces_per_s;
 }
 
+/// Pieces a second that are left for late jobs. A tenth of the capacity counts as left
+/// at all times: bursts end, and estimates are rough.
+double spare_rate(const stage_queue& queue, time_point now)
+{
+    constexpr double least_share = 0.1;
+    const double all = throughput(queue, now);
+    const double age = to_s(now - queue.m_inflow_at) / to_s(inflow_window);
+    const double inflow = queue.m_inflow_per_s * std::exp(-age);
+    return std::max(least_share * all, all - inflow);
+}
+
+/// Time in which the pieces are done at a rate, at most a minute.
+duration time_for(std::size_t pieces, double per_s)
+{
+    constexpr double longest_s = 60;
+    const double needed = static_cast<double>(pieces) / std::max(0.001, per_s);
+    return std::chrono::duration_cast<duration>(
+        std::chrono::duration<double>(std::min(longest_s, needed)));
+}
+
 /// Earliest time at which some upstream is idle.
 time_point first_idle(const stage_queue& queue, time_point now)
 {
@@ -152,17 +183,18 @@
     return static_cast<double>(waiting) < others_per_s * to_s(own);
 }
 
+/// Results of that size for which an upstream has room.
 std::size_t room_for(const stage_queue& queue, const stage_worker& worker,
-                     std::uint64_t result_bytes)
+                     std::uint64_t bytes_ahead, std::uint64_t result_bytes, bool late)
 {
     if (queue.m_limits.m_room_bytes == 0 || result_bytes == 0)
     {
         return queue.m_limits.m_batch;
     }
-    const std::uint64_t room = queue.m_limits.m_room_bytes > worker.m_room_used
-                                   ? queue.m_limits.m_room_bytes - worker.m_room_used
-                                   : 0;
-    return static_cast<std::size_t>(room / result_bytes);
+    const std::uint64_t all =
+        late ? queue.m_limits.m_room_bytes / 2 : queue.m_limits.m_room_bytes;
+    const std::uint64_t used = worker.m_room_used + bytes_ahead;
+    return static_cast<std::size_t>(all > used ? (all - used) / result_bytes : 0);
 }
 
 } // namespace
@@ -170,11 +202,9 @@
 milliseconds expected_call_time(const stage_queue& queue, std::size_t pieces,
                                 double slowness)
 {
-    const double piece_ms =
-        queue.m_piece_ms > 0 ? queue.m_piece_ms : queue.m_limits.m_piece_ms;
     const double call_ms = static_cast<double>(queue.m_limits.m_call_time.count());
     return milliseconds{static_cast<std::int64_t>(
-        slowness * (call_ms + piece_ms * static_cast<double>(pieces)))};
+        slowness * (call_ms + queue.m_limits.m_piece_ms * static_cast<double>(pieces)))};
 }
 
 job_urgency urgency_of(const stage_queue& queue, const stage_job& job, time_point now)
@@ -208,14 +238,18 @@
     std::vector<piece_ref> call;
     std::uint64_t bytes = 0;
     const waiting_job* split = nullptr;
+    std::map<data_centre_id, std::uint64_t> bytes_ahead;
     for (const waiting_job& entry : order)
     {
+        std::uint64_t& ahead = bytes_ahead[entry.m_job->m_preferred];
+        const bool stays =
+            waits_for_locality(queue, *entry.m_job, at->second, ahead, now);
+        ahead += entry.m_job->m_result_bytes * entry.m_waiting;
         const std::uint64_t size = entry.m_job->m_result_bytes;
-        stage_worker after = at->second;
-        after.m_room_used += bytes;
-        const std::size_t room = room_for(queue, after, size);
+        const std::size_t room =
+            room_for(queue, at->second, bytes, size, entry.m_urgency.m_late);
         const std::size_t left = std::min(batch - call.size(), room);
-        if (left == 0 || waits_for_locality(queue, *entry.m_job, at->second, now))
+        if (left == 0 || stays)
         {
             continue;
         }
@@ -232,14 +266,27 @@
     const bool backlog = waiting > 2 * batch;
     if (split != nullptr && backlog && call.size() < batch)
     {
-        stage_worker after = at->second;
-        after.m_room_used += bytes;
-        const std::size_t room = room_for(queue, after, split->m_job->m_result_bytes);
+        const std::size_t room =
+            room_for(queue, at->second, bytes, split->m_job->m_result_bytes,
+                     split->m_urgency.m_late);
         take_pieces(call, *split, std::min(batch, call.size() + room));
     }
     return call;
 }
 
+void note_arrival(stage_queue& queue, const stage_job& job, time_point now)
+{
+    if (urgency_of(queue, job, now).m_late)
+    {
+        return;
+    }
+    const double window = to_s(inflow_window);
+    const double elapsed = to_s(now - queue.m_inflow_at);
+    queue.m_inflow_per_s *= std::exp(-elapsed / window);
+    queue.m_inflow_per_s += static_cast<double>(job.m_pieces.size()) / window;
+    queue.m_inflow_at = now;
+}
+
 time_point predicted_end(const stage_queue& queue, const stage_job& job, time_point now)
 {
     const job_urgency own = urgency_of(queue, job, now);
@@ -251,27 +298,56 @@
             ahead += count_waiting(other);
         }
     }
-    const double rate = std::max(0.001, throughput(queue, now));
-    const auto wait = std::chrono::duration_cast<duration>(
-        std::chrono::duration<double>(static_cast<double>(ahead) / rate));
+    const double rate = own.m_late ? spare_rate(queue, now) : throughput(queue, now);
     const std::size_t batch = std::max<std::uint32_t>(1, queue.m_limits.m_batch);
     const std::size_t call = std::min(job.m_pieces.size(), batch);
-    return first_idle(queue, now) + wait + expected_call_time(queue, call, 1);
+    return first_idle(queue, now) + time_for(ahead, rate) +
+           expected_call_time(queue, call, 1);
 }
 
-milliseconds backlog_wait(const stage_queue& queue, time_point now)
+queue_waits waits_of(const stage_queue& queue, time_point now)
 {
-    std::size_t waiting = 0;
+    std::size_t on_time = 0;
+    std::size_t late = 0;
+    for (const auto& [id, job] : queue.m_jobs)
+    {
+        auto& count = urgency_of(queue, job, now).m_late ? late : on_time;
+        count += count_waiting(job);
+    }
+    const duration idle = first_idle(queue, now) - now;
+    queue_waits waits;
+    waits.m_on_time = std::chrono::duration_cast<milliseconds>(
+        idle + time_for(on_time, throughput(queue, now)));
+    waits.m_late = std::chrono::duration_cast<milliseconds>(
+        idle + time_for(on_time + late, spare_rate(queue, now)));
+    return waits;
+}
+
+queue_summary summarize(const stage_queue& queue, time_point now)
+{
+    queue_summary summary;
     for (const auto& [id, job] : queue.m_jobs)
     {
+        auto& waiting =
+            urgency_of(queue, job, now).m_late ? summary.m_late : summary.m_on_time;
         waiting += count_waiting(job);
+        summary.m_running += static_cast<std::size_t>(
+            std::count_if(job.m_pieces.begin(), job.m_pieces.end(),
+                          [](const piece& part)
+                          {
+                              return part.m_state == piece_state::running;
+                          }));
+    }
+    double used = 0;
+    for (const auto& [id, worker] : queue.m_workers)
+    {
+        summary.m_idle_upstreams += worker.m_busy_until ? 0 : 1;
+        used += static_cast<double>(worker.m_room_used);
     }
-    const double rate = std::max(0.001, throughput(queue, now));
-    const auto idle = std::chrono::duration_cast<milliseconds>(first_idle(queue, now) - now);
-    constexpr double longest_ms = 60000;
-    const double wait_ms =
-        std::min(longest_ms, 1000 * static_cast<double>(waiting) / rate);
-    return idle + milliseconds{static_cast<std::int64_t>(wait_ms)};
+    const double room = static_cast<double>(queue.m_limits.m_room_bytes) *
+                        static_cast<double>(queue.m_workers.size());
+    summary.m_room_share = room > 0 ? used / room : 0;
+    return summary;
 }
 
 std::vector<job_id> hopeless_jobs(const stage_queue& queue, time_point now)
