Let three hosts read the store for all, and pull changes from them

The hosts with the highest rendezvous weights read; a reader that is down, stopping or has not read for 1.1 s is replaced by the next one without a message. A reader reports the version of the last change that matters (heartbeats alone do not), others pull the rows changed since, and a host that starts asks hosts before the store.

Ruled out: one reader (two faults in a row would break the configuration's bound), handing on heartbeats (30 KB a second to each host on a 10 Mbit link).

--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -456,11 +456,12 @@
 {
     std::string m_key;
     std::string m_value;
+    bool m_removed = false;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_key, m_value);
+        archive(m_key, m_value, m_removed);
     }
 };
 
@@ -477,18 +478,35 @@
     }
 };
 
-/// Whole tables as of their versions; a version of zero leaves a table out.
+/// Rows of one table that changed after the version asked for, or the whole table.
+struct table_state
+{
+    /// Version of the last change; zero when there is nothing newer.
+    std::uint64_t m_changed = 0;
+    /// Version of the store as of which the rows are.
+    std::uint64_t m_version = 0;
+    bool m_whole = false;
+    std::vector<stored_row> m_rows;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_changed, m_version, m_whole, m_rows);
+    }
+};
+
+/// Answer to state_pull.
 struct state_push
 {
-    std::uint64_t m_intent_version = 0;
-    std::vector<stored_row> m_intent;
-    std::uint64_t m_registry_version = 0;
-    std::vector<stored_row> m_registry;
+    table_state m_intent;
+    table_state m_registry;
+    /// Addresses of the live hosts, "IP:port".
+    std::vector<std::string> m_hosts;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_intent_version, m_intent, m_registry_version, m_registry);
+        archive(m_intent, m_registry, m_hosts);
     }
 };
 
--- a/include/geraniumdoor/serving/host_table.hpp
+++ b/include/geraniumdoor/serving/host_table.hpp
@@ -43,6 +43,17 @@
 /// one. A host that is cut off from this one may still send.
 std::size_t hosts_that_may_send(const host_table& table, time_point now);
 
+/// Whether this host reads the store for the others. The hosts with the highest
+/// rendezvous weight do; one that is down, or has not read for the longest age, is
+/// replaced by the next one at once.
+/// @param readers hosts that should read at a time
+/// @param longest_age age of a read above which a host does not count as a reader
+bool reads_store(const host_table& table, const host_report& own, std::size_t readers,
+                 duration longest_age, time_point now);
+
+/// Live hosts, this one included.
+std::size_t live_hosts(const host_table& table, duration live_for, time_point now);
+
 /// The host that runs the queue of a pool: the live host with the highest rendezvous
 /// weight, weighted towards hosts with more processor time.
 /// @param own report of this host, a candidate unless it is stopping
--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -72,6 +72,10 @@
 /// the process before.
 void put_entry(upstream_table& table, const upstream_entry& entry, time_point now);
 
+/// Whether two entries of one upstream differ in what choices depend on. The entries
+/// change with each heartbeat; most of these changes mean nothing to other hosts.
+bool differs(const upstream_entry& before, const upstream_entry& after);
+
 /// Whether new work may go to the upstream at all.
 bool accepts_work(const upstream_table& table, const upstream& candidate);
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -43,7 +43,10 @@
 constexpr milliseconds stop_check_period{100};
 
 /// A host asks another one for newer tables at most this often.
-constexpr milliseconds pull_pause{300};
+constexpr milliseconds pull_pause{30};
+
+/// A host asks for the list of hosts at most this often.
+constexpr milliseconds host_list_pause{1500};
 
 /// Unacknowledged bytes to another host break the connection after this time, and the
 /// work is sent to another one.
@@ -269,6 +272,9 @@
     ++own.m_sequence;
     own.m_ready = m_state.m_routing && m_state.m_registry_known && !own.m_stopping;
     own.m_waits = m_queues.waits();
+    own.m_store_age_ms = m_store.age_ms();
+    own.m_live_hosts = static_cast<std::uint16_t>(
+        serving::live_hosts(m_state.m_hosts, live_for(m_state), now()));
     own.m_loads.clear();
     for (const auto& [id, row] : m_state.m_upstreams.m_rows)
     {
@@ -344,15 +350,21 @@
             .add("incarnation", report.m_incarnation)
             .add("ready", report.m_ready);
     }
-    const bool newer = report.m_intent_version > m_state.m_own.m_intent_version ||
-                       (!m_state.m_registry_known && report.m_registry_version > 0);
-    if (newer && at - m_last_pull >= pull_pause)
+    if (is_new)
+    {
+        // A host that has just started learns at once whom it may ask.
+        m_transport.send_datagram(report.m_peer, m_state.m_own);
+    }
+    const host_report& own = m_state.m_own;
+    const bool newer = report.m_intent_version > own.m_intent_version ||
+                       report.m_registry_version > own.m_registry_version;
+    const bool knows_more = report.m_live_hosts > own.m_live_hosts &&
+                            at - m_last_pull >= host_list_pause;
+    if ((newer && at - m_last_pull >= pull_pause) || knows_more)
     {
         m_last_pull = at;
-        const std::uint64_t registry =
-            m_state.m_registry_known ? UINT64_MAX : std::uint64_t{0};
         m_transport.send(report.m_node,
-                         state_pull{m_state.m_own.m_intent_version, registry});
+                         state_pull{own.m_intent_version, own.m_registry_version});
     }
 }
 
@@ -397,6 +409,8 @@
                                                 m_state.m_settings.m_open_files));
     }
     m_queues.refresh();
+    // Other hosts ask for the change when they see its version.
+    send_reports();
 }
 
 asio::awaitable<void> edge_daemon::parts::serve_readiness(http_exchange& exchange)
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -19,8 +19,8 @@
 {
 
 /// Period of the reports between hosts for each host, so that the reports that one host
-/// receives stay below 80 a second, and bounds for it.
-inline constexpr milliseconds report_period_per_host{12};
+/// receives stay below 170 a second, and bounds for it.
+inline constexpr milliseconds report_period_per_host{6};
 inline constexpr milliseconds shortest_report_period{200};
 inline constexpr milliseconds longest_report_period{800};
 
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -24,7 +24,20 @@
 
 /// Time that a read of the operator's rows waits at the store for a change. An answer
 /// that is lost or a connection that falls silent is noticed after this and the limit.
-constexpr milliseconds intent_wait{1000};
+constexpr milliseconds intent_wait{500};
+
+/// Hosts that read the store for all. Two fail at the same moment more often than three.
+constexpr std::size_t store_readers = 3;
+
+/// Age of a host's last read above which another host reads in its place. A read of the
+/// operator's rows takes up to intent_wait, and its age is up to a report period old.
+constexpr milliseconds longest_read_age{1100};
+
+/// Time in which a host that has just started first asks other hosts.
+constexpr milliseconds ask_hosts_first{600};
+
+/// Pause of a host that does not read at the moment.
+constexpr milliseconds reader_check{100};
 
 /// Pause between two reads of the registry. The store drops nothing: entries change
 /// about once a second for each upstream, so that a held read would return at once.
@@ -52,23 +65,37 @@
     return {endpoint.m_address, endpoint.m_port};
 }
 
-std::vector<stored_row> rows_of(const held_table& table)
+/// Rows that changed after a version; all rows when the version is zero.
+table_state changes_of(const held_table& table, std::uint64_t after)
 {
-    std::vector<stored_row> rows;
-    for (const auto& [key, value] : table.m_rows)
+    table_state state;
+    if (table.m_changed <= after)
     {
-        rows.push_back({key, value});
+        return state;
     }
-    return rows;
+    state.m_changed = table.m_changed;
+    state.m_version = table.m_version;
+    state.m_whole = after == 0;
+    for (const auto& [key, row] : table.m_rows)
+    {
+        const bool wanted = state.m_whole ? !row.m_removed : row.m_changed > after;
+        if (wanted)
+        {
+            state.m_rows.push_back({key, row.m_value, row.m_removed});
+        }
+    }
+    return state;
 }
 
-platform::row_page page_of(const std::vector<stored_row>& rows, std::uint64_t version)
+/// Rows of another host as if they came from the store.
+platform::row_page page_of(const table_state& state)
 {
     platform::row_page page;
-    page.m_version = version;
-    for (const stored_row& entry : rows)
+    page.m_version = std::max(state.m_version, state.m_changed);
+    for (const stored_row& entry : state.m_rows)
     {
-        page.m_rows.push_back({entry.m_key, entry.m_value, false});
+        page.m_rows.push_back(
+            {entry.m_key, entry.m_value, state.m_changed, entry.m_removed});
     }
     return page;
 }
@@ -86,6 +113,7 @@
 
 void store_watch::start()
 {
+    m_started = now();
     asio::co_spawn(m_state.m_executor, watch(m_intent, intent_wait, milliseconds{20}),
                    asio::detached);
     asio::co_spawn(m_state.m_executor,
@@ -105,11 +133,28 @@
     co_await timer.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
 }
 
+bool store_watch::is_reader() const
+{
+    const bool may_ask = m_intent.m_version == 0 || m_registry.m_version == 0;
+    if (may_ask && now() - m_started < ask_hosts_first)
+    {
+        return false;
+    }
+    return serving::reads_store(m_state.m_hosts, m_state.m_own, store_readers,
+                                longest_read_age, now());
+}
+
 asio::awaitable<void> store_watch::watch(held_table& table, milliseconds wait,
                                          milliseconds pause)
 {
     while (!m_stopped)
     {
+        if (!is_reader())
+        {
+            drop_lapsed();
+            co_await pause_for(reader_check);
+            continue;
+        }
         const bool good = co_await read_once(table, wait);
         drop_lapsed();
         co_await pause_for(good ? pause : retry_pause);
@@ -217,69 +262,117 @@
             .add("held", table.m_version);
         return;
     }
-    const bool changed = whole || !page.m_rows.empty();
+    const std::uint64_t changed_before = table.m_changed;
+    const bool first = table.m_version == 0;
     if (whole)
     {
-        std::vector<std::string> missing;
-        for (const auto& [key, value] : table.m_rows)
-        {
-            const bool present =
-                std::any_of(page.m_rows.begin(), page.m_rows.end(),
-                            [&](const platform::row& entry)
-                            {
-                                return entry.m_key == key && !entry.m_removed;
-                            });
-            if (!present)
-            {
-                missing.push_back(key);
-            }
-        }
-        for (const std::string& key : missing)
+        remove_missing(table, page);
+    }
+    for (const platform::row& entry : page.m_rows)
+    {
+        if (apply_entry(table, entry))
         {
-            remove_row(table, key);
+            table.m_changed = std::max(table.m_changed, entry.m_version);
         }
     }
-    for (const platform::row& entry : page.m_rows)
+    table.m_version = page.m_version;
+    if (table.m_changed == 0)
+    {
+        // An empty table is known, too.
+        table.m_changed = table.m_version;
+    }
+    publish_versions();
+    if (first || table.m_changed != changed_before)
     {
-        if (entry.m_removed)
+        m_on_change();
+    }
+}
+
+void store_watch::remove_missing(held_table& table, const platform::row_page& page)
+{
+    std::vector<std::string> missing;
+    for (const auto& [key, row] : table.m_rows)
+    {
+        const bool present = std::any_of(page.m_rows.begin(), page.m_rows.end(),
+                                         [&](const platform::row& entry)
+                                         {
+                                             return entry.m_key == key;
+                                         });
+        if (!present && !row.m_removed)
         {
-            remove_row(table, entry.m_key);
-            continue;
+            missing.push_back(key);
         }
-        table.m_lapsed.erase(entry.m_key);
-        const auto held = table.m_rows.find(entry.m_key);
-        const bool same = held != table.m_rows.end() && held->second == entry.m_value;
-        table.m_rows[entry.m_key] = entry.m_value;
-        if (!same || table.m_name == platform::registry_table)
+    }
+    for (const std::string& key : missing)
+    {
+        if (remove_row(table, key, page.m_version))
         {
-            apply_row(table, entry.m_key, &table.m_rows[entry.m_key]);
+            table.m_changed = std::max(table.m_changed, page.m_version);
         }
     }
-    table.m_version = page.m_version;
-    m_state.m_own.m_intent_version = m_intent.m_version;
-    m_state.m_own.m_registry_version = m_registry.m_version;
-    m_state.m_registry_known = m_registry.m_version != 0;
-    if (changed)
+}
+
+/// Returns whether the change matters to other hosts.
+bool store_watch::apply_entry(held_table& table, const platform::row& entry)
+{
+    if (entry.m_removed)
     {
-        m_on_change();
+        return remove_row(table, entry.m_key, entry.m_version);
+    }
+    table.m_lapsed.erase(entry.m_key);
+    held_row& held = table.m_rows[entry.m_key];
+    const bool same = !held.m_removed && held.m_value == entry.m_value;
+    held.m_value = entry.m_value;
+    held.m_removed = false;
+    if (same && held.m_changed != 0)
+    {
+        return false;
     }
+    const bool matters = &table == &m_intent
+                             ? apply_intent(entry.m_key, &held.m_value)
+                             : apply_upstream(entry.m_key, &held.m_value);
+    if (matters || held.m_changed == 0)
+    {
+        held.m_changed = entry.m_version;
+    }
+    return matters;
 }
 
-void store_watch::remove_row(held_table& table, const std::string& key)
+void store_watch::publish_versions()
 {
-    const bool is_registry = &table == &m_registry;
-    const bool may_return =
-        is_registry && (table.m_lost || now() - table.m_regained < return_time);
-    if (may_return && table.m_rows.contains(key))
+    m_state.m_own.m_intent_version = m_intent.m_changed;
+    m_state.m_own.m_registry_version = m_registry.m_changed;
+    m_state.m_registry_known = m_registry.m_version != 0;
+}
+
+bool store_watch::remove_row(held_table& table, const std::string& key,
+                             std::uint64_t version)
+{
+    const auto held = table.m_rows.find(key);
+    if (held == table.m_rows.end() || held->second.m_removed)
     {
-        table.m_lapsed.try_emplace(key, table.m_regained + return_time);
-        return;
+        return false;
     }
-    table.m_lapsed.erase(key);
-    if (table.m_rows.erase(key) > 0)
+    const bool may_return = &table == &m_registry &&
+                            (table.m_lost || now() - table.m_regained < return_time);
+    if (may_return)
     {
-        apply_row(table, key, nullptr);
+        table.m_lapsed.try_emplace(key, table.m_regained + return_time);
+        return false;
     }
+    return remove_now(table, key, version);
+}
+
+bool store_watch::remove_now(held_table& table, const std::string& key,
+                             std::uint64_t version)
+{
+    held_row& held = table.m_rows[key];
+    held.m_removed = true;
+    held.m_value.clear();
+    held.m_changed = version;
+    table.m_lapsed.erase(key);
+    return &table == &m_intent ? apply_intent(key, nullptr)
+                               : apply_upstream(key, nullptr);
 }
 
 void store_watch::drop_lapsed()
@@ -295,30 +388,17 @@
     }
     for (const std::string& key : gone)
     {
-        m_registry.m_lapsed.erase(key);
-        m_registry.m_rows.erase(key);
-        apply_row(m_registry, key, nullptr);
+        remove_now(m_registry, key, m_registry.m_version);
+        m_registry.m_changed = m_registry.m_version;
     }
     if (!gone.empty())
     {
+        publish_versions();
         m_on_change();
     }
 }
 
-void store_watch::apply_row(const held_table& table, const std::string& key,
-                            const std::string* value)
-{
-    if (&table == &m_intent)
-    {
-        apply_intent(key, value);
-    }
-    else
-    {
-        apply_upstream(key, value);
-    }
-}
-
-void store_watch::apply_intent(const std::string& key, const std::string* value)
+bool store_watch::apply_intent(const std::string& key, const std::string* value)
 {
     if (const auto data_centre = platform::evacuated_data_centre(key))
     {
@@ -332,17 +412,17 @@
         }
         log_event{value != nullptr ? "evacuation_begun" : "evacuation_ended"}.add(
             "data_centre", *data_centre);
-        return;
+        return true;
     }
     if (key != platform::configuration_key || value == nullptr)
     {
-        return;
+        return true;
     }
     auto config = platform::decode_configuration(*value);
     if (!is_ok(config))
     {
         log_event{"configuration_rejected"}.add("reason", error_of(config).m_detail);
-        return;
+        return true;
     }
     const auto held = m_state.m_routing;
     if (held && value_of(config).m_version <= held->m_version)
@@ -350,7 +430,7 @@
         log_event{"configuration_not_newer"}
             .add("version", value_of(config).m_version)
             .add("held", held->m_version);
-        return;
+        return true;
     }
     m_state.m_routing =
         std::make_shared<const serving::routing>(value_of(std::move(config)));
@@ -358,33 +438,29 @@
         .add("version", m_state.m_routing->m_version)
         .add("routes", m_state.m_routing->m_routes.size())
         .add("keys", m_state.m_routing->m_keys.size());
+    return true;
 }
 
-void store_watch::apply_upstream(const std::string& key, const std::string* value)
+bool store_watch::apply_upstream(const std::string& key, const std::string* value)
 {
     const upstream_id id{key};
     if (value == nullptr)
     {
-        if (m_state.m_upstreams.m_rows.erase(id))
-        {
-            log_event{"upstream_gone"}.add("upstream", id);
-        }
-        return;
+        m_state.m_upstreams.m_rows.erase(id);
+        log_event{"upstream_gone"}.add("upstream", id);
+        return true;
     }
     const auto entry = platform::decode_upstream(key, *value);
     if (!is_ok(entry))
     {
         log_event{"registry_entry_rejected"}.add("upstream", id).add(
             "reason", error_of(entry).m_detail);
-        m_state.m_upstreams.m_rows.erase(id);
-        return;
+        return m_state.m_upstreams.m_rows.erase(id);
     }
     const auto* known = m_state.m_upstreams.m_rows.find(id);
-    const bool news = known == nullptr ||
-                      known->m_entry.m_leaving != value_of(entry).m_leaving ||
-                      known->m_entry.m_started != value_of(entry).m_started;
-    serving::put_entry(m_state.m_upstreams, value_of(entry), now());
-    if (news)
+    const bool matters =
+        known == nullptr || serving::differs(known->m_entry, value_of(entry));
+    if (matters)
     {
         log_event{"upstream_known"}
             .add("upstream", id)
@@ -393,33 +469,70 @@
             .add("leaving", value_of(entry).m_leaving)
             .add("cold_ms", value_of(entry).m_cold_for.count());
     }
+    serving::put_entry(m_state.m_upstreams, value_of(entry), now());
+    return matters;
 }
 
 state_push store_watch::answer_to(const state_pull& pull) const
 {
     state_push push;
-    if (m_intent.m_version > pull.m_intent_version)
-    {
-        push.m_intent_version = m_intent.m_version;
-        push.m_intent = rows_of(m_intent);
-    }
-    if (m_registry.m_version > pull.m_registry_version)
+    push.m_intent = changes_of(m_intent, pull.m_intent_version);
+    push.m_registry = changes_of(m_registry, pull.m_registry_version);
+    push.m_hosts.push_back(to_text(m_state.m_settings.m_peers));
+    for (const auto& [id, host] : m_state.m_hosts.m_hosts)
     {
-        push.m_registry_version = m_registry.m_version;
-        push.m_registry = rows_of(m_registry);
+        if (serving::is_live(host, live_for(m_state), now()))
+        {
+            const node_address& peer = host.m_report.m_peer;
+            push.m_hosts.push_back(peer.m_ip + ':' + std::to_string(peer.m_port));
+        }
     }
     return push;
 }
 
 void store_watch::take(const state_push& push)
 {
-    if (push.m_intent_version > m_intent.m_version)
+    if (push.m_intent.m_changed > m_intent.m_changed)
+    {
+        apply(m_intent, page_of(push.m_intent), push.m_intent.m_whole);
+        m_intent.m_changed = std::max(m_intent.m_changed, push.m_intent.m_changed);
+    }
+    if (push.m_registry.m_changed > m_registry.m_changed)
+    {
+        apply(m_registry, page_of(push.m_registry), push.m_registry.m_whole);
+        m_registry.m_changed = std::max(m_registry.m_changed, push.m_registry.m_changed);
+    }
+    publish_versions();
+    for (const std::string& address : push.m_hosts)
+    {
+        add_seed(address);
+    }
+}
+
+std::uint32_t store_watch::age_ms() const
+{
+    const time_point oldest = std::min(m_intent.m_last_success, m_registry.m_last_success);
+    if (oldest == time_point{})
+    {
+        return UINT32_MAX;
+    }
+    const auto age = std::chrono::duration_cast<milliseconds>(now() - oldest);
+    return static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX - 1));
+}
+
+void store_watch::add_seed(const std::string& text)
+{
+    const auto endpoint = parse_endpoint(text);
+    if (!endpoint)
     {
-        apply(m_intent, page_of(push.m_intent, push.m_intent_version), true);
+        log_event{"host_address_rejected"}.add("address", text);
+        return;
     }
-    if (push.m_registry_version > m_registry.m_version)
+    const node_address address{endpoint->m_address.to_string(), endpoint->m_port};
+    auto& seeds = m_state.m_hosts.m_seeds;
+    if (std::find(seeds.begin(), seeds.end(), address) == seeds.end())
     {
-        apply(m_registry, page_of(push.m_registry, push.m_registry_version), true);
+        seeds.push_back(address);
     }
 }
 
@@ -428,12 +541,17 @@
     bool written = false;
     while (!m_stopped)
     {
+        const bool alone = m_state.m_hosts.m_hosts.empty();
+        const bool reads = is_reader() || alone;
         if (!written)
         {
             written = co_await write_host_row();
         }
-        co_await read_host_rows();
-        co_await pause_for(host_rows_pause);
+        if (reads)
+        {
+            co_await read_host_rows();
+        }
+        co_await pause_for(written ? host_rows_pause : retry_pause * 4);
     }
 }
 
@@ -458,20 +576,9 @@
     {
         co_return;
     }
-    auto& seeds = m_state.m_hosts.m_seeds;
     for (const platform::row& entry : value_of(page).m_rows)
     {
-        const auto endpoint = parse_endpoint(entry.m_value);
-        if (!endpoint)
-        {
-            log_event{"host_row_rejected"}.add("host", entry.m_key);
-            continue;
-        }
-        const node_address address{endpoint->m_address.to_string(), endpoint->m_port};
-        if (std::find(seeds.begin(), seeds.end(), address) == seeds.end())
-        {
-            seeds.push_back(address);
-        }
+        add_seed(entry.m_value);
     }
 }
 
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -15,13 +15,24 @@
 namespace geraniumdoor::edge
 {
 
+struct held_row
+{
+    std::string m_value;
+    /// Version of the last change that matters to other hosts.
+    std::uint64_t m_changed = 0;
+    bool m_removed = false;
+};
+
 /// Rows of one table of the store as this host holds them.
 struct held_table
 {
     std::string m_name;
-    std::map<std::string, std::string> m_rows;
+    /// Removed rows stay, so that their removal can be handed on.
+    std::map<std::string, held_row> m_rows;
     /// Version of the store as of which the rows are; zero when nothing was read.
     std::uint64_t m_version = 0;
+    /// Version of the last change that matters.
+    std::uint64_t m_changed = 0;
     /// Removed during an outage or just after, each with the time at which it counts as
     /// gone.
     std::map<std::string, time_point> m_lapsed;
@@ -31,8 +42,8 @@
     bool m_lost = false;
 };
 
-/// Keeps the operator's rows and the registry of upstreams up to date, and hands them to
-/// other hosts.
+/// Keeps the operator's rows and the registry of upstreams up to date, from the store or
+/// from hosts that read it, and hands them to other hosts.
 class store_watch
 {
 public:
@@ -43,12 +54,14 @@
     void start();
     void stop();
 
-    /// Rows for a host that asks; tables that are not newer are left out.
+    /// Rows for a host that asks: those that changed after the versions it holds.
     state_push answer_to(const state_pull& pull) const;
 
-    /// Takes over tables of another host that are newer than the own ones.
+    /// Takes over the rows of another host that are newer than the own ones.
     void take(const state_push& push);
 
+    /// Milliseconds since both tables were last read from the store; UINT32_MAX for never.
+    std::uint32_t age_ms() const;
 
 private:
     boost::asio::awaitable<void> watch(held_table& table, milliseconds wait,
@@ -61,20 +74,25 @@
     boost::asio::awaitable<void> read_host_rows();
     boost::asio::awaitable<void> pause_for(milliseconds length);
 
+    bool is_reader() const;
     void apply(held_table& table, const platform::row_page& page, bool whole);
-    void apply_row(const held_table& table, const std::string& key,
-                   const std::string* value);
-    void apply_intent(const std::string& key, const std::string* value);
-    void apply_upstream(const std::string& key, const std::string* value);
-    void remove_row(held_table& table, const std::string& key);
+    bool apply_entry(held_table& table, const platform::row& entry);
+    bool apply_intent(const std::string& key, const std::string* value);
+    bool apply_upstream(const std::string& key, const std::string* value);
+    bool remove_row(held_table& table, const std::string& key, std::uint64_t version);
+    bool remove_now(held_table& table, const std::string& key, std::uint64_t version);
+    void remove_missing(held_table& table, const platform::row_page& page);
     void drop_lapsed();
+    void publish_versions();
     void note_result(held_table& table, bool good, const std::string& detail);
+    void add_seed(const std::string& address);
 
     edge_state& m_state;
     std::function<void()> m_on_change;
     platform::store_client m_store;
     held_table m_intent;
     held_table m_registry;
+    time_point m_started{};
     bool m_stopped = false;
 };
 
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -66,6 +66,35 @@
     return static_cast<std::size_t>(recent) + 1;
 }
 
+bool reads_store(const host_table& table, const host_report& own, std::size_t readers,
+                 duration longest_age, time_point now)
+{
+    const std::uint64_t own_weight = rendezvous_weight("store", own.m_node.m_value);
+    std::size_t ahead = 0;
+    for (const auto& [id, host] : table.m_hosts)
+    {
+        const bool never = host.m_report.m_store_age_ms == UINT32_MAX;
+        const duration age = milliseconds{host.m_report.m_store_age_ms} +
+                             (now - host.m_heard);
+        const bool reads = !never && age <= longest_age && !host.m_report.m_stopping;
+        if (reads && rendezvous_weight("store", id.m_value) > own_weight)
+        {
+            ++ahead;
+        }
+    }
+    return ahead < readers;
+}
+
+std::size_t live_hosts(const host_table& table, duration live_for, time_point now)
+{
+    const auto live = std::count_if(table.m_hosts.begin(), table.m_hosts.end(),
+                                    [&](const auto& entry)
+                                    {
+                                        return is_live(entry.second, live_for, now);
+                                    });
+    return static_cast<std::size_t>(live) + 1;
+}
+
 node_id queue_host(const host_table& table, const host_report& own, const pool_id& pool,
                    duration live_for, time_point now)
 {
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -47,6 +47,15 @@
     known->m_cold_until = now + entry.m_cold_for;
 }
 
+bool differs(const upstream_entry& before, const upstream_entry& after)
+{
+    return before.m_pool != after.m_pool || before.m_address != after.m_address ||
+           before.m_data_centre != after.m_data_centre ||
+           before.m_leaving != after.m_leaving ||
+           before.m_concurrency != after.m_concurrency ||
+           before.m_started != after.m_started || after.m_cold_for > before.m_cold_for;
+}
+
 bool accepts_work(const upstream_table& table, const upstream& candidate)
 {
     return !candidate.m_entry.m_leaving &&
