Forecast the queues of announced stages, and start final stages just in time

Each request announces its stages to the hosts that run the queues and is admitted by their forecasts; a final stage starts when its end falls together with the others' ends; late jobs may fill 85 percent of the room.

Ruled out: half of the room for late jobs (calls of 12 pieces of 30 while 4,000 waited).

Conclusion: room at the last stage still binds; its results are held until the first token.

--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -426,6 +426,37 @@
     }
 };
 
+/// To the host that runs a pool's queue: a job will come, if the request is admitted. The
+/// job counts in the forecasts for others until it comes or is cancelled.
+struct pieces_announce
+{
+    std::uint64_t m_job = 0;
+    pool_id m_pool;
+    std::uint32_t m_pieces = 0;
+    /// Time until the job is expected, in milliseconds.
+    std::uint32_t m_eta_ms = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_job, m_pool, m_pieces, m_eta_ms);
+    }
+};
+
+/// Answer to pieces_announce: waits that the job will meet.
+struct pieces_forecast
+{
+    std::uint64_t m_job = 0;
+    std::uint32_t m_on_time_ms = 0;
+    std::uint32_t m_late_ms = 0;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_job, m_on_time_ms, m_late_ms);
+    }
+};
+
 struct pieces_cancel
 {
     std::uint64_t m_job = 0;
@@ -515,7 +546,8 @@
                  attempt_query, attempt_status, ownership_announce, lease_extend,
                  lease_grant, lease_transfer, lease_transfer_ack, transfer_outstanding,
                  config_pull, config_push, pieces_request, pieces_result, pieces_cancel,
-                 results_release, state_pull, state_push>;
+                 results_release, state_pull, state_push,
+                 pieces_announce, pieces_forecast>;
 
 } // namespace geraniumdoor
 
--- a/include/geraniumdoor/serving/stage_queue.hpp
+++ b/include/geraniumdoor/serving/stage_queue.hpp
@@ -78,12 +78,20 @@
     std::uint32_t m_failures_in_row = 0;
 };
 
+/// A job that is expected because its request was admitted and is at an earlier stage.
+struct announced_job
+{
+    std::uint32_t m_pieces = 0;
+    time_point m_expected{};
+};
+
 /// Work that waits for the upstreams of one pool, and these upstreams.
 struct stage_queue
 {
     piece_limits m_limits;
     std::map<job_id, stage_job> m_jobs;
     std::map<upstream_id, stage_worker> m_workers;
+    std::map<job_id, announced_job> m_announced;
     /// Pieces a second that arrive with a chance to meet their goal, averaged over
     /// inflow_window.
     double m_inflow_per_s = 0;
@@ -149,6 +157,16 @@
 
 queue_waits waits_of(const stage_queue& queue, time_point now);
 
+/// Waits of a job that will arrive at a later time.
+///
+/// Load pattern: a burst fills the first stage for 200 ms before its work reaches the
+/// second one, whose queue is still short when it is asked. The forecast counts the jobs
+/// that were announced until then.
+queue_waits forecast(const stage_queue& queue, time_point arrival, time_point now);
+
+/// Forgets announced jobs that did not come.
+void drop_missing_jobs(stage_queue& queue, time_point now);
+
 /// State of a queue for logs.
 struct queue_summary
 {
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -159,6 +159,10 @@
                [this](const node_id& host, pieces_result result)
                {
                    m_transport.send(host, std::move(result));
+               },
+               [this](const node_id& host, pieces_forecast forecast)
+               {
+                   m_transport.send(host, forecast);
                }}
     , m_stages{m_state,
                [this](const node_id& host, node_message message)
@@ -379,6 +383,14 @@
     {
         m_stages.on_result(peer, *result);
     }
+    else if (const auto* announced = std::get_if<pieces_announce>(&message))
+    {
+        m_queues.on_announce(peer, peer_incarnation, *announced);
+    }
+    else if (const auto* forecast = std::get_if<pieces_forecast>(&message))
+    {
+        m_stages.on_forecast(*forecast);
+    }
     else if (const auto* cancel = std::get_if<pieces_cancel>(&message))
     {
         m_queues.on_cancel(peer, peer_incarnation, *cancel);
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -24,6 +24,9 @@
 /// Time in which the last bytes of an answer still reach the caller.
 constexpr milliseconds answer_margin{10};
 
+/// Time for the forecasts of the queues. An answer of a sound host takes 3 ms.
+constexpr milliseconds forecast_limit{40};
+
 /// Time below which another attempt cannot succeed.
 constexpr milliseconds least_attempt{20};
 
@@ -52,6 +55,11 @@
 constexpr double output_token_ms = 3.5;
 constexpr milliseconds longest_output{1500};
 
+/// A stage that is held back ends this much before the stages it is held for, as far as
+/// estimates go; shorter holds are not worth a wake-up.
+constexpr milliseconds hold_margin{120};
+constexpr milliseconds shortest_hold{40};
+
 /// Part of the life of a result that is left for the next stage's call.
 constexpr milliseconds result_life_margin{500};
 
@@ -218,6 +226,7 @@
     current.m_jobs.assign(stages, 0);
     current.m_stage_done.assign(stages, false);
     current.m_stage_submitted.assign(stages, false);
+    current.m_submitted_at.assign(stages, time_point{});
     if (current.m_routing->m_keys_required && !current.m_route->m_public)
     {
         const auto owner = current.m_routing->m_keys.find(current.m_head.m_key);
@@ -248,7 +257,12 @@
 
 asio::awaitable<void> request_relay::run(request& current)
 {
-    if (const auto excess = path_excess(current))
+    const auto excess = co_await path_excess(current);
+    if (current.m_caller_gone)
+    {
+        co_return;
+    }
+    if (excess)
     {
         co_await refuse(current, *excess, "path_too_long");
         co_return;
@@ -318,9 +332,22 @@
                            pool->second.m_pieces.has_value();
         if (known && pieces_of(current, at) > 0)
         {
-            const queue_waits waits = waits_at(stages[at].m_pool);
+            const queue_waits waits = at < current.m_forecasts.size()
+                                          ? current.m_forecasts[at]
+                                          : waits_at(stages[at].m_pool);
             estimate.m_wait = late ? waits.m_late : waits.m_on_time;
             estimate.m_work = stage_work(*pool->second.m_pieces, pieces_of(current, at));
+            if (current.m_stage_done[at])
+            {
+                estimate = {};
+            }
+            else if (current.m_stage_submitted[at])
+            {
+                milliseconds passed = ms_between(current.m_submitted_at[at], now());
+                const milliseconds waited = std::min(passed, estimate.m_wait);
+                estimate.m_wait -= waited;
+                estimate.m_work -= std::min(passed - waited, estimate.m_work);
+            }
         }
         estimates.push_back(estimate);
     }
@@ -335,15 +362,66 @@
         return milliseconds{0};
     }
     return milliseconds{static_cast<std::int64_t>(
-        expected_first_token_ms(*chosen, current.m_head.m_prompt, true))};
+        expected_first_token_ms(*chosen, current.m_head.m_prompt, false))};
+}
+
+void request_relay::announce_stages(request& current)
+{
+    const auto& stages = current.m_route->m_stages;
+    const auto path = estimate_path(*current.m_route, stage_estimates(current, false),
+                                    current.m_head.m_pieces, milliseconds{0});
+    for (std::uint32_t at = 0; at < stages.size(); ++at)
+    {
+        const std::uint32_t pieces = pieces_of(current, at);
+        if (pieces == 0)
+        {
+            continue;
+        }
+        milliseconds eta{0};
+        for (const std::uint32_t before : stages[at].m_after)
+        {
+            eta = std::max(eta, before < at ? path.m_stage_ends[before] : eta);
+        }
+        ++current.m_forecasts_missing;
+        current.m_jobs[at] =
+            m_stages.announce(stages[at].m_pool, pieces, eta,
+                              [&current, at](queue_waits waits)
+                              {
+                                  current.m_forecasts[at] = waits;
+                                  --current.m_forecasts_missing;
+                                  if (current.m_forecasts_missing == 0)
+                                  {
+                                      current.m_wake.cancel();
+                                  }
+                              });
+    }
 }
 
-std::optional<milliseconds> request_relay::path_excess(const request& current) const
+asio::awaitable<std::optional<milliseconds>> request_relay::path_excess(request& current)
 {
-    if (current.m_route->m_stages.empty())
+    const auto& stages = current.m_route->m_stages;
+    if (stages.empty())
     {
-        return std::nullopt;
+        co_return std::nullopt;
     }
+    for (std::size_t at = 0; at < stages.size(); ++at)
+    {
+        // Stands until the forecast comes.
+        current.m_forecasts.push_back(waits_at(stages[at].m_pool));
+    }
+    announce_stages(current);
+    if (current.m_forecasts_missing > 0)
+    {
+        current.m_wake.expires_after(forecast_limit);
+        boost::system::error_code ignored;
+        co_await current.m_wake.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    co_return judge_path(current);
+}
+
+std::optional<milliseconds> request_relay::judge_path(const request& current) const
+{
     const milliseconds answer = expected_answer(current);
     const auto on_time = estimate_path(*current.m_route, stage_estimates(current, false),
                                        current.m_head.m_pieces, answer);
@@ -430,13 +508,21 @@
     const auto path = estimate_path(*current.m_route, stage_estimates(current, false),
                                     current.m_head.m_pieces, expected_answer(current));
     const time_point at_now = now();
+    current.m_next_submit = time_point::max();
     for (std::uint32_t at = 0; at < stages.size(); ++at)
     {
         if (!stage_is_ready(current, at))
         {
             continue;
         }
+        const milliseconds hold = time_to_hold(current, path, at);
+        if (hold > milliseconds{0})
+        {
+            current.m_next_submit = std::min(current.m_next_submit, at_now + hold);
+            continue;
+        }
         current.m_stage_submitted[at] = true;
+        current.m_submitted_at[at] = at_now;
         pieces_request wanted;
         wanted.m_pool = stages[at].m_pool;
         wanted.m_request = current.m_head.m_request;
@@ -461,8 +547,13 @@
         wanted.m_rank = rank_of(current);
         wanted.m_preferred = current.m_inputs_near;
         wanted.m_result_bytes = stages[at].m_result_bytes;
-        current.m_jobs[at] = m_stages.submit(
-            std::move(wanted),
+        if (current.m_jobs[at] == 0)
+        {
+            current.m_jobs[at] =
+                m_stages.announce(stages[at].m_pool, wanted.m_pieces, milliseconds{0}, {});
+        }
+        m_stages.submit(
+            current.m_jobs[at], std::move(wanted),
             [this, &current, at](pieces_result result)
             {
                 current.m_jobs[at] = 0;
@@ -495,6 +586,25 @@
                               to_s(since));
 }
 
+milliseconds request_relay::time_to_hold(const request& current,
+                                         const path_estimate& path,
+                                         std::uint32_t stage) const
+{
+    const auto finals = final_stages(*current.m_route);
+    const bool is_final = std::find(finals.begin(), finals.end(), stage) != finals.end();
+    if (!is_final)
+    {
+        return milliseconds{0};
+    }
+    milliseconds last{0};
+    for (const std::uint32_t other : finals)
+    {
+        last = std::max(last, path.m_stage_ends[other]);
+    }
+    const milliseconds hold = last - path.m_stage_ends[stage] - hold_margin;
+    return hold < shortest_hold ? milliseconds{0} : hold;
+}
+
 std::int32_t request_relay::input_life_ms(const request& current,
                                           std::uint32_t stage) const
 {
@@ -543,7 +653,12 @@
             co_await refuse(current, milliseconds{0}, "stages_late");
             co_return false;
         }
-        current.m_wake.expires_at(current.m_first_byte_deadline - least_attempt);
+        if (now() >= current.m_next_submit)
+        {
+            submit_ready_stages(current);
+        }
+        current.m_wake.expires_at(std::min(current.m_first_byte_deadline - least_attempt,
+                                           current.m_next_submit));
         boost::system::error_code ignored;
         co_await current.m_wake.async_wait(
             asio::redirect_error(asio::use_awaitable, ignored));
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -51,9 +51,16 @@
 
     /// Handles of each stage; empty until it is made.
     std::vector<std::vector<std::string>> m_results;
+    /// Number of each stage's job; zero when it has none.
     std::vector<std::uint64_t> m_jobs;
+    /// Waits that the queues forecast for each stage.
+    std::vector<serving::queue_waits> m_forecasts;
+    std::size_t m_forecasts_missing = 0;
     std::vector<bool> m_stage_done;
     std::vector<bool> m_stage_submitted;
+    std::vector<time_point> m_submitted_at;
+    /// When a stage that is held back should be looked at again.
+    time_point m_next_submit = time_point::max();
     pieces_result m_failed_stage;
     bool m_stage_failed = false;
     /// Set whenever a stage ends or the caller leaves.
@@ -104,7 +111,11 @@
     boost::asio::awaitable<void> refuse(request& current, milliseconds until_capacity,
                                         const char* reason);
 
-    std::optional<milliseconds> path_excess(const request& current) const;
+    /// Announces the stages and waits for the forecasts. Returns how much too late the
+    /// answer would come; empty when the request is admitted.
+    boost::asio::awaitable<std::optional<milliseconds>> path_excess(request& current);
+    void announce_stages(request& current);
+    std::optional<milliseconds> judge_path(const request& current) const;
     /// @param late whether the request cannot meet its goal
     std::vector<serving::stage_estimate> stage_estimates(const request& current,
                                                          bool late) const;
@@ -118,6 +129,9 @@
     boost::asio::awaitable<bool> prepare(request& current);
     void submit_ready_stages(request& current);
     bool stage_is_ready(const request& current, std::uint32_t stage) const;
+    /// Time for which a stage that nothing follows should wait for the others.
+    milliseconds time_to_hold(const request& current, const serving::path_estimate& path,
+                              std::uint32_t stage) const;
     bool stages_complete(const request& current) const;
     void release_results(request& current, bool all);
     void cancel_stages(request& current);
--- a/src/edge/stage_client.cpp
+++ b/src/edge/stage_client.cpp
@@ -35,18 +35,42 @@
                            });
 }
 
-std::uint64_t stage_client::submit(pieces_request request, completion done)
+std::uint64_t stage_client::announce(const pool_id& pool, std::uint32_t pieces,
+                                     milliseconds eta, forecast_call done)
 {
     const std::uint64_t id = ++m_last_job;
+    open_job& job = m_jobs[id];
+    job.m_announced = true;
+    job.m_forecast = std::move(done);
+    job.m_request.m_pool = pool;
+    job.m_host = queue_host_of(m_state, pool);
+    m_send(job.m_host, pieces_announce{id, pool, pieces,
+                                       static_cast<std::uint32_t>(eta.count())});
+    return id;
+}
+
+void stage_client::on_forecast(const pieces_forecast& forecast)
+{
+    const auto at = m_jobs.find(forecast.m_job);
+    if (at != m_jobs.end() && at->second.m_forecast)
+    {
+        const auto call = std::exchange(at->second.m_forecast, nullptr);
+        call({milliseconds{forecast.m_on_time_ms}, milliseconds{forecast.m_late_ms}});
+    }
+}
+
+void stage_client::submit(std::uint64_t id, pieces_request request, completion done)
+{
     request.m_job = id;
     const time_point at = now();
     open_job& job = m_jobs[id];
+    job.m_announced = false;
+    job.m_forecast = nullptr;
     job.m_due = at + milliseconds{request.m_due_ms};
     job.m_deadline = at + milliseconds{request.m_deadline_ms};
     job.m_request = std::move(request);
     job.m_done = std::move(done);
     send_job(job);
-    return id;
 }
 
 void stage_client::send_job(open_job& job)
@@ -138,6 +162,10 @@
     std::vector<std::uint64_t> expired;
     for (auto& [id, job] : m_jobs)
     {
+        if (job.m_announced)
+        {
+            continue;
+        }
         if (at > job.m_deadline + answer_grace)
         {
             expired.push_back(id);
--- a/src/edge/stage_client.hpp
+++ b/src/edge/stage_client.hpp
@@ -23,10 +23,18 @@
     /// Starts the periodic work.
     void start();
 
+    using forecast_call = std::function<void(serving::queue_waits)>;
+
+    /// Tells the host that runs the pool's queue of a job to come. The forecast is called
+    /// once, unless the job is submitted or cancelled before.
+    /// @return number of the job, for submit and cancel
+    std::uint64_t announce(const pool_id& pool, std::uint32_t pieces, milliseconds eta,
+                           forecast_call done);
+
     /// Hands a stage to the host that runs the pool's queue. The completion is called
     /// once, never from within this call, unless the job is cancelled.
-    /// @return number of the job, for cancel
-    std::uint64_t submit(pieces_request request, completion done);
+    /// @param job number from announce
+    void submit(std::uint64_t job, pieces_request request, completion done);
 
     /// Gives up a job. Its results are released.
     void cancel(std::uint64_t job);
@@ -34,6 +42,7 @@
     /// Gives back results that are not needed any more.
     void release(const pool_id& pool, std::vector<std::string> handles);
 
+    void on_forecast(const pieces_forecast& forecast);
     void on_result(const node_id& from, const pieces_result& result);
 
     /// A connection with the host broke: what was sent to it may be lost.
@@ -45,6 +54,9 @@
     {
         pieces_request m_request;
         completion m_done;
+        forecast_call m_forecast;
+        /// Announced, and not submitted yet.
+        bool m_announced = false;
         node_id m_host;
         time_point m_due{};
         time_point m_deadline{};
--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -72,9 +72,11 @@
 
 } // namespace
 
-stage_service::stage_service(edge_state& state, reply send_reply)
+stage_service::stage_service(edge_state& state, reply send_reply,
+                             forecast_reply send_forecast)
     : m_state{state}
     , m_reply{std::move(send_reply)}
+    , m_forecast_reply{std::move(send_forecast)}
     , m_http{state.m_executor, client_limits()}
 {
 }
@@ -165,6 +167,7 @@
     {
         return;
     }
+    service->m_queue.m_announced.erase(id);
     const time_point at = now();
     service->m_last_work = at;
     stage_job job;
@@ -195,13 +198,35 @@
     pump(request.m_pool, *service);
 }
 
+void stage_service::on_announce(const node_id& from, incarnation from_incarnation,
+                                const pieces_announce& announced)
+{
+    pool_service* service = find_service(announced.m_pool);
+    if (service == nullptr)
+    {
+        m_forecast_reply(from, {announced.m_job, 0, 0});
+        return;
+    }
+    const time_point at = now();
+    service->m_last_work = at;
+    const time_point arrival = at + milliseconds{announced.m_eta_ms};
+    const queue_waits waits = forecast(service->m_queue, arrival, at);
+    service->m_queue.m_announced[{from, from_incarnation, announced.m_job}] = {
+        announced.m_pieces, arrival};
+    m_forecast_reply(from, {announced.m_job,
+                            static_cast<std::uint32_t>(waits.m_on_time.count()),
+                            static_cast<std::uint32_t>(waits.m_late.count())});
+}
+
 void stage_service::on_cancel(const node_id& from, incarnation from_incarnation,
                               const pieces_cancel& cancel)
 {
     const auto at = m_pools.find(cancel.m_pool);
     if (at != m_pools.end())
     {
-        drop_job(at->second, {from, from_incarnation, cancel.m_job});
+        const job_id id{from, from_incarnation, cancel.m_job};
+        at->second.m_queue.m_announced.erase(id);
+        drop_job(at->second, id);
     }
 }
 
@@ -568,6 +593,7 @@
 
 void stage_service::check(const pool_id& pool, pool_service& service)
 {
+    drop_missing_jobs(service.m_queue, now());
     refuse_hopeless(service);
     repeat_overdue(service);
     expire_results(service);
@@ -602,6 +628,7 @@
         .add("results", service.m_results.size())
         .add("idle_upstreams", summary.m_idle_upstreams)
         .add("upstreams", service.m_queue.m_workers.size())
+        .add("announced", service.m_queue.m_announced.size())
         .add("room_share", summary.m_room_share)
         .add("inflow_per_s", service.m_queue.m_inflow_per_s)
         .add("on_time_wait_ms", waits.m_on_time.count())
--- a/src/edge/stage_service.hpp
+++ b/src/edge/stage_service.hpp
@@ -24,13 +24,18 @@
 public:
     using reply = std::function<void(const node_id& host, pieces_result result)>;
 
-    stage_service(edge_state& state, reply send_reply);
+    using forecast_reply =
+        std::function<void(const node_id& host, pieces_forecast forecast)>;
+
+    stage_service(edge_state& state, reply send_reply, forecast_reply send_forecast);
 
     /// Starts the periodic work.
     void start();
 
     void on_request(const node_id& from, incarnation from_incarnation,
                     const pieces_request& request);
+    void on_announce(const node_id& from, incarnation from_incarnation,
+                     const pieces_announce& announced);
     void on_cancel(const node_id& from, incarnation from_incarnation,
                    const pieces_cancel& cancel);
     void on_release(const results_release& release);
@@ -103,6 +108,7 @@
 
     edge_state& m_state;
     reply m_reply;
+    forecast_reply m_forecast_reply;
     http_client m_http;
     std::unordered_map<pool_id, pool_service> m_pools;
 };
--- a/src/serving/stage_queue.cpp
+++ b/src/serving/stage_queue.cpp
@@ -21,6 +21,19 @@
 /// request's worth; a late answer costs most of it.
 constexpr milliseconds locality_margin{120};
 
+/// Share of the capacity of full calls that forecasts count on. Jobs are mostly not
+/// split, so that calls are on average four fifths full under load.
+constexpr double planned_share = 0.8;
+
+/// Room that late jobs may fill. The rest is for jobs that can meet their goal.
+constexpr std::uint64_t late_room_percent = 85;
+
+/// Results of which this many fit are small: late jobs need not leave room for others.
+constexpr std::uint64_t small_results = 1000;
+
+/// Time after which an announced job that did not come is forgotten.
+constexpr milliseconds announcement_life{1500};
+
 /// Results below this size may be made anywhere.
 constexpr std::uint64_t large_result_bytes = 1'000'000;
 
@@ -191,8 +204,10 @@
     {
         return queue.m_limits.m_batch;
     }
+    const bool small = result_bytes * small_results < queue.m_limits.m_room_bytes;
     const std::uint64_t all =
-        late ? queue.m_limits.m_room_bytes / 2 : queue.m_limits.m_room_bytes;
+        late && !small ? queue.m_limits.m_room_bytes / 100 * late_room_percent
+                       : queue.m_limits.m_room_bytes;
     const std::uint64_t used = worker.m_room_used + bytes_ahead;
     return static_cast<std::size_t>(all > used ? (all - used) / result_bytes : 0);
 }
@@ -323,6 +338,54 @@
     return waits;
 }
 
+queue_waits forecast(const stage_queue& queue, time_point arrival, time_point now)
+{
+    std::vector<std::pair<time_point, std::uint32_t>> expected;
+    for (const auto& [id, job] : queue.m_announced)
+    {
+        if (job.m_expected <= arrival)
+        {
+            expected.emplace_back(std::max(job.m_expected, now), job.m_pieces);
+        }
+    }
+    std::sort(expected.begin(), expected.end());
+    const double rate = std::max(0.001, planned_share * throughput(queue, now));
+    const queue_summary present = summarize(queue, now);
+    double waiting = static_cast<double>(present.m_on_time);
+    time_point at = now + (first_idle(queue, now) - now);
+    for (const auto& [when, pieces] : expected)
+    {
+        if (when > at)
+        {
+            waiting = std::max(0.0, waiting - rate * to_s(when - at));
+            at = when;
+        }
+        waiting += pieces;
+    }
+    if (arrival > at)
+    {
+        waiting = std::max(0.0, waiting - rate * to_s(arrival - at));
+        at = arrival;
+    }
+    queue_waits waits;
+    const duration on_time =
+        (at - arrival) + time_for(static_cast<std::size_t>(waiting), rate);
+    waits.m_on_time = std::chrono::duration_cast<milliseconds>(on_time);
+    waits.m_late =
+        waits.m_on_time + std::chrono::duration_cast<milliseconds>(time_for(
+                              present.m_late, spare_rate(queue, now)));
+    return waits;
+}
+
+void drop_missing_jobs(stage_queue& queue, time_point now)
+{
+    std::erase_if(queue.m_announced,
+                  [&](const auto& entry)
+                  {
+                      return entry.second.m_expected + announcement_life < now;
+                  });
+}
+
 queue_summary summarize(const stage_queue& queue, time_point now)
 {
     queue_summary summary;
