Announce only work that is on time

Cause: with forecasts alone nearly all requests of a long burst were late. The forecast for the last stage was 1,300 to 1,500 ms while its queue was empty: late jobs had announced their stages as well, waited elsewhere, and counted as about to arrive. A host also aborted when the inputs of a stream that had begun could not be made again: it answered a second time.

A request that is judged late withdraws its announcements, and an announced job that does not come is forgotten after 400 ms. A begun stream that cannot go on is cut off.

--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -290,6 +290,13 @@
     cancel_stages(current);
     release_results(current, true);
     current.m_detail = reason;
+    if (current.m_attempts.m_begun)
+    {
+        // A stream whose inputs could not be made again for its continuation.
+        log_end(current, "cut_off", 0);
+        current.m_exchange.drop();
+        co_return;
+    }
     current.m_answered = true;
     const milliseconds back = time_to_return(until_capacity, time_left(current));
     log_end(current, "refused", 503);
@@ -420,11 +427,25 @@
     co_return judge_path(current);
 }
 
-std::optional<milliseconds> request_relay::judge_path(const request& current) const
+std::optional<milliseconds> request_relay::judge_path(request& current)
 {
     const milliseconds answer = expected_answer(current);
+    std::string waits;
+    for (const queue_waits& wait : current.m_forecasts)
+    {
+        waits += waits.empty() ? "" : ",";
+        waits += std::to_string(wait.m_on_time.count()) + '/' +
+                 std::to_string(wait.m_late.count());
+    }
     const auto on_time = estimate_path(*current.m_route, stage_estimates(current, false),
                                        current.m_head.m_pieces, answer);
+    log_event{"forecast"}
+        .add("request", current.m_head.m_request)
+        .add("waits_ms", waits)
+        .add("missing", current.m_forecasts_missing)
+        .add("answer_ms", answer.count())
+        .add("first_byte_ms", on_time.m_first_byte.count())
+        .add("goal_ms", ms_between(now(), current.m_goal).count());
     if (now() + on_time.m_first_byte <= current.m_goal)
     {
         return std::nullopt;
@@ -438,6 +459,8 @@
     const milliseconds first =
         late.m_first_byte - ms_between(now(), current.m_first_byte_deadline);
     const milliseconds excess = std::max(whole, first);
+    // Late work only gets what is left: it must not count in the forecasts for others.
+    cancel_stages(current);
     return excess > milliseconds{0} ? std::optional{excess} : std::nullopt;
 }
 
@@ -549,8 +572,7 @@
         wanted.m_result_bytes = stages[at].m_result_bytes;
         if (current.m_jobs[at] == 0)
         {
-            current.m_jobs[at] =
-                m_stages.announce(stages[at].m_pool, wanted.m_pieces, milliseconds{0}, {});
+            current.m_jobs[at] = m_stages.new_job();
         }
         m_stages.submit(
             current.m_jobs[at], std::move(wanted),
@@ -715,6 +737,17 @@
     }
 }
 
+bool request_relay::has_inputs(const request& current) const
+{
+    const auto finals = final_stages(*current.m_route);
+    return std::all_of(finals.begin(), finals.end(),
+                       [&](std::uint32_t at)
+                       {
+                           return pieces_of(current, at) == 0 ||
+                                  !current.m_results[at].empty();
+                       });
+}
+
 std::vector<std::string> request_relay::final_inputs(const request& current) const
 {
     std::vector<std::string> inputs;
@@ -777,14 +810,16 @@
         {
         case next_step::try_other:
         case next_step::resume_other:
+        case next_step::prepare_again:
+        {
             if (end != attempt_end::not_sent)
             {
                 note_repeat(m_state.m_retries, current.m_pool, now());
             }
-            continue;
-        case next_step::prepare_again:
-        {
-            note_repeat(m_state.m_retries, current.m_pool, now());
+            if (step != next_step::prepare_again && has_inputs(current))
+            {
+                continue;
+            }
             restart_stages(current);
             const bool prepared = co_await prepare(current);
             if (!prepared)
@@ -1061,10 +1096,8 @@
             if (current.m_first_byte == time_point{})
             {
                 current.m_first_byte = now();
-                if (!may_resume)
-                {
-                    release_results(current, true);
-                }
+                // The engine has its inputs; a stream that is resumed has them made again.
+                release_results(current, true);
             }
             const bool passed = co_await pass_on(current, std::move(part));
             if (!passed)
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -115,7 +115,7 @@
     /// answer would come; empty when the request is admitted.
     boost::asio::awaitable<std::optional<milliseconds>> path_excess(request& current);
     void announce_stages(request& current);
-    std::optional<milliseconds> judge_path(const request& current) const;
+    std::optional<milliseconds> judge_path(request& current);
     /// @param late whether the request cannot meet its goal
     std::vector<serving::stage_estimate> stage_estimates(const request& current,
                                                          bool late) const;
@@ -135,6 +135,7 @@
     bool stages_complete(const request& current) const;
     void release_results(request& current, bool all);
     void cancel_stages(request& current);
+    bool has_inputs(const request& current) const;
     std::vector<std::string> final_inputs(const request& current) const;
 
     const serving::upstream* choose(const request& current) const;
--- a/src/edge/stage_client.cpp
+++ b/src/edge/stage_client.cpp
@@ -38,7 +38,7 @@
 std::uint64_t stage_client::announce(const pool_id& pool, std::uint32_t pieces,
                                      milliseconds eta, forecast_call done)
 {
-    const std::uint64_t id = ++m_last_job;
+    const std::uint64_t id = new_job();
     open_job& job = m_jobs[id];
     job.m_announced = true;
     job.m_forecast = std::move(done);
--- a/src/edge/stage_client.hpp
+++ b/src/edge/stage_client.hpp
@@ -31,9 +31,15 @@
     std::uint64_t announce(const pool_id& pool, std::uint32_t pieces, milliseconds eta,
                            forecast_call done);
 
+    /// Number for a job that was not announced.
+    std::uint64_t new_job()
+    {
+        return ++m_last_job;
+    }
+
     /// Hands a stage to the host that runs the pool's queue. The completion is called
     /// once, never from within this call, unless the job is cancelled.
-    /// @param job number from announce
+    /// @param job number from announce or new_job
     void submit(std::uint64_t job, pieces_request request, completion done);
 
     /// Gives up a job. Its results are released.
--- a/src/serving/stage_queue.cpp
+++ b/src/serving/stage_queue.cpp
@@ -32,7 +32,7 @@
 constexpr std::uint64_t small_results = 1000;
 
 /// Time after which an announced job that did not come is forgotten.
-constexpr milliseconds announcement_life{1500};
+constexpr milliseconds announcement_life{400};
 
 /// Results below this size may be made anywhere.
 constexpr std::uint64_t large_result_bytes = 1'000'000;
