Pull rows by their own version, and give duties to the large hosts

Rows carry the store's version and are taken over only when newer; each host counts its own changes, and a first question names the versions the asker holds. A host that is only itself turned away by the store does not hold entries back. Queues and readers go to hosts in proportion to the cube of their processor time.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -241,10 +241,9 @@
     node_address m_caller;
     bool m_ready = false;
     bool m_stopping = false;
-    /// Versions of the last changes of the operator's rows and of the registry that the
-    /// host holds.
-    std::uint64_t m_intent_version = 0;
-    std::uint64_t m_registry_version = 0;
+    /// Changes of the operator's rows and of the registry that the host has applied since
+    /// its start.
+    std::uint64_t m_changes = 0;
     /// Time since the host last read the store, in milliseconds; UINT32_MAX for never.
     std::uint32_t m_store_age_ms = UINT32_MAX;
     /// Live hosts that it knows, itself included.
@@ -261,8 +260,7 @@
     {
         archive(short_text{m_node.m_value}, m_incarnation, m_sequence,
                 short_text{m_data_centre.m_value}, m_peer, m_caller, m_ready, m_stopping,
-                m_intent_version, m_registry_version, m_store_age_ms, m_live_hosts,
-                m_processor, m_loads, m_waits);
+                m_changes, m_store_age_ms, m_live_hosts, m_processor, m_loads, m_waits);
     }
 };
 
--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -487,57 +487,63 @@
 {
     std::string m_key;
     std::string m_value;
+    /// Version of the store in which it was written or removed.
+    std::uint64_t m_version = 0;
     bool m_removed = false;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_key, m_value, m_removed);
+        archive(m_key, m_value, m_version, m_removed);
     }
 };
 
-/// Asks a host for what it holds of the platform's store beyond these versions.
+/// Asks a host for the rows that it has changed.
 struct state_pull
 {
+    /// Changes of that host that the asker has; zero when it has never asked it.
+    std::uint64_t m_after = 0;
+    /// Versions of the store as of which the asker holds the tables. A host that is asked
+    /// for the first time leaves out what is older.
     std::uint64_t m_intent_version = 0;
     std::uint64_t m_registry_version = 0;
+    bool m_wants_hosts = false;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_intent_version, m_registry_version);
+        archive(m_after, m_intent_version, m_registry_version, m_wants_hosts);
     }
 };
 
-/// Rows of one table that changed after the version asked for, or the whole table.
-struct table_state
+/// Rows of one table that a host has changed.
+struct table_changes
 {
-    /// Version of the last change; zero when there is nothing newer.
-    std::uint64_t m_changed = 0;
-    /// Version of the store as of which the rows are.
+    /// Version of the store as of which the host holds the table; zero for not at all.
     std::uint64_t m_version = 0;
-    bool m_whole = false;
     std::vector<stored_row> m_rows;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_changed, m_version, m_whole, m_rows);
+        archive(m_version, m_rows);
     }
 };
 
 /// Answer to state_pull.
 struct state_push
 {
-    table_state m_intent;
-    table_state m_registry;
+    /// Changes that the sender has applied, these included.
+    std::uint64_t m_changes = 0;
+    table_changes m_intent;
+    table_changes m_registry;
     /// Addresses of the live hosts, "IP:port".
     std::vector<std::string> m_hosts;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_intent, m_registry, m_hosts);
+        archive(m_changes, m_intent, m_registry, m_hosts);
     }
 };
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -42,9 +42,6 @@
 
 constexpr milliseconds stop_check_period{100};
 
-/// A host asks another one for newer tables at most this often.
-constexpr milliseconds pull_pause{30};
-
 /// A host asks for the list of hosts at most this often.
 constexpr milliseconds host_list_pause{1500};
 
@@ -139,7 +136,7 @@
     http_server m_directory;
     asio::steady_timer m_driver;
     time_point m_last_report{};
-    time_point m_last_pull{};
+    time_point m_last_list{};
     time_point m_stop_began{};
     bool m_stop_accepting = false;
     std::function<void()> m_on_stopped;
@@ -359,16 +356,17 @@
         // A host that has just started learns at once whom it may ask.
         m_transport.send_datagram(report.m_peer, m_state.m_own);
     }
-    const host_report& own = m_state.m_own;
-    const bool newer = report.m_intent_version > own.m_intent_version ||
-                       report.m_registry_version > own.m_registry_version;
-    const bool knows_more = report.m_live_hosts > own.m_live_hosts &&
-                            at - m_last_pull >= host_list_pause;
-    if ((newer && at - m_last_pull >= pull_pause) || knows_more)
-    {
-        m_last_pull = at;
-        m_transport.send(report.m_node,
-                         state_pull{own.m_intent_version, own.m_registry_version});
+    auto question = m_store.question_for(report);
+    const bool knows_more = report.m_live_hosts > m_state.m_own.m_live_hosts &&
+                            at - m_last_list >= host_list_pause;
+    if (knows_more && !question)
+    {
+        m_last_list = at;
+        question = m_store.question_for_hosts(report);
+    }
+    if (question)
+    {
+        m_transport.send(report.m_node, *question);
     }
 }
 
@@ -405,7 +403,7 @@
     }
     else if (const auto* push = std::get_if<state_push>(&message))
     {
-        m_store.take(*push);
+        m_store.take(peer, peer_incarnation, *push);
     }
     else
     {
@@ -421,8 +419,11 @@
                                                 m_state.m_settings.m_open_files));
     }
     m_queues.refresh();
-    // Other hosts ask for the change when they see its version.
-    send_reports();
+    if (m_store.is_reader())
+    {
+        // Other hosts ask for the change when they see that there is one.
+        send_reports();
+    }
 }
 
 asio::awaitable<void> edge_daemon::parts::serve_readiness(http_exchange& exchange)
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -36,6 +36,9 @@
 /// Time in which a host that has just started first asks other hosts.
 constexpr milliseconds ask_hosts_first{600};
 
+/// A host asks another one for its changes at most this often.
+constexpr milliseconds ask_pause{30};
+
 /// Pause of a host that does not read at the moment.
 constexpr milliseconds reader_check{100};
 
@@ -65,39 +68,23 @@
     return {endpoint.m_address, endpoint.m_port};
 }
 
-/// Rows that changed after a version; all rows when the version is zero.
-table_state changes_of(const held_table& table, std::uint64_t after)
+/// Rows that changed after a number of changes, or after a version when the number is
+/// zero.
+table_changes changes_of(const held_table& table, std::uint64_t after,
+                         std::uint64_t version)
 {
-    table_state state;
-    if (table.m_changed <= after)
-    {
-        return state;
-    }
-    state.m_changed = table.m_changed;
-    state.m_version = table.m_version;
-    state.m_whole = after == 0;
+    table_changes changes;
+    changes.m_version = table.m_version;
     for (const auto& [key, row] : table.m_rows)
     {
-        const bool wanted = state.m_whole ? !row.m_removed : row.m_changed > after;
+        const bool wanted =
+            after > 0 ? row.m_change > after : row.m_changed_version > version;
         if (wanted)
         {
-            state.m_rows.push_back({key, row.m_value, row.m_removed});
+            changes.m_rows.push_back({key, row.m_value, row.m_version, row.m_removed});
         }
     }
-    return state;
-}
-
-/// Rows of another host as if they came from the store.
-platform::row_page page_of(const table_state& state)
-{
-    platform::row_page page;
-    page.m_version = std::max(state.m_version, state.m_changed);
-    for (const stored_row& entry : state.m_rows)
-    {
-        page.m_rows.push_back(
-            {entry.m_key, entry.m_value, state.m_changed, entry.m_removed});
-    }
-    return page;
+    return changes;
 }
 
 } // namespace
@@ -245,7 +232,7 @@
         return;
     }
     m_state.m_metrics.add("store_failures", {{"table", table.m_name}});
-    if (!table.m_lost && at - table.m_last_success > outage_after)
+    if (!table.m_lost && at - table.m_last_success > outage_after && !others_read())
     {
         table.m_lost = true;
         log_event{"store_lost"}.add("table", table.m_name).add("reason", detail);
@@ -262,7 +249,7 @@
             .add("held", table.m_version);
         return;
     }
-    const std::uint64_t changed_before = table.m_changed;
+    const std::uint64_t before = m_changes;
     const bool first = table.m_version == 0;
     if (whole)
     {
@@ -270,22 +257,19 @@
     }
     for (const platform::row& entry : page.m_rows)
     {
-        if (apply_entry(table, entry))
+        if (entry.m_removed)
+        {
+            remove_row(table, entry.m_key, entry.m_version);
+        }
+        else
         {
-            table.m_changed = std::max(table.m_changed, entry.m_version);
+            table.m_lapsed.erase(entry.m_key);
+            apply_row(table, entry.m_key, &entry.m_value, entry.m_version);
         }
     }
     table.m_version = page.m_version;
-    if (table.m_changed == 0)
-    {
-        // An empty table is known, too.
-        table.m_changed = table.m_version;
-    }
-    publish_versions();
-    if (first || table.m_changed != changed_before)
-    {
-        m_on_change();
-    }
+    m_changes += first ? 1 : 0;
+    publish(before);
 }
 
 void store_watch::remove_missing(held_table& table, const platform::row_page& page)
@@ -305,74 +289,63 @@
     }
     for (const std::string& key : missing)
     {
-        if (remove_row(table, key, page.m_version))
-        {
-            table.m_changed = std::max(table.m_changed, page.m_version);
-        }
+        remove_row(table, key, page.m_version);
     }
 }
 
-/// Returns whether the change matters to other hosts.
-bool store_watch::apply_entry(held_table& table, const platform::row& entry)
+/// Returns whether the change matters to other hosts. A null value removes the row.
+bool store_watch::apply_row(held_table& table, const std::string& key,
+                            const std::string* value, std::uint64_t version)
 {
-    if (entry.m_removed)
+    held_row& held = table.m_rows[key];
+    const bool is_new = held.m_version == 0;
+    if (version <= held.m_version && !is_new)
     {
-        return remove_row(table, entry.m_key, entry.m_version);
+        return false;
     }
-    table.m_lapsed.erase(entry.m_key);
-    held_row& held = table.m_rows[entry.m_key];
-    const bool same = !held.m_removed && held.m_value == entry.m_value;
-    held.m_value = entry.m_value;
-    held.m_removed = false;
-    if (same && held.m_changed != 0)
+    const bool same = !is_new && held.m_removed == (value == nullptr) &&
+                      (value == nullptr || held.m_value == *value);
+    held.m_version = version;
+    held.m_removed = value == nullptr;
+    held.m_value = value == nullptr ? std::string{} : *value;
+    if (same)
     {
         return false;
     }
-    const bool matters = &table == &m_intent
-                             ? apply_intent(entry.m_key, &held.m_value)
-                             : apply_upstream(entry.m_key, &held.m_value);
-    if (matters || held.m_changed == 0)
+    const bool matters =
+        &table == &m_intent ? apply_intent(key, value) : apply_upstream(key, value);
+    if (matters || is_new)
     {
-        held.m_changed = entry.m_version;
+        held.m_change = ++m_changes;
+        held.m_changed_version = version;
     }
     return matters;
 }
 
-void store_watch::publish_versions()
+void store_watch::publish(std::uint64_t changes_before)
 {
-    m_state.m_own.m_intent_version = m_intent.m_changed;
-    m_state.m_own.m_registry_version = m_registry.m_changed;
+    m_state.m_own.m_changes = m_changes;
     m_state.m_registry_known = m_registry.m_version != 0;
+    if (m_changes != changes_before)
+    {
+        m_on_change();
+    }
 }
 
-bool store_watch::remove_row(held_table& table, const std::string& key,
+void store_watch::remove_row(held_table& table, const std::string& key,
                              std::uint64_t version)
 {
     const auto held = table.m_rows.find(key);
-    if (held == table.m_rows.end() || held->second.m_removed)
-    {
-        return false;
-    }
-    const bool may_return = &table == &m_registry &&
+    const bool known = held != table.m_rows.end() && !held->second.m_removed;
+    const bool may_return = known && &table == &m_registry &&
                             (table.m_lost || now() - table.m_regained < return_time);
     if (may_return)
     {
         table.m_lapsed.try_emplace(key, table.m_regained + return_time);
-        return false;
+        return;
     }
-    return remove_now(table, key, version);
-}
-
-bool store_watch::remove_now(held_table& table, const std::string& key,
-                             std::uint64_t version)
-{
-    held_row& held = table.m_rows[key];
-    held.m_removed = true;
-    held.m_value.clear();
-    held.m_changed = version;
     table.m_lapsed.erase(key);
-    return &table == &m_intent ? apply_intent(key, nullptr)
-                               : apply_upstream(key, nullptr);
+    apply_row(table, key, nullptr, version);
 }
 
 void store_watch::drop_lapsed()
@@ -386,16 +359,13 @@
             gone.push_back(key);
         }
     }
+    const std::uint64_t before = m_changes;
     for (const std::string& key : gone)
     {
-        remove_now(m_registry, key, m_registry.m_version);
-        m_registry.m_changed = m_registry.m_version;
-    }
-    if (!gone.empty())
-    {
-        publish_versions();
-        m_on_change();
+        m_registry.m_lapsed.erase(key);
+        apply_row(m_registry, key, nullptr, m_registry.m_version);
     }
+    publish(before);
 }
 
 bool store_watch::apply_intent(const std::string& key, const std::string* value)
@@ -476,8 +446,13 @@
 state_push store_watch::answer_to(const state_pull& pull) const
 {
     state_push push;
-    push.m_intent = changes_of(m_intent, pull.m_intent_version);
-    push.m_registry = changes_of(m_registry, pull.m_registry_version);
+    push.m_changes = m_changes;
+    push.m_intent = changes_of(m_intent, pull.m_after, pull.m_intent_version);
+    push.m_registry = changes_of(m_registry, pull.m_after, pull.m_registry_version);
+    if (!pull.m_wants_hosts)
+    {
+        return push;
+    }
     push.m_hosts.push_back(to_text(m_state.m_settings.m_peers));
     for (const auto& [id, host] : m_state.m_hosts.m_hosts)
     {
@@ -490,25 +465,71 @@
     return push;
 }
 
-void store_watch::take(const state_push& push)
+std::optional<state_pull> store_watch::question_for(const host_report& report)
 {
-    if (push.m_intent.m_changed > m_intent.m_changed)
+    taken& known = m_taken[report.m_node];
+    if (known.m_incarnation != report.m_incarnation)
     {
-        apply(m_intent, page_of(push.m_intent), push.m_intent.m_whole);
-        m_intent.m_changed = std::max(m_intent.m_changed, push.m_intent.m_changed);
+        known = {report.m_incarnation, 0, {}};
     }
-    if (push.m_registry.m_changed > m_registry.m_changed)
+    const bool nothing_known = m_intent.m_version == 0 || m_registry.m_version == 0;
+    const bool reads = report.m_store_age_ms <= longest_read_age.count();
+    const bool news = report.m_changes > known.m_changes && (reads || nothing_known);
+    if (!news || now() - known.m_asked < ask_pause)
     {
-        apply(m_registry, page_of(push.m_registry), push.m_registry.m_whole);
-        m_registry.m_changed = std::max(m_registry.m_changed, push.m_registry.m_changed);
+        return std::nullopt;
     }
-    publish_versions();
+    known.m_asked = now();
+    return state_pull{known.m_changes, m_intent.m_version, m_registry.m_version,
+                      nothing_known};
+}
+
+state_pull store_watch::question_for_hosts(const host_report& report) const
+{
+    return {report.m_changes, m_intent.m_version, m_registry.m_version, true};
+}
+
+void store_watch::take(const node_id& from, incarnation from_incarnation,
+                       const state_push& push)
+{
+    taken& known = m_taken[from];
+    known.m_incarnation = from_incarnation;
+    known.m_changes = std::max(known.m_changes, push.m_changes);
+    const std::uint64_t before = m_changes;
+    take_table(m_intent, push.m_intent);
+    take_table(m_registry, push.m_registry);
+    publish(before);
     for (const std::string& address : push.m_hosts)
     {
         add_seed(address);
     }
 }
 
+void store_watch::take_table(held_table& table, const table_changes& changes)
+{
+    for (const stored_row& row : changes.m_rows)
+    {
+        // The other host has waited for entries that may return after an outage.
+        table.m_lapsed.erase(row.m_key);
+        apply_row(table, row.m_key, row.m_removed ? nullptr : &row.m_value,
+                  row.m_version);
+    }
+    m_changes += table.m_version == 0 && changes.m_version != 0 ? 1 : 0;
+    table.m_version = std::max(table.m_version, changes.m_version);
+}
+
+bool store_watch::others_read() const
+{
+    return std::any_of(m_state.m_hosts.m_hosts.begin(), m_state.m_hosts.m_hosts.end(),
+                       [&](const auto& entry)
+                       {
+                           const serving::peer_host& host = entry.second;
+                           return host.m_report.m_store_age_ms <=
+                                      longest_read_age.count() &&
+                                  serving::is_live(host, live_for(m_state), now());
+                       });
+}
+
 std::uint32_t store_watch::age_ms() const
 {
     const time_point oldest = std::min(m_intent.m_last_success, m_registry.m_last_success);
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -18,8 +18,12 @@
 struct held_row
 {
     std::string m_value;
-    /// Version of the last change that matters to other hosts.
-    std::uint64_t m_changed = 0;
+    /// Version of the store in which it was written or removed. Rows from other hosts are
+    /// taken over only when they are newer.
+    std::uint64_t m_version = 0;
+    /// Version, and number of the change of this host, that last mattered to other hosts.
+    std::uint64_t m_changed_version = 0;
+    std::uint64_t m_change = 0;
     bool m_removed = false;
 };
 
@@ -31,8 +35,6 @@
     std::map<std::string, held_row> m_rows;
     /// Version of the store as of which the rows are; zero when nothing was read.
     std::uint64_t m_version = 0;
-    /// Version of the last change that matters.
-    std::uint64_t m_changed = 0;
     /// Removed during an outage or just after, each with the time at which it counts as
     /// gone.
     std::map<std::string, time_point> m_lapsed;
@@ -54,11 +56,21 @@
     void start();
     void stop();
 
-    /// Rows for a host that asks: those that changed after the versions it holds.
+    /// Rows for a host that asks.
     state_push answer_to(const state_pull& pull) const;
 
     /// Takes over the rows of another host that are newer than the own ones.
-    void take(const state_push& push);
+    void take(const node_id& from, incarnation from_incarnation, const state_push& push);
+
+    /// What to ask a host for; empty when it has nothing new, or does not read the store
+    /// itself.
+    std::optional<state_pull> question_for(const host_report& report);
+
+    /// Asks for the list of live hosts besides.
+    state_pull question_for_hosts(const host_report& report) const;
+
+    /// Whether this host reads the store for the others at the moment.
+    bool is_reader() const;
 
     /// Milliseconds since both tables were last read from the store; UINT32_MAX for never.
     std::uint32_t age_ms() const;
@@ -74,16 +86,17 @@
     boost::asio::awaitable<void> read_host_rows();
     boost::asio::awaitable<void> pause_for(milliseconds length);
 
-    bool is_reader() const;
+    bool others_read() const;
     void apply(held_table& table, const platform::row_page& page, bool whole);
-    bool apply_entry(held_table& table, const platform::row& entry);
+    void take_table(held_table& table, const table_changes& changes);
+    bool apply_row(held_table& table, const std::string& key, const std::string* value,
+                   std::uint64_t version);
     bool apply_intent(const std::string& key, const std::string* value);
     bool apply_upstream(const std::string& key, const std::string* value);
-    bool remove_row(held_table& table, const std::string& key, std::uint64_t version);
-    bool remove_now(held_table& table, const std::string& key, std::uint64_t version);
+    void remove_row(held_table& table, const std::string& key, std::uint64_t version);
     void remove_missing(held_table& table, const platform::row_page& page);
+    void publish(std::uint64_t changes_before);
     void drop_lapsed();
-    void publish_versions();
     void note_result(held_table& table, bool good, const std::string& detail);
     void add_seed(const std::string& address);
 
@@ -92,6 +105,17 @@
     platform::store_client m_store;
     held_table m_intent;
     held_table m_registry;
+    /// Changes applied since the start.
+    std::uint64_t m_changes = 0;
+
+    /// What was taken over from a host.
+    struct taken
+    {
+        incarnation m_incarnation;
+        std::uint64_t m_changes = 0;
+        time_point m_asked{};
+    };
+    std::map<node_id, taken> m_taken;
     time_point m_started{};
     bool m_stopped = false;
 };
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -14,14 +14,16 @@
 /// plays.
 constexpr seconds sender_memory{60};
 
-/// Weight of a host for the queue of a pool. Weighted rendezvous hashing: the share of
-/// pools that a host gets is proportional to its processor time.
-double queue_weight(const pool_id& pool, const node_id& host, std::uint32_t processor)
+/// Weight of a host for a duty. Weighted rendezvous hashing: the share of duties that a
+/// host gets is proportional to the cube of its processor time, because the links of the
+/// small hosts are narrow out of proportion, and a duty sends to all others.
+double duty_weight(std::string_view duty, const node_id& host, std::uint32_t processor)
 {
     constexpr double scale = 18446744073709551616.0;
     const double unit =
-        (static_cast<double>(rendezvous_weight(pool.m_value, host.m_value)) + 0.5) / scale;
-    return -static_cast<double>(std::max<std::uint32_t>(1, processor)) / std::log(unit);
+        (static_cast<double>(rendezvous_weight(duty, host.m_value)) + 0.5) / scale;
+    const double size = std::max<std::uint32_t>(1, processor);
+    return -size * size * size / std::log(unit);
 }
 
 std::string address_text(const node_address& address)
@@ -69,7 +71,8 @@
 bool reads_store(const host_table& table, const host_report& own, std::size_t readers,
                  duration longest_age, time_point now)
 {
-    const std::uint64_t own_weight = rendezvous_weight("store", own.m_node.m_value);
+    constexpr std::string_view duty = "store";
+    const double own_weight = duty_weight(duty, own.m_node, own.m_processor);
     std::size_t ahead = 0;
     for (const auto& [id, host] : table.m_hosts)
     {
@@ -77,7 +80,7 @@
         const duration age = milliseconds{host.m_report.m_store_age_ms} +
                              (now - host.m_heard);
         const bool reads = !never && age <= longest_age && !host.m_report.m_stopping;
-        if (reads && rendezvous_weight("store", id.m_value) > own_weight)
+        if (reads && duty_weight(duty, id, host.m_report.m_processor) > own_weight)
         {
             ++ahead;
         }
@@ -100,13 +103,13 @@
 {
     node_id best = own.m_node;
     double best_weight =
-        own.m_stopping ? 0 : queue_weight(pool, own.m_node, own.m_processor);
+        own.m_stopping ? 0 : duty_weight(pool.m_value, own.m_node, own.m_processor);
     for (const auto& [id, host] : table.m_hosts)
     {
         const bool fits = is_live(host, live_for, now) && !host.m_report.m_stopping &&
                           host.m_report.m_ready;
         const double weight =
-            fits ? queue_weight(pool, id, host.m_report.m_processor) : 0;
+            fits ? duty_weight(pool.m_value, id, host.m_report.m_processor) : 0;
         if (weight > best_weight)
         {
             best = id;
