--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -552,8 +552,8 @@
                  attempt_query, attempt_status, ownership_announce, lease_extend,
                  lease_grant, lease_transfer, lease_transfer_ack, transfer_outstanding,
                  config_pull, config_push, pieces_request, pieces_result, pieces_cancel,
-                 results_release, state_pull, state_push,
-                 pieces_announce, pieces_forecast>;
+                 results_release, state_pull, state_push, pieces_announce,
+                 pieces_forecast>;
 
 } // namespace geraniumdoor
 
--- a/include/geraniumdoor/serving/attempt_rules.hpp
+++ b/include/geraniumdoor/serving/attempt_rules.hpp
@@ -23,7 +23,8 @@
     /// A whole answer that tells of a fault of the upstream, such as status 500. The
     /// request ran.
     answered_with_fault,
-    /// Bytes that are no answer to this request, or an answer without proof of its origin.
+    /// Bytes that are no answer to this request, or an answer without proof of its
+    /// origin.
     unusable,
     /// Sent, and the connection broke or stayed silent before the answer was whole.
     broken,
--- a/include/geraniumdoor/serving/engine_choice.hpp
+++ b/include/geraniumdoor/serving/engine_choice.hpp
@@ -48,8 +48,8 @@
 
 /// Order in which an engine should admit a prompt, 0 first to 9.
 ///
-/// Load pattern: short prompts that wait behind one of 50,000 tokens, which takes an engine
-/// more than a second to read. Shortest first keeps the sum of the waits lowest.
+/// Load pattern: short prompts that wait behind one of 50,000 tokens, which takes an
+/// engine more than a second to read. Shortest first keeps the sum of the waits lowest.
 std::uint32_t engine_urgency(const prompt& wanted);
 
 /// Time until the first token that choose_engine expects, in milliseconds.
--- a/programs/edge/geraniumdoor_edge_main.cpp
+++ b/programs/edge/geraniumdoor_edge_main.cpp
@@ -208,8 +208,7 @@
         {
             log.write(line, std::chrono::steady_clock::now());
         });
-    const int code =
-        serve(std::get<edge::edge_settings>(std::move(settings)), path);
+    const int code = serve(std::get<edge::edge_settings>(std::move(settings)), path);
     set_log_sink({});
     return code;
 }
--- a/src/base/bounded_log.cpp
+++ b/src/base/bounded_log.cpp
@@ -1,6 +1,7 @@
 #include <geraniumdoor/base/bounded_log.hpp>
 
 #include <cerrno>
+
 #include <fcntl.h>
 #include <unistd.h>
 
@@ -36,7 +37,8 @@
     }
     if (m_left_out > m_reported)
     {
-        append("event=log_lines_left_out count=" + std::to_string(m_left_out - m_reported),
+        append("event=log_lines_left_out count=" +
+                   std::to_string(m_left_out - m_reported),
                now);
         m_reported = m_left_out;
     }
@@ -57,8 +59,7 @@
 {
     while (!m_waiting.empty())
     {
-        const ssize_t written =
-            ::write(m_descriptor, m_waiting.data(), m_waiting.size());
+        const ssize_t written = ::write(m_descriptor, m_waiting.data(), m_waiting.size());
         if (written < 0 && errno == EINTR)
         {
             continue;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -9,13 +9,13 @@
 #include <geraniumdoor/net/http_server.hpp>
 #include <geraniumdoor/net/node_transport.hpp>
 
-#include <platform/exchange.hpp>
-
 #include <boost/asio/steady_timer.hpp>
 
 #include <algorithm>
 #include <utility>
 
+#include <platform/exchange.hpp>
+
 namespace geraniumdoor::edge
 {
 
@@ -281,10 +281,10 @@
     {
         if (row.m_running > 0 && own.m_loads.size() < max_reported_loads)
         {
-            own.m_loads.push_back(
-                {short_hash(id.m_value),
-                 static_cast<std::uint16_t>(std::min<std::uint32_t>(row.m_running, 65535)),
-                 static_cast<std::uint32_t>(row.m_running_tokens)});
+            own.m_loads.push_back({short_hash(id.m_value),
+                                   static_cast<std::uint16_t>(
+                                       std::min<std::uint32_t>(row.m_running, 65535)),
+                                   static_cast<std::uint32_t>(row.m_running_tokens)});
         }
     }
     std::vector<node_address> sent;
@@ -295,8 +295,8 @@
     }
     for (const node_address& seed : m_state.m_hosts.m_seeds)
     {
-        const bool known = seed == own.m_peer ||
-                           std::find(sent.begin(), sent.end(), seed) != sent.end();
+        const bool known =
+            seed == own.m_peer || std::find(sent.begin(), sent.end(), seed) != sent.end();
         if (!known)
         {
             m_transport.send_datagram(seed, own);
@@ -463,7 +463,8 @@
             platform::refusal(milliseconds{300}, "no host is ready"));
         co_return;
     }
-    const seconds keep = std::min(address_life, m_state.m_settings.m_longest_address_life);
+    const seconds keep =
+        std::min(address_life, m_state.m_settings.m_longest_address_life);
     co_await exchange.respond(platform::encode_addresses(addresses, keep));
 }
 
@@ -508,8 +509,9 @@
     {
         return;
     }
-    log_event{"stopped"}.add("host", m_state.m_own.m_node).add("requests",
-                                                              m_relay.active());
+    log_event{"stopped"}
+        .add("host", m_state.m_own.m_node)
+        .add("requests", m_relay.active());
     m_store.stop();
     m_on_stopped();
 }
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -238,17 +238,17 @@
         current.m_workspace = owner->second;
     }
     current.m_pool = choose_pool(*current.m_route, current.m_head.m_request);
-    const milliseconds wait = std::min(
-        current.m_head.m_deadline.value_or(current.m_route->m_timeout),
-        current.m_route->m_timeout);
+    const milliseconds wait =
+        std::min(current.m_head.m_deadline.value_or(current.m_route->m_timeout),
+                 current.m_route->m_timeout);
     current.m_deadline = current.m_arrived + wait - answer_margin;
     current.m_goal = current.m_arrived + current.m_route->m_goal;
     current.m_first_byte_deadline = current.m_deadline;
     if (is_stream(current.m_route->m_repeat))
     {
-        current.m_first_byte_deadline =
-            std::min(current.m_deadline,
-                     current.m_arrived + stream_patience(*current.m_route) - answer_margin);
+        current.m_first_byte_deadline = std::min(
+            current.m_deadline,
+            current.m_arrived + stream_patience(*current.m_route) - answer_margin);
     }
     current.m_attempts.m_repeat = current.m_route->m_repeat;
     current.m_attempts.m_max_upstreams = current.m_route->m_max_upstreams;
@@ -283,8 +283,7 @@
     co_await current.m_exchange.respond(std::move(response));
 }
 
-asio::awaitable<void> request_relay::refuse(request& current,
-                                            milliseconds until_capacity,
+asio::awaitable<void> request_relay::refuse(request& current, milliseconds until_capacity,
                                             const char* reason)
 {
     cancel_stages(current);
@@ -335,8 +334,8 @@
     {
         stage_estimate estimate;
         const auto pool = current.m_routing->m_pools.find(stages[at].m_pool);
-        const bool known = pool != current.m_routing->m_pools.end() &&
-                           pool->second.m_pieces.has_value();
+        const bool known =
+            pool != current.m_routing->m_pools.end() && pool->second.m_pieces.has_value();
         if (known && pieces_of(current, at) > 0)
         {
             const queue_waits waits = at < current.m_forecasts.size()
@@ -390,17 +389,16 @@
             eta = std::max(eta, before < at ? path.m_stage_ends[before] : eta);
         }
         ++current.m_forecasts_missing;
-        current.m_jobs[at] =
-            m_stages.announce(stages[at].m_pool, pieces, eta,
-                              [&current, at](queue_waits waits)
-                              {
-                                  current.m_forecasts[at] = waits;
-                                  --current.m_forecasts_missing;
-                                  if (current.m_forecasts_missing == 0)
-                                  {
-                                      current.m_wake.cancel();
-                                  }
-                              });
+        current.m_jobs[at] = m_stages.announce(stages[at].m_pool, pieces, eta,
+                                               [&current, at](queue_waits waits)
+                                               {
+                                                   current.m_forecasts[at] = waits;
+                                                   --current.m_forecasts_missing;
+                                                   if (current.m_forecasts_missing == 0)
+                                                   {
+                                                       current.m_wake.cancel();
+                                                   }
+                                               });
     }
 }
 
@@ -475,8 +473,8 @@
 const upstream* request_relay::choose(const request& current) const
 {
     const auto pool = current.m_routing->m_pools.find(current.m_pool);
-    const bool is_engine = pool != current.m_routing->m_pools.end() &&
-                           pool->second.m_engine.has_value();
+    const bool is_engine =
+        pool != current.m_routing->m_pools.end() && pool->second.m_engine.has_value();
     if (is_engine)
     {
         return choose_engine(m_state.m_upstreams, current.m_pool, current.m_head.m_prompt,
@@ -574,26 +572,25 @@
         {
             current.m_jobs[at] = m_stages.new_job();
         }
-        m_stages.submit(
-            current.m_jobs[at], std::move(wanted),
-            [this, &current, at](pieces_result result)
-            {
-                current.m_jobs[at] = 0;
-                if (result.m_outcome == pieces_outcome::done)
-                {
-                    current.m_results[at] = std::move(result.m_handles);
-                    current.m_stage_done[at] = true;
-                    note_stage_end(current, at);
-                    release_results(current, false);
-                    submit_ready_stages(current);
-                }
-                else
-                {
-                    current.m_stage_failed = true;
-                    current.m_failed_stage = std::move(result);
-                }
-                current.m_wake.cancel();
-            });
+        m_stages.submit(current.m_jobs[at], std::move(wanted),
+                        [this, &current, at](pieces_result result)
+                        {
+                            current.m_jobs[at] = 0;
+                            if (result.m_outcome == pieces_outcome::done)
+                            {
+                                current.m_results[at] = std::move(result.m_handles);
+                                current.m_stage_done[at] = true;
+                                note_stage_end(current, at);
+                                release_results(current, false);
+                                submit_ready_stages(current);
+                            }
+                            else
+                            {
+                                current.m_stage_failed = true;
+                                current.m_failed_stage = std::move(result);
+                            }
+                            current.m_wake.cancel();
+                        });
     }
 }
 
@@ -604,8 +601,7 @@
     const auto count = std::chrono::duration_cast<milliseconds>(since).count();
     current.m_stage_times += current.m_stage_times.empty() ? "" : ",";
     current.m_stage_times += std::to_string(stage) + ':' + std::to_string(count);
-    m_state.m_metrics.observe("stage_end_seconds", {{"pool", pool.m_value}},
-                              to_s(since));
+    m_state.m_metrics.observe("stage_end_seconds", {{"pool", pool.m_value}}, to_s(since));
 }
 
 milliseconds request_relay::time_to_hold(const request& current,
@@ -900,8 +896,8 @@
     const auto call = std::make_shared<http_call>(m_state.m_executor, call_limits());
     current.m_call = call;
     current.m_upstream = id;
-    const auto tokens = current.m_head.m_prompt.m_prompt_tokens +
-                        current.m_head.m_prompt.m_output_tokens;
+    const auto tokens =
+        current.m_head.m_prompt.m_prompt_tokens + current.m_head.m_prompt.m_output_tokens;
     const auto count_running = [&](bool begin)
     {
         upstream* row = m_state.m_upstreams.m_rows.find(id);
@@ -918,7 +914,8 @@
         {
             // A restart in between has set the counts back.
             row->m_running -= std::min<std::uint32_t>(row->m_running, 1);
-            row->m_running_tokens -= std::min<std::uint64_t>(row->m_running_tokens, tokens);
+            row->m_running_tokens -=
+                std::min<std::uint64_t>(row->m_running_tokens, tokens);
         }
     };
     count_running(true);
@@ -940,9 +937,9 @@
     {
         head.m_urgency = engine_urgency(current.m_head.m_prompt);
     }
-    const auto answer = co_await call->send(
-        platform::to_upstream(current.m_exchange.request(), head),
-        first_byte_limit(current));
+    const auto answer =
+        co_await call->send(platform::to_upstream(current.m_exchange.request(), head),
+                            first_byte_limit(current));
     attempt_end end = attempt_end::broken;
     if (is_ok(answer))
     {
@@ -1096,7 +1093,8 @@
             if (current.m_first_byte == time_point{})
             {
                 current.m_first_byte = now();
-                // The engine has its inputs; a stream that is resumed has them made again.
+                // The engine has its inputs; a stream that is resumed has them made
+                // again.
                 release_results(current, true);
             }
             const bool passed = co_await pass_on(current, std::move(part));
@@ -1107,8 +1105,7 @@
             }
         }
         const bool again =
-            may_resume &&
-            current.m_attempts.m_ran + 1 < current.m_route->m_max_upstreams;
+            may_resume && current.m_attempts.m_ran + 1 < current.m_route->m_max_upstreams;
         const milliseconds pause =
             again ? std::min(time_left(current),
                              current.m_route->m_pause_goal + pause_extra)
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -10,8 +10,6 @@
 #include <geraniumdoor/serving/engine_choice.hpp>
 #include <geraniumdoor/serving/path_estimate.hpp>
 
-#include <platform/exchange.hpp>
-
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
 
@@ -19,6 +17,8 @@
 #include <string>
 #include <vector>
 
+#include <platform/exchange.hpp>
+
 namespace geraniumdoor::edge
 {
 
@@ -75,7 +75,8 @@
     upstream_id m_upstream;
     /// Whole answer of an upstream that has not gone to the caller yet.
     std::optional<http_response> m_answer;
-    /// Last event of a stream that went to the caller, and bytes of one that is not whole.
+    /// Last event of a stream that went to the caller, and bytes of one that is not
+    /// whole.
     std::string m_last_event;
     std::string m_partial_event;
     time_point m_first_byte{};
--- a/src/edge/stage_client.cpp
+++ b/src/edge/stage_client.cpp
@@ -44,8 +44,8 @@
     job.m_forecast = std::move(done);
     job.m_request.m_pool = pool;
     job.m_host = queue_host_of(m_state, pool);
-    m_send(job.m_host, pieces_announce{id, pool, pieces,
-                                       static_cast<std::uint32_t>(eta.count())});
+    m_send(job.m_host,
+           pieces_announce{id, pool, pieces, static_cast<std::uint32_t>(eta.count())});
     return id;
 }
 
@@ -113,8 +113,9 @@
         // The job was cancelled, or another host has answered: nobody needs the results.
         if (!result.m_handles.empty())
         {
-            log_event{"results_unwanted"}.add("host", from).add(
-                "results", result.m_handles.size());
+            log_event{"results_unwanted"}
+                .add("host", from)
+                .add("results", result.m_handles.size());
         }
         return;
     }
@@ -172,10 +173,9 @@
             continue;
         }
         const auto host = m_state.m_hosts.m_hosts.find(job.m_host);
-        const bool silent =
-            job.m_host != m_state.m_own.m_node &&
-            (host == m_state.m_hosts.m_hosts.end() ||
-             !serving::is_live(host->second, live_for(m_state), at));
+        const bool silent = job.m_host != m_state.m_own.m_node &&
+                            (host == m_state.m_hosts.m_hosts.end() ||
+                             !serving::is_live(host->second, live_for(m_state), at));
         if (!job.m_sent || silent)
         {
             log_event{"stage_sent_again"}
--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -2,14 +2,14 @@
 
 #include <geraniumdoor/base/log.hpp>
 
-#include <platform/exchange.hpp>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include <algorithm>
 #include <utility>
 
+#include <platform/exchange.hpp>
+
 namespace geraniumdoor::edge
 {
 
@@ -43,7 +43,8 @@
 /// Failures of one piece after which its request is told.
 constexpr std::uint32_t most_piece_failures = 4;
 
-/// Time after which an unreleased result counts as gone. Source: results are kept for 4 s.
+/// Time after which an unreleased result counts as gone. Source: results are kept for 4
+/// s.
 constexpr milliseconds result_life{4500};
 
 /// Longest time that a host keeps jobs of which it knows no deadline.
@@ -159,7 +160,9 @@
     pool_service* service = find_service(request.m_pool);
     if (service == nullptr)
     {
-        m_reply(from, {request.m_job, pieces_outcome::refused, {},
+        m_reply(from, {request.m_job,
+                       pieces_outcome::refused,
+                       {},
                        static_cast<std::uint32_t>(shortest_retry.count())});
         return;
     }
@@ -189,7 +192,9 @@
             std::chrono::duration_cast<milliseconds>(end - job.m_deadline);
         const auto wait = std::max(shortest_retry, excess);
         m_state.m_metrics.add("pieces_refused", {{"pool", request.m_pool.m_value}});
-        m_reply(from, {request.m_job, pieces_outcome::refused, {},
+        m_reply(from, {request.m_job,
+                       pieces_outcome::refused,
+                       {},
                        static_cast<std::uint32_t>(wait.count())});
         return;
     }
@@ -268,8 +273,7 @@
 }
 
 void stage_service::start_call(const pool_id& pool, pool_service& service,
-                               const upstream_id& upstream,
-                               std::vector<piece_ref> pieces)
+                               const upstream_id& upstream, std::vector<piece_ref> pieces)
 {
     const time_point at = now();
     stage_worker& worker = service.m_queue.m_workers[upstream];
@@ -282,8 +286,8 @@
         ++part.m_calls;
         worker.m_room_used += job.m_result_bytes;
         const auto left = std::chrono::duration_cast<milliseconds>(job.m_deadline - at);
-        items.push_back({job.m_request, job.m_stage, ref.m_piece, job.m_key, job.m_inputs,
-                         left});
+        items.push_back(
+            {job.m_request, job.m_stage, ref.m_piece, job.m_key, job.m_inputs, left});
     }
     const milliseconds expected =
         expected_call_time(service.m_queue, pieces.size(), worker.m_slowness);
@@ -292,10 +296,10 @@
     auto request = platform::encode_pieces(items, upstream);
     service.m_calls[upstream] = call{upstream, std::move(pieces)};
     const auto* row = m_state.m_upstreams.m_rows.find(upstream);
-    asio::co_spawn(m_state.m_executor,
-                   run_call(pool, upstream, row->m_entry.m_address, std::move(request),
-                            expected),
-                   asio::detached);
+    asio::co_spawn(
+        m_state.m_executor,
+        run_call(pool, upstream, row->m_entry.m_address, std::move(request), expected),
+        asio::detached);
 }
 
 asio::awaitable<void> stage_service::run_call(pool_id pool, upstream_id upstream,
@@ -354,10 +358,10 @@
             .add("pieces", ended.m_pieces.size())
             .add("took_ms", took.count())
             .add("status", is_ok(answer) ? value_of(answer).m_status : 0)
-            .add("reason", is_ok(answer)
-                               ? error_of(pieces).m_detail
-                               : std::string{geraniumdoor::to_text(
-                                     error_of(answer).m_kind)});
+            .add("reason",
+                 is_ok(answer)
+                     ? error_of(pieces).m_detail
+                     : std::string{geraniumdoor::to_text(error_of(answer).m_kind)});
         return_pieces(service, ended, !declined);
         refresh();
         return;
@@ -579,8 +583,8 @@
     constexpr milliseconds limit{1000};
     http_call_options options;
     options.m_timeout = limit;
-    const auto answer = co_await m_http.send(
-        to_tcp(address), platform::encode_release(handles), options);
+    const auto answer =
+        co_await m_http.send(to_tcp(address), platform::encode_release(handles), options);
     if (!is_ok(answer))
     {
         // The results expire by themselves; until then their room is lost.
@@ -641,9 +645,9 @@
     for (const job_id& id : hopeless_jobs(service.m_queue, at))
     {
         const auto wait = std::max(shortest_retry, waits_of(service.m_queue, at).m_late);
-        finish_job(service, id,
-                   {0, pieces_outcome::refused, {},
-                    static_cast<std::uint32_t>(wait.count())});
+        finish_job(
+            service, id,
+            {0, pieces_outcome::refused, {}, static_cast<std::uint32_t>(wait.count())});
     }
 }
 
@@ -677,8 +681,9 @@
                 part.m_state = piece_state::waiting;
             }
         }
-        log_event{"pieces_call_overdue"}.add("upstream", id).add(
-            "pieces", running->second.m_pieces.size());
+        log_event{"pieces_call_overdue"}
+            .add("upstream", id)
+            .add("pieces", running->second.m_pieces.size());
     }
 }
 
@@ -696,8 +701,8 @@
                           service.m_queue.m_workers.find(entry.second.m_upstream);
                       if (worker != service.m_queue.m_workers.end())
                       {
-                          worker->second.m_room_used -= std::min(
-                              worker->second.m_room_used, entry.second.m_bytes);
+                          worker->second.m_room_used -=
+                              std::min(worker->second.m_room_used, entry.second.m_bytes);
                       }
                       return true;
                   });
--- a/src/edge/stage_service.hpp
+++ b/src/edge/stage_service.hpp
@@ -88,8 +88,8 @@
                                           ip_endpoint address, http_request request,
                                           milliseconds expected);
     void finish_call(const pool_id& pool, const upstream_id& upstream,
-                     const result<http_response, http_error>& answer,
-                     milliseconds took, milliseconds expected);
+                     const result<http_response, http_error>& answer, milliseconds took,
+                     milliseconds expected);
     void return_pieces(pool_service& service, const call& ended, bool failed);
     void take_result(pool_service& service, const upstream_id& upstream,
                      const serving::piece_ref& ref, const std::string& handle);
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -2,8 +2,6 @@
 
 #include <geraniumdoor/base/log.hpp>
 
-#include <platform/rows.hpp>
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -14,6 +12,8 @@
 #include <algorithm>
 #include <utility>
 
+#include <platform/rows.hpp>
+
 namespace geraniumdoor::edge
 {
 
@@ -104,8 +104,8 @@
     m_started = now();
     asio::co_spawn(m_state.m_executor, watch(m_intent, intent_wait, milliseconds{20}),
                    asio::detached);
-    asio::co_spawn(m_state.m_executor,
-                   watch(m_registry, milliseconds{0}, registry_pause), asio::detached);
+    asio::co_spawn(m_state.m_executor, watch(m_registry, milliseconds{0}, registry_pause),
+                   asio::detached);
     asio::co_spawn(m_state.m_executor, keep_host_row(), asio::detached);
 }
 
@@ -164,8 +164,7 @@
     }
     auto page = co_await m_store.changes(table.m_name, table.m_version, wait,
                                          wait + answer_limit);
-    if (!is_ok(page) &&
-        error_of(page).m_kind == platform::store_error_kind::history_gone)
+    if (!is_ok(page) && error_of(page).m_kind == platform::store_error_kind::history_gone)
     {
         log_event{"store_history_gone"}.add("table", table.m_name);
         page = co_await read_whole(table.m_name);
@@ -424,8 +423,9 @@
     const auto entry = platform::decode_upstream(key, *value);
     if (!is_ok(entry))
     {
-        log_event{"registry_entry_rejected"}.add("upstream", id).add(
-            "reason", error_of(entry).m_detail);
+        log_event{"registry_entry_rejected"}
+            .add("upstream", id)
+            .add("reason", error_of(entry).m_detail);
         return m_state.m_upstreams.m_rows.erase(id);
     }
     const auto* known = m_state.m_upstreams.m_rows.find(id);
@@ -538,13 +538,15 @@
 
 std::uint32_t store_watch::age_ms() const
 {
-    const time_point oldest = std::min(m_intent.m_last_success, m_registry.m_last_success);
+    const time_point oldest =
+        std::min(m_intent.m_last_success, m_registry.m_last_success);
     if (oldest == time_point{})
     {
         return UINT32_MAX;
     }
     const auto age = std::chrono::duration_cast<milliseconds>(now() - oldest);
-    return static_cast<std::uint32_t>(std::min<std::int64_t>(age.count(), UINT32_MAX - 1));
+    return static_cast<std::uint32_t>(
+        std::min<std::int64_t>(age.count(), UINT32_MAX - 1));
 }
 
 void store_watch::add_seed(const std::string& text)
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -4,14 +4,14 @@
 
 #include <geraniumdoor/cluster/messages.hpp>
 
-#include <platform/store_client.hpp>
-
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
 #include <map>
 #include <string>
 
+#include <platform/store_client.hpp>
+
 namespace geraniumdoor::edge
 {
 
@@ -72,7 +72,8 @@
     /// Whether this host reads the store for the others at the moment.
     bool is_reader() const;
 
-    /// Milliseconds since both tables were last read from the store; UINT32_MAX for never.
+    /// Milliseconds since both tables were last read from the store; UINT32_MAX for
+    /// never.
     std::uint32_t age_ms() const;
 
 private:
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -98,9 +98,8 @@
         m_parser->skip(m_request.method() == http::verb::head);
         const auto [error, size] =
             co_await http::async_read_header(m_stream, m_buffer, *m_parser, use_tuple);
-        const bool interim =
-            !error && http::to_status_class(m_parser->get().result()) ==
-                          http::status_class::informational;
+        const bool interim = !error && http::to_status_class(m_parser->get().result()) ==
+                                           http::status_class::informational;
         if (!interim)
         {
             co_return error;
--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -120,8 +120,8 @@
     double best_cost = 0;
     for (const upstream* candidate : candidates)
     {
-        const double cost = engine_cost(*candidate, wanted, limits, candidate == home,
-                                        preferred, now);
+        const double cost =
+            engine_cost(*candidate, wanted, limits, candidate == home, preferred, now);
         if (best == nullptr || cost < best_cost)
         {
             best = candidate;
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -60,11 +60,12 @@
 
 std::size_t hosts_that_may_send(const host_table& table, time_point now)
 {
-    const auto recent = std::count_if(table.m_hosts.begin(), table.m_hosts.end(),
-                                      [&](const auto& entry)
-                                      {
-                                          return is_live(entry.second, sender_memory, now);
-                                      });
+    const auto recent =
+        std::count_if(table.m_hosts.begin(), table.m_hosts.end(),
+                      [&](const auto& entry)
+                      {
+                          return is_live(entry.second, sender_memory, now);
+                      });
     return static_cast<std::size_t>(recent) + 1;
 }
 
@@ -77,8 +78,8 @@
     for (const auto& [id, host] : table.m_hosts)
     {
         const bool never = host.m_report.m_store_age_ms == UINT32_MAX;
-        const duration age = milliseconds{host.m_report.m_store_age_ms} +
-                             (now - host.m_heard);
+        const duration age =
+            milliseconds{host.m_report.m_store_age_ms} + (now - host.m_heard);
         const bool reads = !never && age <= longest_age && !host.m_report.m_stopping;
         if (reads && duty_weight(duty, id, host.m_report.m_processor) > own_weight)
         {
--- a/src/serving/path_estimate.cpp
+++ b/src/serving/path_estimate.cpp
@@ -54,8 +54,8 @@
             {
                 path.m_work_after[before] =
                     std::max(path.m_work_after[before], path.m_work_after[at] + work);
-                path.m_time_after[before] = std::max(
-                    path.m_time_after[before], path.m_time_after[at] + work + wait);
+                path.m_time_after[before] = std::max(path.m_time_after[before],
+                                                     path.m_time_after[at] + work + wait);
             }
         }
     }
--- a/src/serving/retry_allowance.cpp
+++ b/src/serving/retry_allowance.cpp
@@ -38,9 +38,8 @@
     drop_before(sends.m_repeats, start);
     const double slack =
         allowance.m_bound.m_slack / static_cast<double>(std::max<std::size_t>(1, hosts));
-    const double allowed = allowance.m_bound.m_ratio *
-                               static_cast<double>(sends.m_first.size()) +
-                           slack;
+    const double allowed =
+        allowance.m_bound.m_ratio * static_cast<double>(sends.m_first.size()) + slack;
     return static_cast<double>(sends.m_repeats.size()) + 1 <= used_share * allowed;
 }
 
--- a/src/serving/stage_queue.cpp
+++ b/src/serving/stage_queue.cpp
@@ -16,9 +16,9 @@
 /// An upstream that is slower than this is left idle while faster ones can do the work.
 constexpr double slow_worker = 1.8;
 
-/// Time that must be left to the goal for a job to wait for an upstream in the data centre
-/// where its results are wanted. One result of 3 MB that crosses costs a thirtieth of the
-/// request's worth; a late answer costs most of it.
+/// Time that must be left to the goal for a job to wait for an upstream in the data
+/// centre where its results are wanted. One result of 3 MB that crosses costs a thirtieth
+/// of the request's worth; a late answer costs most of it.
 constexpr milliseconds locality_margin{120};
 
 /// Share of the capacity of full calls that forecasts count on. Jobs are mostly not
@@ -47,12 +47,12 @@
 
 std::uint32_t count_waiting(const stage_job& job)
 {
-    return static_cast<std::uint32_t>(std::count_if(
-        job.m_pieces.begin(), job.m_pieces.end(),
-        [](const piece& part)
-        {
-            return part.m_state == piece_state::waiting;
-        }));
+    return static_cast<std::uint32_t>(
+        std::count_if(job.m_pieces.begin(), job.m_pieces.end(),
+                      [](const piece& part)
+                      {
+                          return part.m_state == piece_state::waiting;
+                      }));
 }
 
 bool is_usable(const stage_worker& worker, time_point now)
@@ -73,8 +73,8 @@
     {
         return false;
     }
-    const std::size_t call = std::min<std::size_t>(count_waiting(job),
-                                                   queue.m_limits.m_batch);
+    const std::size_t call =
+        std::min<std::size_t>(count_waiting(job), queue.m_limits.m_batch);
     std::uint64_t room = 0;
     for (const auto& [id, other] : queue.m_workers)
     {
@@ -205,9 +205,9 @@
         return queue.m_limits.m_batch;
     }
     const bool small = result_bytes * small_results < queue.m_limits.m_room_bytes;
-    const std::uint64_t all =
-        late && !small ? queue.m_limits.m_room_bytes / 100 * late_room_percent
-                       : queue.m_limits.m_room_bytes;
+    const std::uint64_t all = late && !small
+                                  ? queue.m_limits.m_room_bytes / 100 * late_room_percent
+                                  : queue.m_limits.m_room_bytes;
     const std::uint64_t used = worker.m_room_used + bytes_ahead;
     return static_cast<std::size_t>(all > used ? (all - used) / result_bytes : 0);
 }
@@ -224,8 +224,8 @@
 
 job_urgency urgency_of(const stage_queue& queue, const stage_job& job, time_point now)
 {
-    const std::size_t call = std::min<std::size_t>(count_waiting(job),
-                                                   queue.m_limits.m_batch);
+    const std::size_t call =
+        std::min<std::size_t>(count_waiting(job), queue.m_limits.m_batch);
     const bool late = now + expected_call_time(queue, call, 1) > job.m_due;
     return {late, job.m_due + rank_step * job.m_rank};
 }
@@ -371,9 +371,8 @@
     const duration on_time =
         (at - arrival) + time_for(static_cast<std::size_t>(waiting), rate);
     waits.m_on_time = std::chrono::duration_cast<milliseconds>(on_time);
-    waits.m_late =
-        waits.m_on_time + std::chrono::duration_cast<milliseconds>(time_for(
-                              present.m_late, spare_rate(queue, now)));
+    waits.m_late = waits.m_on_time + std::chrono::duration_cast<milliseconds>(time_for(
+                                         present.m_late, spare_rate(queue, now)));
     return waits;
 }
 
@@ -440,8 +439,9 @@
             continue;
         }
         const auto expected = *worker.m_busy_until - worker.m_call_began;
-        const auto limit = std::chrono::duration_cast<duration>(expected * overdue_factor) +
-                           overdue_slack;
+        const auto limit =
+            std::chrono::duration_cast<duration>(expected * overdue_factor) +
+            overdue_slack;
         if (now - worker.m_call_began > limit)
         {
             result.push_back(id);
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -80,8 +80,8 @@
     constexpr std::uint32_t most_doublings = 3;
     const auto doublings = std::min(row.m_failures_in_row, most_doublings);
     ++row.m_failures_in_row;
-    row.m_ejected_until =
-        now + std::min<milliseconds>(first_ejection * (1U << doublings), longest_ejection);
+    row.m_ejected_until = now + std::min<milliseconds>(first_ejection * (1U << doublings),
+                                                       longest_ejection);
 }
 
 double load_of(const upstream& row)
@@ -106,8 +106,8 @@
         }
         // An ejected upstream is a last resort, better than a refusal.
         constexpr double ejected_penalty = 1000;
-        const double cost = plain_cost(row, own, now) +
-                            (row.m_ejected_until > now ? ejected_penalty : 0);
+        const double cost =
+            plain_cost(row, own, now) + (row.m_ejected_until > now ? ejected_penalty : 0);
         if (best == nullptr || cost < best_cost)
         {
             best = &row;
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -1,10 +1,12 @@
-#include "testing.hpp"
+#include <rapidcheck.h>
 
 #include <platform/exchange.hpp>
 #include <platform/rows.hpp>
 #include <platform/store_client.hpp>
 
-#include <rapidcheck.h>
+// clang-format off: this header stays last.
+#include "testing.hpp"
+// clang-format on
 
 using namespace geraniumdoor;
 using namespace std::chrono_literals;
@@ -181,7 +183,8 @@
     EXPECT_EQUAL(value_of(page).m_rows[0].m_version, 412U);
     cr_expect(value_of(page).m_rows[1].m_removed);
     cr_expect(value_of(page).m_has_more);
-    const std::string written = platform::encode_write({{"my", "owner", "node-1", false}});
+    const std::string written =
+        platform::encode_write({{"my", "owner", "node-1", false}});
     cr_expect(written.find("bm9kZS0x") != std::string::npos);
 }
 
--- a/tests/serving/attempt_rules_test.cpp
+++ b/tests/serving/attempt_rules_test.cpp
@@ -1,5 +1,3 @@
-#include "testing.hpp"
-
 #include <geraniumdoor/serving/attempt_rules.hpp>
 #include <geraniumdoor/serving/retry_allowance.hpp>
 
@@ -8,6 +6,10 @@
 #include <algorithm>
 #include <vector>
 
+// clang-format off: this header stays last.
+#include "testing.hpp"
+// clang-format on
+
 using namespace geraniumdoor;
 using namespace geraniumdoor::serving;
 using namespace std::chrono_literals;
--- a/tests/serving/choice_test.cpp
+++ b/tests/serving/choice_test.cpp
@@ -1,11 +1,13 @@
-#include "testing.hpp"
-
 #include <geraniumdoor/serving/engine_choice.hpp>
 #include <geraniumdoor/serving/path_estimate.hpp>
 #include <geraniumdoor/serving/routing.hpp>
 
 #include <set>
 
+// clang-format off: this header stays last.
+#include "testing.hpp"
+// clang-format on
+
 using namespace geraniumdoor;
 using namespace geraniumdoor::serving;
 using namespace std::chrono_literals;
@@ -50,7 +52,8 @@
 const upstream* engine_for(const upstream_table& table, const prompt& wanted,
                            const std::vector<upstream_id>& tried = {})
 {
-    return choose_engine(table, pool_id{"engines"}, wanted, {64, 499'130}, tried, {}, now);
+    return choose_engine(table, pool_id{"engines"}, wanted, {64, 499'130}, tried, {},
+                         now);
 }
 
 } // namespace
@@ -77,8 +80,7 @@
 Test(choice, a_hot_prefix_spills_over_when_its_engine_is_busy)
 {
     upstream_table table = sample_table(12);
-    const upstream_id home =
-        engine_for(table, sample_prompt("shared"))->m_entry.m_id;
+    const upstream_id home = engine_for(table, sample_prompt("shared"))->m_entry.m_id;
     table.m_rows.find(home)->m_running_elsewhere = 63;
     table.m_rows.find(home)->m_running = 20;
     const upstream* other = engine_for(table, sample_prompt("shared"));
--- a/tests/serving/host_table_test.cpp
+++ b/tests/serving/host_table_test.cpp
@@ -1,9 +1,11 @@
-#include "testing.hpp"
-
 #include <geraniumdoor/serving/host_table.hpp>
 
 #include <map>
 
+// clang-format off: this header stays last.
+#include "testing.hpp"
+// clang-format on
+
 using namespace geraniumdoor;
 using namespace geraniumdoor::serving;
 using namespace std::chrono_literals;
@@ -155,10 +157,10 @@
     host_table table = table_of({"a2", "a3", "b1"});
     host_report gone = report_of("a4");
     note_report(table, gone, live_for, now - 5s);
-    const auto near = caller_addresses(table, report_of("a1"), data_centre_id{"a"}, 3,
-                                       live_for, now);
+    const auto near =
+        caller_addresses(table, report_of("a1"), data_centre_id{"a"}, 3, live_for, now);
     EXPECT_EQUAL(near.size(), 3U);
-    const auto far = caller_addresses(table, report_of("a1"), data_centre_id{"b"}, 3,
-                                      live_for, now);
+    const auto far =
+        caller_addresses(table, report_of("a1"), data_centre_id{"b"}, 3, live_for, now);
     EXPECT_EQUAL(far.size(), 3U);
 }
--- a/tests/serving/stage_queue_test.cpp
+++ b/tests/serving/stage_queue_test.cpp
@@ -1,6 +1,4 @@
-#include "testing.hpp"
-
-#include "serving/queue_samples.hpp"
+#include "queue_samples.hpp"
 
 #include <geraniumdoor/serving/stage_queue.hpp>
 
@@ -8,6 +6,10 @@
 
 #include <set>
 
+// clang-format off: this header stays last.
+#include "testing.hpp"
+// clang-format on
+
 using namespace geraniumdoor;
 using namespace geraniumdoor::serving;
 using namespace geraniumdoor::test;
