Test whole hosts on sockets with stand-ins of the store and the workers

A finished call refreshes the workers of its own pool only; it walked all upstreams for every pool before.

--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -119,26 +119,7 @@
 {
     for (auto& [pool, service] : m_pools)
     {
-        auto& workers = service.m_queue.m_workers;
-        for (const auto& [id, row] : m_state.m_upstreams.m_rows)
-        {
-            const bool usable =
-                row.m_entry.m_pool == pool && accepts_work(m_state.m_upstreams, row);
-            if (usable)
-            {
-                workers[id].m_data_centre = row.m_entry.m_data_centre;
-            }
-            else if (!service.m_calls.contains(id))
-            {
-                workers.erase(id);
-            }
-        }
-        std::erase_if(workers,
-                      [&](const auto& entry)
-                      {
-                          const auto* row = m_state.m_upstreams.m_rows.find(entry.first);
-                          return row == nullptr && !service.m_calls.contains(entry.first);
-                      });
+        refresh_workers(pool, service);
         if (m_state.m_routing)
         {
             const auto config = m_state.m_routing->m_pools.find(pool);
@@ -153,6 +134,28 @@
     }
 }
 
+void stage_service::refresh_workers(const pool_id& pool, pool_service& service)
+{
+    const upstream_table& upstreams = m_state.m_upstreams;
+    auto& workers = service.m_queue.m_workers;
+    for (const auto& [id, row] : upstreams.m_rows)
+    {
+        if (row.m_entry.m_pool == pool && accepts_work(upstreams, row))
+        {
+            workers[id].m_data_centre = row.m_entry.m_data_centre;
+        }
+    }
+    const auto is_gone = [&upstreams, &pool, calls = &service.m_calls](const auto& entry)
+    {
+        const auto* row = upstreams.m_rows.find(entry.first);
+        const bool usable = row != nullptr && row->m_entry.m_pool == pool &&
+                            accepts_work(upstreams, *row);
+        // One that still works on a call stays until the call has ended.
+        return !usable && !calls->contains(entry.first);
+    };
+    std::erase_if(workers, is_gone);
+}
+
 void stage_service::on_request(const node_id& from, incarnation from_incarnation,
                                const pieces_request& request)
 {
@@ -363,7 +366,8 @@
                      ? error_of(pieces).m_detail
                      : std::string{geraniumdoor::to_text(error_of(answer).m_kind)});
         return_pieces(service, ended, !declined);
-        refresh();
+        refresh_workers(pool, service);
+        pump(pool, service);
         return;
     }
     worker.m_failures_in_row = 0;
@@ -418,7 +422,8 @@
             finish_job(service, ref.m_job, {0, pieces_outcome::failed, {}, 0});
         }
     }
-    refresh();
+    refresh_workers(pool, service);
+    pump(pool, service);
 }
 
 void stage_service::return_pieces(pool_service& service, const call& ended, bool failed)
--- a/src/edge/stage_service.hpp
+++ b/src/edge/stage_service.hpp
@@ -80,6 +80,7 @@
         time_point m_last_log{};
     };
 
+    void refresh_workers(const pool_id& pool, pool_service& service);
     pool_service* find_service(const pool_id& pool);
     void pump(const pool_id& pool, pool_service& service);
     void start_call(const pool_id& pool, pool_service& service,
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -10,6 +10,7 @@
 #include <boost/json.hpp>
 
 #include <algorithm>
+#include <unordered_set>
 #include <utility>
 
 #include <platform/rows.hpp>
@@ -275,14 +276,14 @@
 void store_watch::remove_missing(held_table& table, const platform::row_page& page)
 {
     std::vector<std::string> missing;
+    std::unordered_set<std::string_view> present;
+    for (const platform::row& entry : page.m_rows)
+    {
+        present.insert(entry.m_key);
+    }
     for (const auto& [key, row] : table.m_rows)
     {
-        const bool present = std::any_of(page.m_rows.begin(), page.m_rows.end(),
-                                         [&](const platform::row& entry)
-                                         {
-                                             return entry.m_key == key;
-                                         });
-        if (!present && !row.m_removed)
+        if (!present.contains(key) && !row.m_removed)
         {
             missing.push_back(key);
         }
--- /dev/null
+++ b/tests/edge/edge_test.cpp
@@ -0,0 +1,356 @@
+#include "edge_world.hpp"
+
+#include <boost/asio/connect.hpp>
+#include <boost/asio/write.hpp>
+
+// clang-format off: this header stays last.
+#include "testing.hpp"
+// clang-format on
+
+using namespace geraniumdoor;
+using namespace geraniumdoor::test;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+const std::string read_route =
+    R"({"name":"read","host":"a.example","prefix":"/read/","routeType":"idempotent",)"
+    R"("timeoutMs":2000,"targetLatencyMs":300,"service":"plain","maxAttempts":2})";
+const std::string pay_route =
+    R"({"name":"pay","host":"a.example","prefix":"/pay/","routeType":"non_idempotent",)"
+    R"("timeoutMs":2000,"targetLatencyMs":300,"service":"plain","maxAttempts":1})";
+const std::string stream_route =
+    R"({"name":"stream","host":"a.example","prefix":"/stream/","routeType":"streaming",)"
+    R"("timeoutMs":3000,"targetLatencyMs":1000,"service":"engine","maxAttempts":1,)"
+    R"("gapAimMs":300,"stages":[{"service":"stage","after":[],"bytes":8000}]})";
+const std::string resume_route =
+    R"({"name":"resume","host":"a.example","prefix":"/resume/","routeType":"streaming",)"
+    R"("timeoutMs":3000,"targetLatencyMs":1000,"service":"engine","maxAttempts":2,)"
+    R"("streamResume":true,"gapAimMs":300,)"
+    R"("stages":[{"service":"stage","after":[],"bytes":8000}]})";
+const std::string all_routes =
+    read_route + ',' + pay_route + ',' + stream_route + ',' + resume_route;
+
+int runs_of(const edge_world& world, const std::string& id)
+{
+    int runs = 0;
+    for (const auto& worker : world.m_workers)
+    {
+        const auto at = worker->m_runs.find(id);
+        runs += at == worker->m_runs.end() ? 0 : at->second;
+    }
+    return runs;
+}
+
+http_request streamed(const std::string& target, const std::string& id)
+{
+    http_request request = sample_post(target, id, 3000);
+    request.m_fields.emplace_back("Token-Usage", "100,20");
+    request.m_fields.emplace_back("Prompt-Prefix", "aa:80,bb:20");
+    request.m_fields.emplace_back("Pieces", "3");
+    request.m_fields.emplace_back("Piece-Key", "k");
+    return request;
+}
+
+const std::string whole_stream =
+    "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n";
+
+} // namespace
+
+// Guards against faults in the wiring of a whole host, on real sockets, with stand-ins of
+// the platform's store and workers. Each test has ports of its own.
+TestSuite(edge, .timeout = 60);
+
+Test(edge, a_caller_gets_the_workers_answer_unchanged)
+{
+    edge_world world{23000, 1};
+    fake_worker& worker = world.add_worker("w1", "plain");
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto answer = world.ask(0, sample_get("/read/1?q=2", "id1", 1500), 2s);
+    EXPECT_EQUAL(answer.m_status, 200U);
+    EXPECT_EQUAL(answer.m_body, "w1:/read/1?q=2:");
+    EXPECT_EQUAL(find_field(answer.m_fields, "Response-Signature"), "w1");
+    EXPECT_EQUAL(find_field(worker.m_seen[0].m_fields, "Tenant"), "t");
+    cr_expect(find_field(worker.m_seen[0].m_fields, "Credential").empty());
+}
+
+Test(edge, a_payment_whose_answer_is_lost_runs_once_and_is_not_refused)
+{
+    edge_world world{23040, 1};
+    world.add_worker("w1", "plain").m_mode = worker_mode::lose_answer;
+    world.add_worker("w2", "plain").m_mode = worker_mode::lose_answer;
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto answer = world.ask(0, sample_post("/pay/1", "id1", 1500), 2s);
+    EXPECT_EQUAL(answer.m_status, 502U);
+    EXPECT_EQUAL(runs_of(world, "id1"), 1);
+}
+
+Test(edge, a_payment_that_is_declined_everywhere_is_refused_with_a_time_to_return)
+{
+    edge_world world{23080, 1};
+    world.add_worker("w1", "plain").m_mode = worker_mode::decline;
+    world.add_worker("w2", "plain").m_mode = worker_mode::decline;
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto answer = world.ask(0, sample_post("/pay/1", "id1", 1500), 2s);
+    EXPECT_EQUAL(answer.m_status, 503U);
+    cr_expect(not find_field(answer.m_fields, "Retry-After").empty());
+    EXPECT_EQUAL(runs_of(world, "id1"), 0);
+}
+
+Test(edge, a_read_that_fails_is_asked_for_elsewhere)
+{
+    edge_world world{23120, 1};
+    fake_worker& first = world.add_worker("w1", "plain");
+    fake_worker& second = world.add_worker("w2", "plain");
+    world.set_config(all_routes, 1);
+    world.start();
+    for (const auto mode : {worker_mode::fail, worker_mode::tear, worker_mode::foreign,
+                            worker_mode::lose_answer})
+    {
+        first.m_script = {mode};
+        second.m_script.clear();
+        const std::string id = "id" + std::to_string(static_cast<int>(mode));
+        const auto answer = world.ask(0, sample_get("/read/1", id, 1500), 2s);
+        EXPECT_EQUAL(answer.m_status, 200U);
+        first.m_script.clear();
+    }
+}
+
+Test(edge, a_whole_stream_arrives_and_its_inputs_are_released)
+{
+    edge_world world{23160, 1};
+    fake_worker& engine = world.add_worker("e1", "engine");
+    fake_worker& stage = world.add_worker("s1", "stage");
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto answer = world.ask(0, streamed("/stream/1", "id1"), 3s);
+    EXPECT_EQUAL(answer.m_body, whole_stream);
+    const auto inputs = find_field(engine.m_seen[0].m_fields, "Inputs");
+    EXPECT_EQUAL(std::count(inputs.begin(), inputs.end(), ','), 2);
+    world.run_for(200ms);
+    EXPECT_EQUAL(stage.m_released, 3);
+}
+
+Test(edge, a_stream_that_breaks_is_resumed_without_a_gap_where_that_is_allowed)
+{
+    edge_world world{23200, 1};
+    fake_worker& first = world.add_worker("e1", "engine");
+    fake_worker& second = world.add_worker("e2", "engine");
+    world.add_worker("s1", "stage");
+    first.m_script = {worker_mode::tear};
+    second.m_script = {worker_mode::tear};
+    world.set_config(all_routes, 1);
+    world.start();
+    // Only one of the engines gets the request first; the other one has to be sound.
+    auto request = streamed("/resume/1", "id1");
+    const auto probe = world.start_request(0, request, 3s);
+    world.run_for(30ms);
+    (first.m_seen.empty() ? first : second).m_script.clear();
+    world.run_for(2500ms);
+    cr_assert(probe->has_value());
+    EXPECT_EQUAL((*probe)->m_body, whole_stream);
+    EXPECT_EQUAL(runs_of(world, "id1"), 2);
+}
+
+Test(edge, a_stream_that_may_not_be_resumed_is_cut_off_and_never_looks_whole)
+{
+    edge_world world{23240, 1};
+    world.add_worker("e1", "engine").m_mode = worker_mode::tear;
+    world.add_worker("e2", "engine").m_mode = worker_mode::tear;
+    world.add_worker("s1", "stage");
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto answer = world.ask(0, streamed("/stream/1", "id1"), 3s);
+    EXPECT_EQUAL(answer.m_status, 0U);
+    EXPECT_EQUAL(runs_of(world, "id1"), 1);
+}
+
+// The host released results of stages that a rejected request never had, and died.
+Test(edge, a_rejected_request_on_a_route_with_stages_leaves_the_host_alive)
+{
+    edge_world world{23280, 1};
+    world.add_worker("e1", "engine");
+    world.add_worker("s1", "stage");
+    world.set_config(all_routes, 1);
+    world.start();
+    auto request = streamed("/stream/1", "id1");
+    request.m_fields[3].second = "unknown";
+    EXPECT_EQUAL(world.ask(0, request, 2s).m_status, 401U);
+    EXPECT_EQUAL(world.ask(0, streamed("/stream/2", "id2"), 3s).m_status, 200U);
+}
+
+// A begun stream whose inputs could not be made again was answered a second time, and the
+// host died of the broken invariant.
+Test(edge, a_begun_stream_whose_inputs_are_lost_is_cut_off)
+{
+    edge_world world{23320, 1};
+    world.add_worker("e1", "engine").m_mode = worker_mode::tear;
+    world.add_worker("e2", "engine").m_mode = worker_mode::tear;
+    fake_worker& stage = world.add_worker("s1", "stage");
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto answer = world.start_request(0, streamed("/resume/1", "id1"), 3s);
+    for (int at = 0; at < 100 && world.m_workers[0]->m_seen.empty() &&
+                     world.m_workers[1]->m_seen.empty();
+         ++at)
+    {
+        world.run_for(5ms);
+    }
+    stage.m_refuse_pieces = "error";
+    world.run_for(3000ms);
+    cr_assert(answer->has_value());
+    EXPECT_EQUAL((*answer)->m_status, 0U);
+    stage.m_refuse_pieces.clear();
+    EXPECT_EQUAL(world.ask(0, sample_get("/read/1", "id2", 500), 1s).m_status, 503U);
+}
+
+Test(edge, a_request_that_nothing_can_serve_in_time_is_refused_at_once)
+{
+    edge_world world{23360, 1};
+    world.add_worker("e1", "engine");
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto began = std::chrono::steady_clock::now();
+    const auto answer = world.ask(0, streamed("/stream/1", "id1"), 3s);
+    EXPECT_EQUAL(answer.m_status, 503U);
+    cr_expect(std::chrono::steady_clock::now() - began < 500ms);
+}
+
+Test(edge, a_caller_that_leaves_takes_its_request_along)
+{
+    edge_world world{23400, 1};
+    fake_worker& worker = world.add_worker("w1", "plain");
+    worker.m_mode = worker_mode::hang;
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto answer = world.start_request(0, sample_post("/pay/1", "id1", 1500), 100ms);
+    world.run_for(400ms);
+    cr_assert(answer->has_value());
+    EXPECT_EQUAL(worker.m_server->connection_count(), 1U);
+    EXPECT_EQUAL(runs_of(world, "id1"), 1);
+}
+
+Test(edge, a_smuggled_request_is_rejected_and_reaches_no_worker)
+{
+    edge_world world{23440, 1};
+    fake_worker& worker = world.add_worker("w1", "plain");
+    world.set_config(all_routes, 1);
+    world.start();
+    const std::string hidden = "GET /read/hidden HTTP/1.1\r\nHost: a.example\r\n"
+                               "Attempt-Id: x\r\nCredential: key\r\n\r\n";
+    for (const std::string framing :
+         {"Content-Length: 0\r\nTransfer-Encoding: chunked\r\n",
+          "Transfer-Encoding: xchunked\r\n", "Transfer-Encoding: chunked, identity\r\n",
+          "Content-Length: 4\r\nContent-Length: 4\r\n", "Host: b.example\r\n"})
+    {
+        boost::asio::ip::tcp::socket socket{world.m_io};
+        socket.connect(world.callers_of(0));
+        const std::string bytes = "POST /pay/1 HTTP/1.1\r\nHost: a.example\r\n"
+                                  "Attempt-Id: y\r\nCredential: key\r\n" +
+                                  framing + "\r\n" + hidden;
+        boost::asio::write(socket, boost::asio::buffer(bytes));
+        world.run_for(100ms);
+        char answer[16] = {};
+        boost::system::error_code ignored;
+        socket.non_blocking(true);
+        socket.read_some(boost::asio::buffer(answer, 12), ignored);
+        EXPECT_EQUAL(std::string{answer}.substr(9, 3), "400");
+    }
+    cr_expect(worker.m_seen.empty());
+}
+
+Test(edge, requests_of_two_hosts_share_the_calls_of_one_queue)
+{
+    edge_world world{23480, 2};
+    world.add_worker("e1", "engine");
+    fake_worker& stage = world.add_worker("s1", "stage");
+    stage.m_delay = 60ms;
+    world.set_config(all_routes, 1);
+    world.start();
+    std::vector<std::shared_ptr<std::optional<http_response>>> answers;
+    for (int at = 0; at < 6; ++at)
+    {
+        auto request = streamed("/stream/1", "id" + std::to_string(at));
+        answers.push_back(world.start_request(at % 2, std::move(request), 3s));
+    }
+    world.run_for(1500ms);
+    for (const auto& answer : answers)
+    {
+        cr_assert(answer->has_value());
+        EXPECT_EQUAL((*answer)->m_status, 200U);
+    }
+    cr_expect(stage.m_most_pieces >= 6, "most pieces in a call: %zu",
+              stage.m_most_pieces);
+}
+
+Test(edge, a_new_configuration_is_in_force_and_a_lower_version_changes_nothing)
+{
+    edge_world world{23520, 1};
+    world.add_worker("w1", "plain");
+    world.set_config(read_route, 5);
+    world.start();
+    EXPECT_EQUAL(world.ask(0, sample_post("/pay/1", "id1", 1000), 2s).m_status, 404U);
+    world.set_config(all_routes, 9);
+    world.run_for(800ms);
+    EXPECT_EQUAL(world.ask(0, sample_post("/pay/1", "id2", 1000), 2s).m_status, 200U);
+    world.set_config(read_route, 7);
+    world.run_for(800ms);
+    EXPECT_EQUAL(world.ask(0, sample_post("/pay/1", "id3", 1000), 2s).m_status, 200U);
+}
+
+Test(edge, a_host_without_a_configuration_answers_503_and_is_not_ready)
+{
+    edge_world world{23560, 1};
+    world.m_store.m_down = true;
+    world.start();
+    const auto answer = world.ask(0, sample_get("/read/1", "id1", 1000), 2s);
+    EXPECT_EQUAL(answer.m_status, 503U);
+    cr_expect(not find_field(answer.m_fields, "Retry-After").empty());
+}
+
+Test(edge, a_worker_that_leaves_gets_nothing_more)
+{
+    edge_world world{23600, 1};
+    fake_worker& first = world.add_worker("w1", "plain");
+    world.add_worker("w2", "plain");
+    world.set_config(all_routes, 1);
+    world.start();
+    world.m_store.remove("servers", "w1");
+    world.run_for(1200ms);
+    const auto seen = first.m_seen.size();
+    for (int at = 0; at < 10; ++at)
+    {
+        const auto answer =
+            world.ask(0, sample_get("/read/1", "id" + std::to_string(at), 1000), 2s);
+        EXPECT_EQUAL(answer.m_status, 200U);
+    }
+    EXPECT_EQUAL(first.m_seen.size(), seen);
+}
+
+Test(edge, a_planned_stop_finishes_what_is_in_progress)
+{
+    edge_world world{23640, 1};
+    fake_worker& worker = world.add_worker("w1", "plain");
+    worker.m_delay = 700ms;
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto answer = world.start_request(0, sample_post("/pay/1", "id1", 1800), 2s);
+    world.run_for(100ms);
+    bool stopped = false;
+    world.begin_stop(0,
+                     [&stopped]
+                     {
+                         stopped = true;
+                     });
+    worker.m_delay = 0ms;
+    EXPECT_EQUAL(world.ask(0, sample_post("/pay/2", "id2", 1500), 2s).m_status, 200U);
+    world.run_for(900ms);
+    cr_assert(answer->has_value());
+    EXPECT_EQUAL((*answer)->m_status, 200U);
+    world.run_for(4500ms);
+    cr_expect(stopped);
+}
