Run stages where their inputs lie

Each of the 16 pieces of the last stage fetches all 8 inputs of 60 KB by itself: 7.7 MB a request.

The stage queue takes the bytes that cross when a piece is made elsewhere, inputs or results, and a job waits for a worker in that data centre as long as it can still meet its goal and has a place in one of the next calls there.

--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -391,13 +391,15 @@
     std::int32_t m_deadline_ms = 0;
     std::uint32_t m_rank = 0;
     data_centre_id m_preferred;
+    /// Bytes for each piece that cross data centres when it is made elsewhere.
+    std::uint64_t m_cross_bytes = 0;
     std::uint64_t m_result_bytes = 0;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
         archive(m_job, m_pool, m_request, m_stage, m_pieces, m_key, m_inputs, m_due_ms,
-                m_deadline_ms, m_rank, m_preferred, m_result_bytes);
+                m_deadline_ms, m_rank, m_preferred, m_cross_bytes, m_result_bytes);
     }
 };
 
--- a/include/geraniumdoor/serving/stage_queue.hpp
+++ b/include/geraniumdoor/serving/stage_queue.hpp
@@ -56,8 +56,10 @@
     time_point m_deadline{};
     /// Rank of workspace and route; 0 first.
     std::uint32_t m_rank = 0;
-    /// Data centre in which the results are wanted; empty for any.
+    /// Data centre in which the results are wanted, or the inputs lie; empty for any.
     data_centre_id m_preferred;
+    /// Bytes for each piece that cross data centres when it is made elsewhere.
+    std::uint64_t m_cross_bytes = 0;
     std::uint64_t m_result_bytes = 0;
     time_point m_arrived{};
 };
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -472,7 +472,8 @@
     }
 }
 
-void request_relay::locate_inputs(request& current) const
+input_place request_relay::place_of(const request& current,
+                                    const std::vector<std::uint32_t>& stages) const
 {
     std::unordered_map<std::string, data_centre_id> places;
     for (const auto& [id, row] : m_state.m_upstreams.m_rows)
@@ -480,7 +481,7 @@
         places.emplace(to_text(row.m_entry.m_address), row.m_entry.m_data_centre);
     }
     std::unordered_map<data_centre_id, std::uint64_t> bytes;
-    for (const std::uint32_t at : final_stages(*current.m_route))
+    for (const std::uint32_t at : stages)
     {
         for (const std::string& handle : current.m_results[at])
         {
@@ -491,14 +492,30 @@
             }
         }
     }
-    current.m_inputs = {};
+    input_place most;
     for (const auto& [place, size] : bytes)
     {
-        if (size > current.m_inputs.m_bytes)
+        if (size > most.m_bytes)
         {
-            current.m_inputs = {place, size};
+            most = {place, size};
         }
     }
+    return most;
+}
+
+void request_relay::place_stage(const request& current, std::uint32_t stage,
+                                pieces_request& wanted) const
+{
+    wanted.m_preferred = current.m_results_wanted_at;
+    wanted.m_cross_bytes = wanted.m_result_bytes;
+    // Each piece fetches all inputs by itself.
+    const input_place inputs =
+        place_of(current, current.m_route->m_stages[stage].m_after);
+    if (inputs.m_bytes > wanted.m_result_bytes)
+    {
+        wanted.m_preferred = inputs.m_data_centre;
+        wanted.m_cross_bytes = inputs.m_bytes;
+    }
 }
 
 const upstream* request_relay::choose(const request& current) const
@@ -597,8 +614,8 @@
                 std::min(wanted.m_deadline_ms, input_life_ms(current, at));
         }
         wanted.m_rank = rank_of(current);
-        wanted.m_preferred = current.m_results_wanted_at;
         wanted.m_result_bytes = stages[at].m_result_bytes;
+        place_stage(current, at, wanted);
         if (current.m_jobs[at] == 0)
         {
             current.m_jobs[at] = m_stages.new_job();
@@ -712,7 +729,7 @@
         co_await current.m_wake.async_wait(
             asio::redirect_error(asio::use_awaitable, ignored));
     }
-    locate_inputs(current);
+    current.m_inputs = place_of(current, final_stages(*current.m_route));
     co_return !current.m_caller_gone;
 }
 
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -127,7 +127,11 @@
     /// Time for which the inputs of a stage are kept by their makers.
     std::int32_t input_life_ms(const request& current, std::uint32_t stage) const;
     void choose_place(request& current) const;
-    void locate_inputs(request& current) const;
+    /// Data centre in which most bytes of the results of these stages lie.
+    serving::input_place place_of(const request& current,
+                                  const std::vector<std::uint32_t>& stages) const;
+    void place_stage(const request& current, std::uint32_t stage,
+                     pieces_request& wanted) const;
 
     /// Returns whether all stages are made; otherwise the request was answered.
     boost::asio::awaitable<bool> prepare(request& current);
--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -186,6 +186,7 @@
     job.m_deadline = at + std::min(milliseconds{request.m_deadline_ms}, longest_deadline);
     job.m_rank = request.m_rank;
     job.m_preferred = request.m_preferred;
+    job.m_cross_bytes = request.m_cross_bytes;
     job.m_result_bytes = request.m_result_bytes;
     job.m_arrived = at;
     const time_point end = predicted_end(service->m_queue, job, at);
--- a/src/serving/stage_queue.cpp
+++ b/src/serving/stage_queue.cpp
@@ -34,8 +34,8 @@
 /// Time after which an announced job that did not come is forgotten.
 constexpr milliseconds announcement_life{400};
 
-/// Results below this size may be made anywhere.
-constexpr std::uint64_t large_result_bytes = 1'000'000;
+/// Jobs with fewer bytes to bring over may run anywhere.
+constexpr std::uint64_t large_crossing_bytes = 1'000'000;
 
 struct waiting_job
 {
@@ -61,21 +61,22 @@
 }
 
 /// Whether the job should wait for an upstream in its preferred data centre: one becomes
-/// idle early enough, and the jobs that wait for it before this one fit into one call.
+/// idle early enough, and the pieces that wait for it before this job leave it a place in
+/// the next call.
 bool waits_for_locality(const stage_queue& queue, const stage_job& job,
-                        const stage_worker& worker, std::uint64_t local_bytes_ahead,
+                        const stage_worker& worker, std::size_t local_pieces_ahead,
                         time_point now)
 {
+    const std::uint32_t waiting = count_waiting(job);
     const bool anywhere = job.m_preferred.m_value.empty() ||
                           job.m_preferred == worker.m_data_centre ||
-                          job.m_result_bytes < large_result_bytes;
+                          job.m_cross_bytes * waiting < large_crossing_bytes;
     if (anywhere)
     {
         return false;
     }
-    const std::size_t call =
-        std::min<std::size_t>(count_waiting(job), queue.m_limits.m_batch);
-    std::uint64_t room = 0;
+    const std::size_t call = std::min<std::size_t>(waiting, queue.m_limits.m_batch);
+    std::size_t places = 0;
     for (const auto& [id, other] : queue.m_workers)
     {
         if (other.m_data_centre != job.m_preferred || other.m_slowness >= slow_worker)
@@ -87,10 +88,10 @@
         const time_point end = idle + expected_call_time(queue, call, other.m_slowness);
         if (end + locality_margin <= job.m_due)
         {
-            room += std::uint64_t{queue.m_limits.m_batch} * job.m_result_bytes;
+            places += queue.m_limits.m_batch;
         }
     }
-    return local_bytes_ahead + job.m_result_bytes * call <= room;
+    return local_pieces_ahead + call <= places;
 }
 
 std::vector<waiting_job> waiting_in_order(const stage_queue& queue, time_point now)
@@ -253,13 +254,13 @@
     std::vector<piece_ref> call;
     std::uint64_t bytes = 0;
     const waiting_job* split = nullptr;
-    std::map<data_centre_id, std::uint64_t> bytes_ahead;
+    std::map<data_centre_id, std::size_t> pieces_ahead;
     for (const waiting_job& entry : order)
     {
-        std::uint64_t& ahead = bytes_ahead[entry.m_job->m_preferred];
+        std::size_t& ahead = pieces_ahead[entry.m_job->m_preferred];
         const bool stays =
             waits_for_locality(queue, *entry.m_job, at->second, ahead, now);
-        ahead += entry.m_job->m_result_bytes * entry.m_waiting;
+        ahead += entry.m_waiting;
         const std::uint64_t size = entry.m_job->m_result_bytes;
         const std::size_t room =
             room_for(queue, at->second, bytes, size, entry.m_urgency.m_late);
--- a/tests/serving/stage_queue_test.cpp
+++ b/tests/serving/stage_queue_test.cpp
@@ -66,6 +66,7 @@
     queue.m_workers[upstream_id{"w1"}].m_busy_until = sample_now + 50ms;
     stage_job& job = add_job(queue, "a", 2);
     job.m_result_bytes = 3'000'000;
+    job.m_cross_bytes = 3'000'000;
     job.m_preferred = data_centre_id{"near"};
     cr_expect(next_call(queue, upstream_id{"w0"}, sample_now).empty(),
               "there is time to wait for the near one");
