Give back the room of calls whose jobs are gone

Cause: the room that a call takes was given back from its job; a job that was cancelled during the call (a caller left, a stage was refused) left its bytes behind for good.

A call keeps the sizes of its results. tests/edge: callers_that_leave_during_a_call_cost_no_room failed before and passes now.

--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -282,6 +282,7 @@
     const time_point at = now();
     stage_worker& worker = service.m_queue.m_workers[upstream];
     std::vector<platform::piece_item> items;
+    std::vector<std::uint64_t> result_bytes;
     for (const piece_ref& ref : pieces)
     {
         stage_job& job = service.m_queue.m_jobs.at(ref.m_job);
@@ -289,6 +290,7 @@
         part.m_state = piece_state::running;
         ++part.m_calls;
         worker.m_room_used += job.m_result_bytes;
+        result_bytes.push_back(job.m_result_bytes);
         const auto left = std::chrono::duration_cast<milliseconds>(job.m_deadline - at);
         items.push_back(
             {job.m_request, job.m_stage, ref.m_piece, job.m_key, job.m_inputs, left});
@@ -298,7 +300,8 @@
     worker.m_call_began = at;
     worker.m_busy_until = at + expected;
     auto request = platform::encode_pieces(items, upstream);
-    service.m_calls[upstream] = call{upstream, std::move(pieces)};
+    service.m_calls[upstream] =
+        call{upstream, std::move(pieces), std::move(result_bytes), false};
     const auto* row = m_state.m_upstreams.m_rows.find(upstream);
     asio::co_spawn(
         m_state.m_executor,
@@ -334,11 +337,8 @@
     service.m_calls.erase(upstream);
     stage_worker& worker = service.m_queue.m_workers[upstream];
     worker.m_busy_until.reset();
-    for (const piece_ref& ref : ended.m_pieces)
+    for (const std::uint64_t bytes : ended.m_result_bytes)
     {
-        const auto job = service.m_queue.m_jobs.find(ref.m_job);
-        const std::uint64_t bytes =
-            job == service.m_queue.m_jobs.end() ? 0 : job->second.m_result_bytes;
         worker.m_room_used -= std::min(worker.m_room_used, bytes);
     }
     const time_point at = now();
@@ -395,7 +395,8 @@
         const platform::piece_answer& piece_result = value_of(pieces)[index];
         if (!piece_result.m_handle.empty())
         {
-            take_result(service, upstream, ref, piece_result.m_handle);
+            take_result(service, upstream, ref, piece_result.m_handle,
+                        ended.m_result_bytes[index]);
             continue;
         }
         const auto job = service.m_queue.m_jobs.find(ref.m_job);
@@ -451,11 +452,10 @@
 }
 
 void stage_service::take_result(pool_service& service, const upstream_id& upstream,
-                                const piece_ref& ref, const std::string& handle)
+                                const piece_ref& ref, const std::string& handle,
+                                std::uint64_t bytes)
 {
     const auto at = service.m_queue.m_jobs.find(ref.m_job);
-    const std::uint64_t bytes =
-        at == service.m_queue.m_jobs.end() ? 0 : at->second.m_result_bytes;
     service.m_results[handle] = {upstream, bytes, now() + result_life};
     service.m_queue.m_workers[upstream].m_room_used += bytes;
     if (at == service.m_queue.m_jobs.end())
--- a/src/edge/stage_service.hpp
+++ b/src/edge/stage_service.hpp
@@ -57,6 +57,8 @@
     {
         upstream_id m_upstream;
         std::vector<serving::piece_ref> m_pieces;
+        /// Size of each result. Its job may be gone when the call ends.
+        std::vector<std::uint64_t> m_result_bytes;
         /// The pieces were handed to other upstreams as well.
         bool m_repeated = false;
     };
@@ -93,7 +95,8 @@
                      milliseconds expected);
     void return_pieces(pool_service& service, const call& ended, bool failed);
     void take_result(pool_service& service, const upstream_id& upstream,
-                     const serving::piece_ref& ref, const std::string& handle);
+                     const serving::piece_ref& ref, const std::string& handle,
+                     std::uint64_t bytes);
     void finish_job(pool_service& service, const serving::job_id& id,
                     pieces_result result);
     void drop_job(pool_service& service, const serving::job_id& id);
--- a/tests/edge/edge_test.cpp
+++ b/tests/edge/edge_test.cpp
@@ -287,6 +287,28 @@
               stage.m_most_pieces);
 }
 
+// The room of a call was not given back when its job was cancelled meanwhile: the worker
+// looked full for good after 125 such results.
+Test(edge, callers_that_leave_during_a_call_cost_no_room)
+{
+    edge_world world{23680, 1};
+    world.add_worker("e1", "engine");
+    fake_worker& stage = world.add_worker("s1", "stage");
+    world.set_config(all_routes, 1);
+    world.start();
+    stage.m_delay = 60ms;
+    for (int at = 0; at < 25; ++at)
+    {
+        auto request = streamed("/stream/1", "gone" + std::to_string(at));
+        request.m_fields[6].second = "8";
+        const auto answer = world.start_request(0, std::move(request), 30ms);
+        world.run_for(90ms);
+    }
+    stage.m_delay = 0ms;
+    world.run_for(300ms);
+    EXPECT_EQUAL(world.ask(0, streamed("/stream/1", "id1"), 3s).m_status, 200U);
+}
+
 Test(edge, a_new_configuration_is_in_force_and_a_lower_version_changes_nothing)
 {
     edge_world world{23520, 1};
