Divide the bound of a cold upstream by the hosts, and keep the platform's names inside

Cause: the bound on requests to a cold worker was kept by the low rates of the sites alone; a hot key whose home comes back cold would break it on a grown site.

Each host has a quota for a second at a cold upstream; with more hosts than requests only the first in rendezvous order have one.

--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -57,10 +57,28 @@
     /// Moving average of the time to an answer against what was expected; 1 is as
     /// expected.
     double m_slowness = 1;
-    /// When the last request was sent while it was cold.
-    time_point m_last_cold_send{};
+    /// Requests that this host may send it in one second while it is cold.
+    std::uint32_t m_cold_quota = UINT32_MAX;
+    /// Requests sent while it was cold since the start of a second.
+    time_point m_cold_second{};
+    std::uint32_t m_cold_sends = 0;
 };
 
+/// Requests a second that a host may send to a cold upstream.
+///
+/// Load pattern: a hot key whose home has just come back cold, and hosts that cannot hear
+/// each other. The bound is divided by the hosts; when there are more hosts than
+/// requests, only those with the highest rendezvous weights for the upstream may send.
+/// @param bound requests in one second that the upstream bears from all hosts
+/// @param rank hosts with a higher weight for the upstream
+std::uint32_t cold_quota(double bound, std::size_t hosts, std::size_t rank);
+
+/// Whether the upstream is warm, or this host has not used up its quota of this second.
+bool may_send_now(const upstream& row, time_point now);
+
+/// Counts a request sent to the upstream.
+void note_sent(upstream& row, time_point now);
+
 /// Upstreams by id, and what the operator has said of data centres.
 struct upstream_table
 {
--- a/programs/edge/geraniumdoor_edge_main.cpp
+++ b/programs/edge/geraniumdoor_edge_main.cpp
@@ -11,10 +11,10 @@
 
 #include <chrono>
 #include <csignal>
-#include <cstdlib>
 #include <iostream>
 
 #include <malloc.h>
+#include <platform/settings_file.hpp>
 #include <sys/stat.h>
 #include <unistd.h>
 
@@ -23,9 +23,6 @@
 namespace
 {
 
-/// Variable that names the settings file; the platform sets it.
-constexpr const char* settings_variable = "GERANIUMDOOR_CONFIG";
-
 constexpr std::size_t max_settings_bytes = std::size_t{64} * 1024;
 
 /// Period in which the settings file is looked at for changes without a signal.
@@ -38,7 +35,7 @@
         "Edge host: serves callers on the users' platform.\n"
         "Exit codes: 0 stopped as planned, 1 failed, 2 wrong command line or settings."};
     options.add_options()(
-        "settings", "settings file, JSON with comments; default: $GERANIUMDOOR_CONFIG",
+        "settings", "settings file, JSON with comments; default: the platform's",
         cxxopts::value<std::string>(), "FILE")("check", "check the settings and exit")(
         "version", "print the version and exit")("help", "print this text and exit");
     return options;
@@ -181,17 +178,15 @@
                   << "\" is not an option; see --help\n";
         return exit_usage;
     }
-    const char* from_platform = std::getenv(settings_variable);
-    if (arguments.count("settings") == 0 && from_platform == nullptr)
+    const auto path = arguments.count("settings") != 0
+                          ? std::optional{arguments["settings"].as<std::string>()}
+                          : platform::settings_path();
+    if (!path)
     {
-        std::cerr << "geraniumdoor_edge: --settings FILE or $" << settings_variable
-                  << " is required\n";
+        std::cerr << "geraniumdoor_edge: the option --settings FILE is required\n";
         return exit_usage;
     }
-    const std::string path = arguments.count("settings") != 0
-                                 ? arguments["settings"].as<std::string>()
-                                 : std::string{from_platform};
-    auto settings = read_settings(path);
+    auto settings = read_settings(*path);
     if (const auto* error = std::get_if<file_error>(&settings))
     {
         std::cerr << "geraniumdoor_edge: " << error->m_message << '\n';
@@ -199,7 +194,7 @@
     }
     if (arguments.count("check") != 0)
     {
-        std::cout << path << ": the settings are valid\n";
+        std::cout << *path << ": the settings are valid\n";
         return exit_ok;
     }
     bounded_log log{STDOUT_FILENO, {}};
@@ -208,7 +203,7 @@
         {
             log.write(line, std::chrono::steady_clock::now());
         });
-    const int code = serve(std::get<edge::edge_settings>(std::move(settings)), path);
+    const int code = serve(std::get<edge::edge_settings>(std::move(settings)), *path);
     set_log_sink({});
     return code;
 }
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -42,6 +42,9 @@
 
 constexpr milliseconds stop_check_period{100};
 
+/// Part of the bound on cold upstreams that is used.
+constexpr double cold_safety = 0.8;
+
 /// A host asks for the list of hosts at most this often.
 constexpr milliseconds host_list_pause{1500};
 
@@ -49,11 +52,6 @@
 /// work is sent to another one.
 constexpr milliseconds peer_silence{1000};
 
-asio::ip::tcp::endpoint to_tcp(const ip_endpoint& endpoint)
-{
-    return {endpoint.m_address, endpoint.m_port};
-}
-
 node_address to_node_address(const ip_endpoint& endpoint)
 {
     return {endpoint.m_address.to_string(), endpoint.m_port};
@@ -116,6 +114,7 @@
                     node_message message);
     void on_state_change();
     void update_elsewhere();
+    std::uint32_t quota_for(const serving::upstream& row) const;
     void begin_stop(std::function<void()> on_stopped);
     void check_stop();
     asio::awaitable<void> serve_readiness(http_exchange& exchange);
@@ -328,12 +327,40 @@
     }
     for (auto& [id, row] : m_state.m_upstreams.m_rows)
     {
+        if (row.m_cold_until > at)
+        {
+            row.m_cold_quota = quota_for(row);
+        }
         const auto load = loads.find(short_hash(id.m_value));
         row.m_running_elsewhere = load == loads.end() ? 0 : load->second.m_requests;
         row.m_tokens_elsewhere = load == loads.end() ? 0 : load->second.m_tokens;
     }
 }
 
+std::uint32_t edge_daemon::parts::quota_for(const serving::upstream& row) const
+{
+    const auto& routing = m_state.m_routing;
+    const auto pool = routing ? routing->m_pools.find(row.m_entry.m_pool)
+                              : decltype(routing->m_pools.find({})){};
+    if (!routing || pool == routing->m_pools.end() || pool->second.m_cold_rate <= 0)
+    {
+        return UINT32_MAX;
+    }
+    const edge_settings& settings = m_state.m_settings;
+    const double bound =
+        cold_safety *
+        (pool->second.m_cold_rate * settings.m_cold_factor + settings.m_cold_extra);
+    const std::string& upstream = row.m_entry.m_id.m_value;
+    const std::uint64_t own = rendezvous_weight(upstream, m_state.m_own.m_node.m_value);
+    std::size_t rank = 0;
+    for (const auto& [id, host] : m_state.m_hosts.m_hosts)
+    {
+        rank += rendezvous_weight(upstream, id.m_value) > own ? 1 : 0;
+    }
+    return serving::cold_quota(
+        bound, serving::hosts_that_may_send(m_state.m_hosts, now()), rank);
+}
+
 void edge_daemon::parts::on_report(const host_report& report)
 {
     if (report.m_node == m_state.m_own.m_node)
@@ -418,6 +445,7 @@
         m_callers.set_limits(caller_http_limits(m_state.m_routing->m_limits,
                                                 m_state.m_settings.m_open_files));
     }
+    update_elsewhere();
     m_queues.refresh();
     if (m_store.is_reader())
     {
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -11,6 +11,7 @@
 #include <geraniumdoor/serving/upstreams.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
+#include <boost/asio/ip/tcp.hpp>
 
 #include <map>
 #include <memory>
@@ -68,6 +69,11 @@
     return report_period(state) * serving::silent_periods;
 }
 
+inline boost::asio::ip::tcp::endpoint to_tcp(const ip_endpoint& endpoint)
+{
+    return {endpoint.m_address, endpoint.m_port};
+}
+
 /// Form in which ids travel in reports between hosts.
 inline std::uint32_t short_hash(const std::string& id)
 {
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -66,11 +66,6 @@
 /// Times that the stages of one request are made again after a result was lost.
 constexpr std::uint32_t most_prepared_again = 2;
 
-asio::ip::tcp::endpoint to_tcp(const ip_endpoint& endpoint)
-{
-    return {endpoint.m_address, endpoint.m_port};
-}
-
 http_limits call_limits()
 {
     http_limits limits;
@@ -956,6 +951,7 @@
         }
         if (begin)
         {
+            note_sent(*row, now());
             ++row->m_running;
             row->m_running_tokens += tokens;
         }
--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -66,9 +66,14 @@
     return limits;
 }
 
-asio::ip::tcp::endpoint to_tcp(const ip_endpoint& endpoint)
+/// A call that carried the piece has ended without a result for it.
+void return_piece(piece& part)
 {
-    return {endpoint.m_address, endpoint.m_port};
+    --part.m_calls;
+    if (part.m_state == piece_state::running && part.m_calls == 0)
+    {
+        part.m_state = piece_state::waiting;
+    }
 }
 
 } // namespace
@@ -405,11 +410,7 @@
             continue;
         }
         piece& part = job->second.m_pieces[ref.m_piece];
-        --part.m_calls;
-        if (part.m_state == piece_state::running && part.m_calls == 0)
-        {
-            part.m_state = piece_state::waiting;
-        }
+        return_piece(part);
         if (piece_result.m_failure == platform::piece_failure::no_room)
         {
             worker.m_blocked_until = at + no_room_pause;
@@ -438,11 +439,7 @@
             continue;
         }
         piece& part = job->second.m_pieces[ref.m_piece];
-        --part.m_calls;
-        if (part.m_state == piece_state::running && part.m_calls == 0)
-        {
-            part.m_state = piece_state::waiting;
-        }
+        return_piece(part);
         part.m_failures += failed ? 1 : 0;
         if (part.m_failures >= most_piece_failures)
         {
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -65,11 +65,6 @@
 /// Time between two reads of the rows in which hosts name their addresses.
 constexpr milliseconds host_rows_pause{4000};
 
-asio::ip::tcp::endpoint to_tcp(const ip_endpoint& endpoint)
-{
-    return {endpoint.m_address, endpoint.m_port};
-}
-
 /// Rows that changed after a number of changes, or after a version when the number is
 /// zero.
 table_changes changes_of(const held_table& table, std::uint64_t after,
--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -109,6 +109,7 @@
     for (const auto& [id, row] : table.m_rows)
     {
         const bool fits = row.m_entry.m_pool == pool && accepts_work(table, row) &&
+                          may_send_now(row, now) &&
                           std::find(tried.begin(), tried.end(), id) == tried.end();
         if (!fits)
         {
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -15,6 +15,9 @@
 /// Cost of an answer that fails: the request has to run again elsewhere.
 constexpr double failure_weight = 4;
 
+/// Window of the bound on cold upstreams, with a margin for the way there.
+constexpr milliseconds cold_window{1200};
+
 double plain_cost(const upstream& row, const data_centre_id& own, time_point now)
 {
     double cost = row.m_slowness * (1 + load_of(row));
@@ -47,6 +50,34 @@
     known->m_cold_until = now + entry.m_cold_for;
 }
 
+std::uint32_t cold_quota(double bound, std::size_t hosts, std::size_t rank)
+{
+    const auto whole = static_cast<std::size_t>(std::max(1.0, bound));
+    if (hosts <= whole)
+    {
+        return static_cast<std::uint32_t>(whole / std::max<std::size_t>(1, hosts));
+    }
+    return rank < whole ? 1 : 0;
+}
+
+bool may_send_now(const upstream& row, time_point now)
+{
+    const bool cold = row.m_cold_until > now;
+    const bool same_second = now - row.m_cold_second < cold_window;
+    const std::uint32_t sent = same_second ? row.m_cold_sends : 0;
+    return !cold || sent < row.m_cold_quota;
+}
+
+void note_sent(upstream& row, time_point now)
+{
+    if (now - row.m_cold_second >= cold_window)
+    {
+        row.m_cold_second = now;
+        row.m_cold_sends = 0;
+    }
+    ++row.m_cold_sends;
+}
+
 bool differs(const upstream_entry& before, const upstream_entry& after)
 {
     return before.m_pool != after.m_pool || before.m_address != after.m_address ||
@@ -99,6 +130,7 @@
     for (const auto& [id, row] : table.m_rows)
     {
         const bool fits = row.m_entry.m_pool == pool && accepts_work(table, row) &&
+                          may_send_now(row, now) &&
                           std::find(tried.begin(), tried.end(), id) == tried.end();
         if (!fits)
         {
--- a/tests/serving/choice_test.cpp
+++ b/tests/serving/choice_test.cpp
@@ -131,6 +131,31 @@
     cr_expect(not is_available(table, row, now + 1200ms));
 }
 
+Test(choice, the_hosts_together_stay_inside_the_bound_of_a_cold_upstream)
+{
+    for (const std::size_t hosts : {1U, 3U, 7U, 14U, 15U, 65U, 300U})
+    {
+        std::uint32_t sum = 0;
+        for (std::size_t rank = 0; rank < hosts; ++rank)
+        {
+            sum += cold_quota(14.45, hosts, rank);
+        }
+        cr_expect(sum <= 14 && sum >= 7, "%zu hosts send %u", hosts, sum);
+    }
+    upstream_table table = sample_table(2);
+    upstream& row = *table.m_rows.find(upstream_id{"e0"});
+    row.m_cold_until = now + 3s;
+    row.m_cold_quota = 2;
+    note_sent(row, now);
+    cr_expect(may_send_now(row, now));
+    note_sent(row, now);
+    cr_expect(not may_send_now(row, now + 900ms));
+    cr_expect(may_send_now(row, now + 1300ms));
+    const auto* other =
+        choose_plain(table, pool_id{"engines"}, data_centre_id{"z0"}, {}, now);
+    EXPECT_EQUAL(other->m_entry.m_id.m_value, "e1");
+}
+
 Test(choice, a_restart_under_the_same_id_forgets_what_was_seen)
 {
     upstream_table table = sample_table(1);
