--- a/include/geraniumdoor/serving/host_table.hpp
+++ b/include/geraniumdoor/serving/host_table.hpp
@@ -51,6 +51,10 @@
 bool reads_store(const host_table& table, const host_report& own, std::size_t readers,
                  duration longest_age, time_point now);
 
+/// Whether this host is one of the first readers of hosts that have all just started: one
+/// of those with the highest weights among the hosts it has heard of.
+bool reads_first(const host_table& table, const host_report& own, std::size_t readers);
+
 /// Live hosts, this one included.
 std::size_t live_hosts(const host_table& table, duration live_for, time_point now);
 
--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -347,7 +347,10 @@
         worker.m_room_used -= std::min(worker.m_room_used, bytes);
     }
     const time_point at = now();
-    const bool declined = is_ok(answer) && platform::states_not_run(value_of(answer));
+    const bool wrong_upstream = is_ok(answer) && value_of(answer).m_status == 421;
+    // Another upstream has the address: the one that is meant does not come back there.
+    const bool declined =
+        is_ok(answer) && !wrong_upstream && platform::states_not_run(value_of(answer));
     const auto pieces =
         is_ok(answer) && value_of(answer).m_status == 200
             ? platform::decode_pieces(value_of(answer).m_body, ended.m_pieces.size())
@@ -371,7 +374,7 @@
                  is_ok(answer)
                      ? error_of(pieces).m_detail
                      : std::string{geraniumdoor::to_text(error_of(answer).m_kind)});
-        return_pieces(service, ended, !declined);
+        return_pieces(service, ended, !declined && !wrong_upstream);
         refresh_workers(pool, service);
         pump(pool, service);
         return;
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -34,15 +34,19 @@
 /// operator's rows takes up to intent_wait, and its age is up to a report period old.
 constexpr milliseconds longest_read_age{1100};
 
-/// Time in which a host that has just started first asks other hosts.
-constexpr milliseconds ask_hosts_first{600};
+/// Time in which a host that has just started hears of others, through the seeds.
+constexpr milliseconds hear_hosts_first{60};
+
+/// Time in which a host that has just started asks other hosts before it reads the store
+/// beside the first readers.
+constexpr milliseconds ask_hosts_first{700};
 
 /// Time for a host's answer before another one is asked. A whole table of 200 KB takes a
 /// 10 Mbit link 160 ms.
 constexpr milliseconds answer_patience{500};
 
 /// Pause of a host that does not read at the moment.
-constexpr milliseconds reader_check{100};
+constexpr milliseconds reader_check{50};
 
 /// Pause between two reads of the registry. The store drops nothing: entries change
 /// about once a second for each upstream, so that a held read would return at once.
@@ -119,10 +123,13 @@
 
 bool store_watch::is_reader() const
 {
-    const bool may_ask = m_intent.m_version == 0 || m_registry.m_version == 0;
-    if (may_ask && now() - m_started < ask_hosts_first)
+    const bool nothing_known = m_intent.m_version == 0 || m_registry.m_version == 0;
+    const duration since_start = now() - m_started;
+    if (nothing_known && since_start < ask_hosts_first)
     {
-        return false;
+        // Hosts that have all just started leave the first reads to a few of them.
+        return since_start >= hear_hosts_first &&
+               serving::reads_first(m_state.m_hosts, m_state.m_own, store_readers);
     }
     return serving::reads_store(m_state.m_hosts, m_state.m_own, store_readers,
                                 longest_read_age, now());
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -26,6 +26,9 @@
     return -size * size * size / std::log(unit);
 }
 
+/// Name of the duty to read the store in rendezvous hashing.
+constexpr std::string_view store_duty = "store";
+
 std::string address_text(const node_address& address)
 {
     return address.m_ip + ':' + std::to_string(address.m_port);
@@ -72,8 +75,7 @@
 bool reads_store(const host_table& table, const host_report& own, std::size_t readers,
                  duration longest_age, time_point now)
 {
-    constexpr std::string_view duty = "store";
-    const double own_weight = duty_weight(duty, own.m_node, own.m_processor);
+    const double own_weight = duty_weight(store_duty, own.m_node, own.m_processor);
     std::size_t ahead = 0;
     for (const auto& [id, host] : table.m_hosts)
     {
@@ -81,7 +83,7 @@
         const duration age =
             milliseconds{host.m_report.m_store_age_ms} + (now - host.m_heard);
         const bool reads = !never && age <= longest_age && !host.m_report.m_stopping;
-        if (reads && duty_weight(duty, id, host.m_report.m_processor) > own_weight)
+        if (reads && duty_weight(store_duty, id, host.m_report.m_processor) > own_weight)
         {
             ++ahead;
         }
@@ -89,6 +91,18 @@
     return ahead < readers;
 }
 
+bool reads_first(const host_table& table, const host_report& own, std::size_t readers)
+{
+    const double own_weight = duty_weight(store_duty, own.m_node, own.m_processor);
+    std::size_t ahead = 0;
+    for (const auto& [id, host] : table.m_hosts)
+    {
+        const double weight = duty_weight(store_duty, id, host.m_report.m_processor);
+        ahead += weight > own_weight ? 1 : 0;
+    }
+    return ahead < readers;
+}
+
 std::size_t live_hosts(const host_table& table, duration live_for, time_point now)
 {
     const auto live = std::count_if(table.m_hosts.begin(), table.m_hosts.end(),
--- a/tests/serving/host_table_test.cpp
+++ b/tests/serving/host_table_test.cpp
@@ -131,6 +131,20 @@
     EXPECT_EQUAL(healthy, 3);
 }
 
+Test(host_table, of_hosts_that_have_all_just_started_three_read)
+{
+    const std::vector<std::string> nodes{"a1", "a2", "b1", "b2", "c1", "c2", "c3"};
+    int reading = 0;
+    for (const std::string& self : nodes)
+    {
+        std::vector<std::string> others = nodes;
+        std::erase(others, self);
+        reading += reads_first(table_of(others), report_of(self), 3) ? 1 : 0;
+    }
+    EXPECT_EQUAL(reading, 3);
+    cr_expect(reads_first({}, report_of("alone"), 3));
+}
+
 Test(host_table, most_duties_go_to_large_hosts)
 {
     host_table table;
