--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -135,7 +135,13 @@
 
     /// Returns whether all stages are made; otherwise the request was answered.
     boost::asio::awaitable<bool> prepare(request& current);
+    void skip_empty_stages(request& current) const;
     void submit_ready_stages(request& current);
+    void submit_stage(request& current, std::uint32_t stage,
+                      const serving::path_estimate& path);
+    pieces_request request_for(const request& current, std::uint32_t stage,
+                               const serving::path_estimate& path) const;
+    void on_stage_end(request& current, std::uint32_t stage, pieces_result result);
     bool stage_is_ready(const request& current, std::uint32_t stage) const;
     /// Time for which a stage that nothing follows should wait for the others.
     milliseconds time_to_hold(const request& current, const serving::path_estimate& path,
@@ -147,7 +153,11 @@
     std::vector<std::string> final_inputs(const request& current) const;
 
     const serving::upstream* choose(const request& current) const;
+    const serving::upstream* choose_untried(request& current) const;
     boost::asio::awaitable<void> attempt_all(request& current);
+    /// Takes the step that follows an attempt. Returns whether another attempt is made.
+    boost::asio::awaitable<bool> follow(request& current, serving::attempt_end end);
+    boost::asio::awaitable<void> finish(request& current, serving::next_step step);
     boost::asio::awaitable<serving::attempt_end> attempt(request& current,
                                                          const serving::upstream& chosen);
     boost::asio::awaitable<serving::attempt_end> read_answer(request& current,
