--- a/include/geraniumdoor/serving/stage_queue.hpp
+++ b/include/geraniumdoor/serving/stage_queue.hpp
@@ -136,9 +136,9 @@
 ///
 /// Load pattern: calls take 150 ms plus a few milliseconds for each piece, so capacity
 /// comes from full calls, and one request brings 1 to 40 pieces. Whole jobs go first, in
-/// order of urgency; a job is split only when the pieces that wait fill more than one
-/// call. Under overload the jobs that can still meet their goal go before those that
-/// cannot, and higher ranks before lower ones. Late jobs leave half of the room for
+/// order of urgency; a job is split only when the pieces that wait fill more than two
+/// calls. Under overload the jobs that can still meet their goal go before those that
+/// cannot, and higher ranks before lower ones. Late jobs leave part of the room for
 /// results to the others, because their results lie there while they wait at a later
 /// stage.
 std::vector<piece_ref> next_call(const stage_queue& queue, const upstream_id& worker,
--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -50,7 +50,7 @@
 /// Longest time that a host keeps jobs of which it knows no deadline.
 constexpr milliseconds longest_deadline{60000};
 
-/// Shortest time to return that a refusal names, so that a consumer does not return into
+/// Shortest time to return that a refusal names, so that a caller does not return into
 /// the same queue.
 constexpr milliseconds shortest_retry{100};
 
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -56,7 +56,7 @@
 /// the sites answers within 500 ms.
 constexpr milliseconds answer_limit{900};
 
-/// First and longest pause after a failed call.
+/// Pause after a failed call.
 constexpr milliseconds retry_pause{150};
 
 /// An outage begins with a read that has failed for this long.
