Hold requests while a host starts, and give results back to their maker

Ruled out: workers that refuse (none was called), the engines (not reached). Change: a request waits for the configuration of a host in its first 3 s, up to half of its deadline and 1.5 s (serving::start_wait_end). Releases go to the host whose queue had the results made, if it lives.

--- a/include/geraniumdoor/serving/path_estimate.hpp
+++ b/include/geraniumdoor/serving/path_estimate.hpp
@@ -4,6 +4,7 @@
 #include <geraniumdoor/serving/routing.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <vector>
 
 namespace geraniumdoor::serving
@@ -47,4 +48,22 @@
 /// long as callers are ready to wait.
 milliseconds time_to_return(milliseconds until_capacity, milliseconds left);
 
+/// Time after its start in which a host expects to learn the configuration. 65 hosts that
+/// started together knew it after 0.2 to 1.4 s.
+inline constexpr milliseconds start_time{3000};
+
+/// Longest wait of a request for the configuration, and its part of the caller's
+/// deadline.
+inline constexpr milliseconds longest_start_wait{1500};
+inline constexpr int start_wait_divisor = 2;
+
+/// Until when a request waits at a host that does not know a configuration yet.
+///
+/// Load pattern: all hosts lose power and come back together while callers hold their
+/// addresses. A caller that is refused returns to another host that has just started, and
+/// has used up its repeat.
+/// @param deadline what the caller still waits, if it says so
+time_point start_wait_end(time_point started, time_point arrived,
+                          std::optional<milliseconds> deadline);
+
 } // namespace geraniumdoor::serving
--- a/src/edge/relay_stages.cpp
+++ b/src/edge/relay_stages.cpp
@@ -349,18 +349,19 @@
         current.m_jobs[stage] = m_stages.new_job();
     }
     m_stages.submit(current.m_jobs[stage], request_for(current, stage, path),
-                    [this, &current, stage](pieces_result result)
+                    [this, &current, stage](pieces_result result, const node_id& host)
                     {
-                        on_stage_end(current, stage, std::move(result));
+                        on_stage_end(current, stage, std::move(result), host);
                     });
 }
 
 void request_relay::on_stage_end(request& current, std::uint32_t stage,
-                                 pieces_result result)
+                                 pieces_result result, const node_id& host)
 {
     current.m_jobs[stage] = 0;
     if (result.m_outcome == pieces_outcome::done)
     {
+        current.m_result_hosts[stage] = host;
         current.m_results[stage] = std::move(result.m_handles);
         current.m_stage_done[stage] = true;
         note_stage_end(current, stage);
@@ -510,7 +511,8 @@
         const bool needless = all || (taken && !waiting);
         if (needless && !current.m_results[at].empty())
         {
-            m_stages.release(stages[at].m_pool, std::exchange(current.m_results[at], {}));
+            m_stages.release(stages[at].m_pool, std::exchange(current.m_results[at], {}),
+                             current.m_result_hosts[at]);
         }
     }
 }
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -4,6 +4,7 @@
 
 #include <geraniumdoor/base/log.hpp>
 
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
@@ -21,6 +22,9 @@
 /// Time to return that a host names which does not know a configuration yet.
 constexpr milliseconds start_retry{300};
 
+/// Period in which a waiting request looks whether the host is ready.
+constexpr milliseconds start_check{20};
+
 /// Time in which the last bytes of an answer still reach the caller.
 constexpr milliseconds answer_margin{10};
 
@@ -38,7 +42,7 @@
 
 request_relay::request_relay(edge_state& state, stage_client& stages,
                              const stage_service& queues)
-    : m_state{state}, m_stages{stages}, m_queues{queues}
+    : m_state{state}, m_stages{stages}, m_queues{queues}, m_started{now()}
 {
 }
 
@@ -57,7 +61,12 @@
             }
             current.m_wake.cancel();
         });
-    auto rejection = accept(current);
+    auto rejection = read_head(current);
+    if (!rejection)
+    {
+        co_await wait_for_start(current);
+        rejection = accept(current);
+    }
     if (rejection)
     {
         co_await reject(current, std::move(*rejection));
@@ -81,18 +90,39 @@
     current.m_exchange.drop();
 }
 
-std::optional<http_response> request_relay::accept(request& current)
+std::optional<http_response> request_relay::read_head(request& current)
 {
-    const http_request& asked = current.m_exchange.request();
-    auto head = platform::read_caller_head(asked);
+    auto head = platform::read_caller_head(current.m_exchange.request());
     if (!is_ok(head))
     {
         current.m_detail = error_of(head).m_detail;
         return platform::failure(400, current.m_detail);
     }
     current.m_head = value_of(std::move(head));
+    return std::nullopt;
+}
+
+bool request_relay::knows_enough() const
+{
+    return m_state.m_routing && m_state.m_registry_known;
+}
+
+asio::awaitable<void> request_relay::wait_for_start(request& current)
+{
+    const time_point last =
+        start_wait_end(m_started, current.m_arrived, current.m_head.m_deadline);
+    while (!knows_enough() && !current.m_caller_gone && now() < last)
+    {
+        asio::steady_timer timer{m_state.m_executor, start_check};
+        co_await timer.async_wait(asio::use_awaitable);
+    }
+}
+
+std::optional<http_response> request_relay::accept(request& current)
+{
+    const http_request& asked = current.m_exchange.request();
     current.m_routing = m_state.m_routing;
-    if (!current.m_routing || !m_state.m_registry_known)
+    if (!knows_enough())
     {
         current.m_detail = "no configuration yet";
         return platform::refusal(start_retry, current.m_detail);
@@ -106,6 +136,7 @@
     }
     const std::size_t stages = current.m_route->m_stages.size();
     current.m_results.resize(stages);
+    current.m_result_hosts.resize(stages);
     current.m_jobs.assign(stages, 0);
     current.m_stage_done.assign(stages, false);
     current.m_stage_submitted.assign(stages, false);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -51,6 +51,8 @@
 
     /// Handles of each stage; empty until it is made.
     std::vector<std::vector<std::string>> m_results;
+    /// Host whose queue had the results of each stage made.
+    std::vector<node_id> m_result_hosts;
     /// Number of each stage's job; zero when it has none.
     std::vector<std::uint64_t> m_jobs;
     /// Waits that the queues forecast for each stage.
@@ -107,6 +109,12 @@
 private:
     using request = relayed_request;
 
+    /// Fills in what the caller's head says, or returns the answer that rejects it.
+    std::optional<http_response> read_head(request& current);
+
+    bool knows_enough() const;
+    boost::asio::awaitable<void> wait_for_start(request& current);
+
     /// Fills the request, or returns the answer that rejects it.
     std::optional<http_response> accept(request& current);
     boost::asio::awaitable<void> run(request& current);
@@ -141,7 +149,8 @@
                       const serving::path_estimate& path);
     pieces_request request_for(const request& current, std::uint32_t stage,
                                const serving::path_estimate& path) const;
-    void on_stage_end(request& current, std::uint32_t stage, pieces_result result);
+    void on_stage_end(request& current, std::uint32_t stage, pieces_result result,
+                      const node_id& host);
     bool stage_is_ready(const request& current, std::uint32_t stage) const;
     /// Time for which a stage that nothing follows should wait for the others.
     milliseconds time_to_hold(const request& current, const serving::path_estimate& path,
@@ -179,6 +188,7 @@
     edge_state& m_state;
     stage_client& m_stages;
     const stage_service& m_queues;
+    time_point m_started;
     std::size_t m_active = 0;
     /// Moving average of the time to the first byte in each pool, in milliseconds.
     std::unordered_map<pool_id, double> m_usual_ms;
--- a/src/edge/stage_client.cpp
+++ b/src/edge/stage_client.cpp
@@ -97,11 +97,13 @@
     m_jobs.erase(at);
 }
 
-void stage_client::release(const pool_id& pool, std::vector<std::string> handles)
+void stage_client::release(const pool_id& pool, std::vector<std::string> handles,
+                           const node_id& maker)
 {
     if (!handles.empty())
     {
-        m_send(queue_host_of(m_state, pool), results_release{pool, std::move(handles)});
+        m_send(is_silent(maker) ? queue_host_of(m_state, pool) : maker,
+               results_release{pool, std::move(handles)});
     }
 }
 
@@ -126,15 +128,15 @@
         log_event{"results_incomplete"}.add("host", from).add("pieces", pieces);
         checked.m_outcome = pieces_outcome::failed;
     }
-    finish(result.m_job, std::move(checked));
+    finish(result.m_job, std::move(checked), from);
 }
 
-void stage_client::finish(std::uint64_t job, pieces_result result)
+void stage_client::finish(std::uint64_t job, pieces_result result, const node_id& host)
 {
     const auto at = m_jobs.find(job);
     completion done = std::move(at->second.m_done);
     m_jobs.erase(at);
-    done(std::move(result));
+    done(std::move(result), host);
 }
 
 void stage_client::on_lost(const node_id& host)
@@ -157,6 +159,14 @@
     }
 }
 
+bool stage_client::is_silent(const node_id& host) const
+{
+    const auto known = m_state.m_hosts.m_hosts.find(host);
+    return host != m_state.m_own.m_node &&
+           (known == m_state.m_hosts.m_hosts.end() ||
+            !serving::is_live(known->second, live_for(m_state), now()));
+}
+
 void stage_client::check()
 {
     const time_point at = now();
@@ -172,10 +182,7 @@
             expired.push_back(id);
             continue;
         }
-        const auto host = m_state.m_hosts.m_hosts.find(job.m_host);
-        const bool silent = job.m_host != m_state.m_own.m_node &&
-                            (host == m_state.m_hosts.m_hosts.end() ||
-                             !serving::is_live(host->second, live_for(m_state), at));
+        const bool silent = is_silent(job.m_host);
         if (!job.m_sent || silent)
         {
             log_event{"stage_sent_again"}
@@ -187,7 +194,8 @@
     }
     for (const std::uint64_t id : expired)
     {
-        finish(id, {id, pieces_outcome::refused, {}, retry_after_lost_ms});
+        finish(id, {id, pieces_outcome::refused, {}, retry_after_lost_ms},
+               m_state.m_own.m_node);
     }
 }
 
--- a/src/edge/stage_client.hpp
+++ b/src/edge/stage_client.hpp
@@ -15,7 +15,8 @@
 class stage_client
 {
 public:
-    using completion = std::function<void(pieces_result)>;
+    /// @param host where the pieces were made; results are given back there
+    using completion = std::function<void(pieces_result, const node_id& host)>;
     using sender = std::function<void(const node_id& host, node_message message)>;
 
     stage_client(edge_state& state, sender send);
@@ -46,7 +47,10 @@
     void cancel(std::uint64_t job);
 
     /// Gives back results that are not needed any more.
-    void release(const pool_id& pool, std::vector<std::string> handles);
+    /// @param maker host whose queue had them made: it counts them as room in use. The
+    /// queue may have moved since.
+    void release(const pool_id& pool, std::vector<std::string> handles,
+                 const node_id& maker);
 
     void on_forecast(const pieces_forecast& forecast);
     void on_result(const node_id& from, const pieces_result& result);
@@ -70,7 +74,8 @@
     };
 
     void send_job(open_job& job);
-    void finish(std::uint64_t job, pieces_result result);
+    void finish(std::uint64_t job, pieces_result result, const node_id& host);
+    bool is_silent(const node_id& host) const;
     void check();
 
     edge_state& m_state;
--- a/src/serving/path_estimate.cpp
+++ b/src/serving/path_estimate.cpp
@@ -76,4 +76,13 @@
     return std::clamp(until_capacity, shortest_return, longest);
 }
 
+time_point start_wait_end(time_point started, time_point arrived,
+                          std::optional<milliseconds> deadline)
+{
+    const milliseconds wait =
+        deadline ? std::min(longest_start_wait, *deadline / start_wait_divisor)
+                 : longest_start_wait;
+    return std::min(arrived + wait, started + start_time);
+}
+
 } // namespace geraniumdoor::serving
--- a/tests/serving/choice_test.cpp
+++ b/tests/serving/choice_test.cpp
@@ -230,3 +230,16 @@
     EXPECT_EQUAL(time_to_return(500ms, 6s), 500ms);
     EXPECT_EQUAL(time_to_return(0ms, 6s), 100ms);
 }
+
+// Guards against requests that are refused by each of the hosts that come back together.
+Test(choice, a_request_waits_for_the_configuration_while_its_host_starts)
+{
+    const time_point started = time_point{} + 10s;
+    const time_point arrived = started + 100ms;
+    cr_expect(start_wait_end(started, arrived, std::nullopt) ==
+              arrived + longest_start_wait);
+    // Half of the time stays for the work.
+    cr_expect(start_wait_end(started, arrived, 1000ms) == arrived + 500ms);
+    // A host that has not learnt it by now will not in time: the caller is told at once.
+    cr_expect(start_wait_end(started, started + 5s, 6000ms) < started + 5s);
+}
--- /dev/null
+++ b/tests/standins/stage_client_test.cpp
@@ -0,0 +1,115 @@
+#include <boost/asio/io_context.hpp>
+
+#include <src/edge/stage_client.hpp>
+
+// clang-format off: this header stays last.
+#include "testing.hpp"
+// clang-format on
+
+using namespace geraniumdoor;
+using namespace geraniumdoor::edge;
+using namespace std::chrono_literals;
+
+namespace
+{
+
+/// A stage client of the host "own", which knows the live host "other". Both may run the
+/// queue of a pool; which one does depends on their weights.
+struct client_world
+{
+    client_world()
+    {
+        m_state.m_own.m_node.m_value = "own";
+        m_state.m_own.m_processor = 1000;
+        m_state.m_own.m_ready = true;
+        hear("other");
+    }
+
+    void hear(const std::string& name)
+    {
+        host_report report;
+        report.m_node.m_value = name;
+        report.m_incarnation.m_value = 1;
+        report.m_sequence = ++m_sequence;
+        report.m_processor = 1000;
+        report.m_ready = true;
+        serving::note_report(m_state.m_hosts, report, live_for(m_state), now());
+    }
+
+    /// Returns a pool whose queue the host runs.
+    pool_id pool_of(const std::string& host) const
+    {
+        for (int at = 0;; ++at)
+        {
+            const pool_id pool{"pool-" + std::to_string(at)};
+            if (queue_host_of(m_state, pool).m_value == host)
+            {
+                return pool;
+            }
+        }
+    }
+
+    node_id host_of_last_release() const
+    {
+        for (auto at = m_sent.rbegin(); at != m_sent.rend(); ++at)
+        {
+            if (std::holds_alternative<results_release>(at->second))
+            {
+                return at->first;
+            }
+        }
+        return {};
+    }
+
+    boost::asio::io_context m_io;
+    timer_service m_timers{now()};
+    edge_state m_state{m_io.get_executor(), {}, m_timers};
+    std::vector<std::pair<node_id, node_message>> m_sent;
+    stage_client m_client{m_state, [this](const node_id& host, node_message message)
+                          {
+                              m_sent.emplace_back(host, std::move(message));
+                          }};
+    std::uint32_t m_sequence = 0;
+};
+
+} // namespace
+
+// Guards against results that are given back to a host that does not count them. A queue
+// that had moved on kept its workers full until the results expired after 4 s, and its
+// last jobs waited in vain.
+TestSuite(stage_client);
+
+Test(stage_client, results_go_back_to_the_host_that_had_them_made)
+{
+    client_world world;
+    const pool_id pool = world.pool_of("own");
+    world.m_client.release(pool, {"10.0.0.1:1/a"}, node_id{"other"});
+    EXPECT_EQUAL(world.host_of_last_release().m_value, "other");
+}
+
+Test(stage_client, results_of_a_host_that_is_gone_go_to_the_one_that_runs_the_queue_now)
+{
+    client_world world;
+    const pool_id pool = world.pool_of("own");
+    world.m_client.release(pool, {"10.0.0.1:1/a"}, node_id{"gone"});
+    EXPECT_EQUAL(world.host_of_last_release().m_value, "own");
+}
+
+Test(stage_client, a_completion_names_the_host_that_answered)
+{
+    client_world world;
+    const pool_id pool = world.pool_of("own");
+    node_id maker;
+    pieces_request request;
+    request.m_pool = pool;
+    request.m_pieces = 1;
+    request.m_deadline_ms = 1000;
+    world.m_client.submit(7, request,
+                          [&maker](const pieces_result&, const node_id& host)
+                          {
+                              maker = host;
+                          });
+    world.m_client.on_result(node_id{"other"},
+                             {7, pieces_outcome::done, {"10.0.0.1:1/a"}, 0});
+    EXPECT_EQUAL(maker.m_value, "other");
+}
