--- a/include/geraniumdoor/edge/edge_settings.hpp
+++ b/include/geraniumdoor/edge/edge_settings.hpp
@@ -22,8 +22,11 @@
     region_id m_region;
     /// Where callers connect.
     ip_endpoint m_callers;
-    /// Where readiness and metrics are served.
+    /// Where readiness, the operator's questions and metrics are served.
     ip_endpoint m_readiness;
+    /// Where metrics are served besides. The platform reads them at a port that does not
+    /// change from day to day.
+    ip_endpoint m_metrics;
     /// Where callers ask for addresses.
     ip_endpoint m_directory;
     /// Where other hosts connect, over TCP and UDP.
--- a/programs/gdctl_commands.cpp
+++ b/programs/gdctl_commands.cpp
@@ -145,6 +145,18 @@
     return answer->m_status == 200 ? exit_ok : exit_failed;
 }
 
+/// Prints what a host knows of the command's subject.
+int show(gdctl_client& client, const invocation& call)
+{
+    const std::string& subject = call.m_command[0];
+    return get(client, call, "/admin/" + (subject == "show" ? "config" : subject));
+}
+
+int show_change(gdctl_client& client, const invocation& call)
+{
+    return get(client, call, "/admin/changes/" + percent_encode(call.m_command[1]));
+}
+
 /// Version in force on the first host that answers; changes are based on it.
 std::optional<std::uint64_t> version_in_force(gdctl_client& client)
 {
@@ -228,37 +240,14 @@
         {"data-centre", {3, true, &set_data_centre}},
         {"change", {5, true, &change}},
         {"forget-host", {3, true, &forget_host}},
-        {"show",
-         {1, false,
-          [](gdctl_client& client, const invocation& call)
-          {
-              return get(client, call, "/admin/config");
-          }}},
-        {"change-status",
-         {2, false,
-          [](gdctl_client& client, const invocation& call)
-          {
-              return get(client, call,
-                         "/admin/changes/" + percent_encode(call.m_command[1]));
-          }}},
-        {"hosts",
-         {1, false,
-          [](gdctl_client& client, const invocation& call)
-          {
-              return get(client, call, "/admin/hosts");
-          }}},
-        {"upstreams",
-         {1, false,
-          [](gdctl_client& client, const invocation& call)
-          {
-              return get(client, call, "/admin/upstreams");
-          }}},
-        {"in-doubt",
-         {1, false,
-          [](gdctl_client& client, const invocation& call)
-          {
-              return get(client, call, "/admin/in-doubt");
-          }}},
+        {"change-status", {2, false, &show_change}},
+        {"show", {1, false, &show}},
+        {"status", {1, false, &show}},
+        {"hosts", {1, false, &show}},
+        {"upstreams", {1, false, &show}},
+        {"queues", {1, false, &show}},
+        {"limits", {1, false, &show}},
+        {"in-doubt", {1, false, &show}},
     };
     return forms;
 }
--- a/programs/gdctl_main.cpp
+++ b/programs/gdctl_main.cpp
@@ -17,7 +17,8 @@
 constexpr const char* command_help =
     "import SHEET | show | data-centre out|in NAME | change workspace NAME "
     "priority|weight N | change pool NAME cold_limit|warm_limit N | change-status ID | "
-    "hosts | upstreams | in-doubt | forget-host NODE INCARNATION";
+    "hosts | upstreams | in-doubt | forget-host NODE INCARNATION. At the readiness "
+    "address of an edge host: status | hosts | upstreams | queues | limits";
 
 cxxopts::Options make_options()
 {
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -46,6 +46,7 @@
     settings.m_region.m_value = reader.id("region");
     settings.m_callers = read_endpoint(reader, "callers");
     settings.m_readiness = read_endpoint(reader, "readiness");
+    settings.m_metrics = read_endpoint(reader, "metrics");
     settings.m_directory = read_endpoint(reader, "directory");
     settings.m_peers = read_endpoint(reader, "peers");
     settings.m_store = read_endpoint(reader, "store");
--- /dev/null
+++ b/src/edge/host_status.cpp
@@ -0,0 +1,222 @@
+#include "host_status.hpp"
+
+#include <boost/json/array.hpp>
+
+#include <algorithm>
+
+namespace geraniumdoor::edge
+{
+
+namespace json = boost::json;
+
+namespace
+{
+
+std::int64_t whole_ms(duration length)
+{
+    return std::chrono::duration_cast<milliseconds>(length).count();
+}
+
+/// Time from now to a point; zero when it is past.
+std::int64_t ms_until(time_point point, time_point at)
+{
+    return point > at ? whole_ms(point - at) : 0;
+}
+
+std::string text_of(const node_address& address)
+{
+    return address.m_ip + ':' + std::to_string(address.m_port);
+}
+
+/// Age of the newest read of the store; null when it was never read.
+json::value age_of(std::uint32_t age_ms)
+{
+    return age_ms == UINT32_MAX ? json::value{} : json::value{age_ms};
+}
+
+json::object host_row(const host_report& report, bool live, std::int64_t heard_ms)
+{
+    json::object row;
+    row["id"] = report.m_node.m_value;
+    row["incarnation"] = report.m_incarnation.m_value;
+    row["data_centre"] = report.m_data_centre.m_value;
+    row["caller_address"] = text_of(report.m_caller);
+    row["live"] = live;
+    row["ready"] = report.m_ready;
+    row["stopping"] = report.m_stopping;
+    row["heard_ms_ago"] = heard_ms;
+    row["store_age_ms"] = age_of(report.m_store_age_ms);
+    row["changes"] = report.m_changes;
+    return row;
+}
+
+json::object describe_hosts(const edge_state& state, time_point at)
+{
+    json::array rows{host_row(state.m_own, true, 0)};
+    for (const auto& [id, host] : state.m_hosts.m_hosts)
+    {
+        rows.push_back(host_row(host.m_report,
+                                serving::is_live(host, live_for(state), at),
+                                whole_ms(at - host.m_heard)));
+    }
+    json::object body;
+    body["hosts"] = std::move(rows);
+    return body;
+}
+
+json::object upstream_row(const serving::upstream_table& table,
+                          const serving::upstream& row, time_point at)
+{
+    json::object body;
+    body["id"] = row.m_entry.m_id.m_value;
+    body["pool"] = row.m_entry.m_pool.m_value;
+    body["data_centre"] = row.m_entry.m_data_centre.m_value;
+    body["address"] = to_text(row.m_entry.m_address);
+    body["available"] = serving::is_available(table, row, at);
+    body["leaving"] = row.m_entry.m_leaving;
+    body["evacuated"] = table.m_evacuated.contains(row.m_entry.m_data_centre);
+    body["running"] = row.m_running;
+    body["running_elsewhere"] = row.m_running_elsewhere;
+    body["concurrency"] = row.m_entry.m_concurrency;
+    body["cold_ms"] = ms_until(row.m_cold_until, at);
+    body["ejected_ms"] = ms_until(row.m_ejected_until, at);
+    body["failure_share"] = row.m_failure_share;
+    body["slowness"] = row.m_slowness;
+    return body;
+}
+
+json::object describe_upstreams(const edge_state& state, time_point at)
+{
+    json::array rows;
+    for (const auto& [id, row] : state.m_upstreams.m_rows)
+    {
+        rows.push_back(upstream_row(state.m_upstreams, row, at));
+    }
+    std::sort(rows.begin(), rows.end(),
+              [](const json::value& left, const json::value& right)
+              {
+                  return left.at("id").as_string() < right.at("id").as_string();
+              });
+    json::object body;
+    body["upstreams"] = std::move(rows);
+    return body;
+}
+
+json::object queue_row(const queue_status& queue)
+{
+    json::object row;
+    row["jobs"] = queue.m_jobs;
+    row["announced"] = queue.m_announced;
+    row["workers"] = queue.m_workers;
+    row["busy_workers"] = queue.m_busy_workers;
+    row["room_used"] = queue.m_room_used;
+    row["wait_on_time_ms"] = queue.m_waits.m_on_time.count();
+    row["wait_late_ms"] = queue.m_waits.m_late.count();
+    return row;
+}
+
+/// Every pool with a queue and the host that runs it; the queue's state where this host
+/// does.
+json::object describe_queues(const edge_state& state, const host_facts& facts)
+{
+    json::array rows;
+    if (state.m_routing)
+    {
+        for (const auto& [id, pool] : state.m_routing->m_pools)
+        {
+            if (!pool.m_pieces)
+            {
+                continue;
+            }
+            json::object row;
+            row["pool"] = id.m_value;
+            row["host"] = queue_host_of(state, id).m_value;
+            for (const queue_status& queue : facts.m_queues)
+            {
+                if (queue.m_pool == id)
+                {
+                    for (const auto& member : queue_row(queue))
+                    {
+                        row[member.key()] = member.value();
+                    }
+                }
+            }
+            rows.push_back(std::move(row));
+        }
+    }
+    json::object body;
+    body["queues"] = std::move(rows);
+    return body;
+}
+
+json::object describe_limits(const edge_state& state)
+{
+    json::object body;
+    body["retry_ratio"] = state.m_settings.m_retries.m_ratio;
+    body["retry_slack"] = state.m_settings.m_retries.m_slack;
+    body["retry_window_ms"] = state.m_settings.m_retries.m_window.count();
+    body["cold_factor"] = state.m_settings.m_cold_factor;
+    body["cold_extra"] = state.m_settings.m_cold_extra;
+    body["stop_time_ms"] = state.m_settings.m_stop_time.count();
+    body["open_files"] = state.m_settings.m_open_files;
+    body["hosts_that_share_bounds"] = serving::hosts_that_may_send(state.m_hosts, now());
+    if (state.m_routing)
+    {
+        const serving::caller_limits& limits = state.m_routing->m_limits;
+        body["header_bytes"] = limits.m_header_bytes;
+        body["body_bytes"] = limits.m_body_bytes;
+        body["header_timeout_ms"] = limits.m_header_timeout.count();
+        body["idle_timeout_ms"] = limits.m_idle_timeout.count();
+    }
+    return body;
+}
+
+json::object describe_status(const edge_state& state, const host_facts& facts,
+                             time_point at)
+{
+    json::object body;
+    body["host"] = state.m_own.m_node.m_value;
+    body["incarnation"] = state.m_own.m_incarnation.m_value;
+    body["data_centre"] = state.m_own.m_data_centre.m_value;
+    body["version"] = GD_VERSION;
+    body["ready"] = state.m_routing && state.m_registry_known && !state.m_own.m_stopping;
+    body["stopping"] = state.m_own.m_stopping;
+    body["configuration_version"] =
+        state.m_routing ? state.m_routing->m_version.m_value : 0;
+    body["reads_store"] = facts.m_reads_store;
+    body["store_age_ms"] = age_of(facts.m_store_age_ms);
+    body["live_hosts"] = serving::live_hosts(state.m_hosts, live_for(state), at);
+    body["upstreams"] = state.m_upstreams.m_rows.size();
+    body["requests_active"] = facts.m_active_requests;
+    return body;
+}
+
+} // namespace
+
+std::optional<json::object> describe(const edge_state& state, const host_facts& facts,
+                                     std::string_view path, time_point at)
+{
+    if (path == "/admin/status")
+    {
+        return describe_status(state, facts, at);
+    }
+    if (path == "/admin/hosts")
+    {
+        return describe_hosts(state, at);
+    }
+    if (path == "/admin/upstreams")
+    {
+        return describe_upstreams(state, at);
+    }
+    if (path == "/admin/queues")
+    {
+        return describe_queues(state, facts);
+    }
+    if (path == "/admin/limits")
+    {
+        return describe_limits(state);
+    }
+    return std::nullopt;
+}
+
+} // namespace geraniumdoor::edge
--- a/src/edge/stage_service.cpp
+++ b/src/edge/stage_service.cpp
@@ -738,6 +738,28 @@
     return at == m_pools.end() ? queue_waits{} : waits_of(at->second.m_queue, now());
 }
 
+std::vector<queue_status> stage_service::queues() const
+{
+    const time_point at = now();
+    std::vector<queue_status> list;
+    for (const auto& [pool, service] : m_pools)
+    {
+        queue_status entry;
+        entry.m_pool = pool;
+        entry.m_jobs = service.m_queue.m_jobs.size();
+        entry.m_announced = service.m_queue.m_announced.size();
+        entry.m_workers = service.m_queue.m_workers.size();
+        for (const auto& [id, worker] : service.m_queue.m_workers)
+        {
+            entry.m_busy_workers += worker.m_busy_until ? 1 : 0;
+            entry.m_room_used += worker.m_room_used;
+        }
+        entry.m_waits = waits_of(service.m_queue, at);
+        list.push_back(std::move(entry));
+    }
+    return list;
+}
+
 std::size_t stage_service::open_jobs() const
 {
     std::size_t count = 0;
--- a/src/edge/stage_service.hpp
+++ b/src/edge/stage_service.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge_state.hpp"
+#include "host_status.hpp"
 
 #include <geraniumdoor/cluster/messages.hpp>
 #include <geraniumdoor/net/http_client.hpp>
@@ -49,6 +50,9 @@
     /// Waits at the own queue of a pool; zero when this host has none.
     serving::queue_waits waits_at(const pool_id& pool) const;
 
+    /// State of all queues that this host runs.
+    std::vector<queue_status> queues() const;
+
     /// Jobs that are not answered yet.
     std::size_t open_jobs() const;
 
--- /dev/null
+++ b/standins/edge_standins.cpp
@@ -0,0 +1,317 @@
+#include "edge_standins.hpp"
+
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/detail/base64.hpp>
+#include <boost/json.hpp>
+
+#include <algorithm>
+#include <chrono>
+
+namespace geraniumdoor
+{
+
+namespace asio = boost::asio;
+namespace json = boost::json;
+
+namespace
+{
+
+std::string base64(const std::string& bytes)
+{
+    namespace codec = boost::beast::detail::base64;
+    std::string text(codec::encoded_size(bytes.size()), '\0');
+    text.resize(codec::encode(text.data(), bytes.data(), bytes.size()));
+    return text;
+}
+
+std::string value_in(const std::string& target, const std::string& name)
+{
+    const auto at = target.find(name + '=');
+    if (at == std::string::npos)
+    {
+        return {};
+    }
+    const auto start = at + name.size() + 1;
+    return percent_decode(target.substr(start, target.find('&', start) - start));
+}
+
+http_response json_body(const json::value& body)
+{
+    http_response response;
+    response.m_fields.emplace_back("Content-Type", "application/json");
+    response.m_body = json::serialize(body);
+    return response;
+}
+
+asio::awaitable<void> pause(milliseconds length)
+{
+    asio::steady_timer timer{co_await asio::this_coro::executor, length};
+    co_await timer.async_wait(asio::use_awaitable);
+}
+
+http_fields proof_of(const worker_standin& worker, const http_request& request)
+{
+    return {{"Attempt-Id", std::string{find_field(request.m_fields, "Attempt-Id")}},
+            {"Response-Signature", worker.m_id}};
+}
+
+} // namespace
+
+void store_standin::put(const std::string& table, const std::string& key,
+                        const std::string& value)
+{
+    m_tables[table][key] = {value, ++m_version, false};
+}
+
+void store_standin::remove(const std::string& table, const std::string& key)
+{
+    m_tables[table][key] = {"", ++m_version, true};
+}
+
+asio::awaitable<void> store_standin::serve(http_exchange& exchange)
+{
+    const http_request request = exchange.request();
+    ++m_reads;
+    if (m_down)
+    {
+        http_response response;
+        response.m_status = 503;
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    if (request.m_target == "/rows-tx")
+    {
+        json::object done;
+        done["ver"] = m_version;
+        co_await exchange.respond(json_body(done));
+        co_return;
+    }
+    const bool whole = request.m_target.starts_with("/rows-get");
+    const std::string table = value_in(request.m_target, "table");
+    const std::string after = value_in(request.m_target, "after");
+    const std::uint64_t since = whole || after.empty() ? 0 : std::stoull(after);
+    const std::string wait = value_in(request.m_target, "waitMs");
+    const auto last = std::chrono::steady_clock::now() +
+                      milliseconds{wait.empty() ? 0 : std::stoi(wait)};
+    json::array rows;
+    while (true)
+    {
+        for (const auto& [key, stored] : m_tables[table])
+        {
+            if (stored.m_version <= since || (whole && stored.m_removed))
+            {
+                continue;
+            }
+            json::object entry;
+            entry["table"] = table;
+            entry["key"] = key;
+            entry["ver"] = stored.m_version;
+            if (stored.m_removed)
+            {
+                entry["removed"] = true;
+            }
+            else
+            {
+                entry["value"] = base64(stored.m_value);
+            }
+            rows.push_back(std::move(entry));
+        }
+        if (!rows.empty() || std::chrono::steady_clock::now() >= last)
+        {
+            break;
+        }
+        co_await pause(milliseconds{10});
+    }
+    json::object page;
+    page["rows"] = std::move(rows);
+    page["hasMore"] = false;
+    page["ver"] = m_version;
+    co_await exchange.respond(json_body(page));
+}
+
+const char* const sample_read_route =
+    R"({"name":"read","host":"a.example","prefix":"/read/","routeType":"idempotent",)"
+    R"("timeoutMs":2000,"targetLatencyMs":300,"service":"plain","maxAttempts":2})";
+const char* const sample_pay_route =
+    R"({"name":"pay","host":"a.example","prefix":"/pay/","routeType":"non_idempotent",)"
+    R"("timeoutMs":2000,"targetLatencyMs":300,"service":"plain","maxAttempts":1})";
+const char* const sample_stream_route =
+    R"({"name":"stream","host":"a.example","prefix":"/stream/","routeType":"streaming",)"
+    R"("timeoutMs":3000,"targetLatencyMs":1000,"service":"engine","maxAttempts":1,)"
+    R"("gapAimMs":300,"stages":[{"service":"stage","after":[],"bytes":8000}]})";
+const char* const sample_resume_route =
+    R"({"name":"resume","host":"a.example","prefix":"/resume/","routeType":"streaming",)"
+    R"("timeoutMs":3000,"targetLatencyMs":1000,"service":"engine","maxAttempts":2,)"
+    R"("streamResume":true,"gapAimMs":300,)"
+    R"("stages":[{"service":"stage","after":[],"bytes":8000}]})";
+
+std::string sample_routes()
+{
+    return std::string{sample_read_route} + ',' + sample_pay_route + ',' +
+           sample_stream_route + ',' + sample_resume_route;
+}
+
+std::string sample_configuration(const std::string& routes, std::uint64_t version)
+{
+    return R"({"version":)" + std::to_string(version) + R"(,"routes":[)" + routes +
+           R"(],"services":[{"name":"plain"},{"name":"engine","engine":)"
+           R"({"maxConcurrency":8,"kvTokens":100000}},{"name":"stage","pieces":)"
+           R"({"batch":8,"callMs":20,"itemMs":2,"roomMb":1,"handleS":4}}],)"
+           R"("tenants":[{"name":"t","apiKeys":["key"],"priority":0}]})";
+}
+
+std::string registry_entry(const worker_standin& worker, std::uint16_t port,
+                           const std::string& state)
+{
+    return json::serialize(
+        json::object{{"service", worker.m_service},
+                     {"address", worker.m_address + ':' + std::to_string(port)},
+                     {"zone", "z1"},
+                     {"maxConcurrency", 8},
+                     {"state", state},
+                     {"coldRemainingMs", 0},
+                     {"born", 1}});
+}
+
+void worker_standin::start(const asio::any_io_executor& executor)
+{
+    m_server = std::make_unique<http_server>(
+        executor, asio::ip::tcp::endpoint{asio::ip::make_address(m_address), m_port},
+        http_limits{},
+        [this](http_exchange& exchange)
+        {
+            return serve(exchange);
+        });
+    m_server->start();
+}
+
+asio::awaitable<void> worker_standin::serve(http_exchange& exchange)
+{
+    const std::string target = exchange.request().m_target;
+    if (target == "/stage-run")
+    {
+        co_await make_pieces(exchange);
+        co_return;
+    }
+    if (target == "/stage-free")
+    {
+        const auto body = json::parse(exchange.request().m_body);
+        m_released += static_cast<int>(body.at("handles").as_array().size());
+        http_response response;
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    co_await run_request(exchange);
+}
+
+asio::awaitable<void> worker_standin::make_pieces(http_exchange& exchange)
+{
+    const auto body = json::parse(exchange.request().m_body);
+    const auto& items = body.at("items").as_array();
+    ++m_calls;
+    m_most_pieces = std::max(m_most_pieces, items.size());
+    if (m_pieces_status != 200)
+    {
+        http_response declined;
+        declined.m_status = m_pieces_status;
+        co_await exchange.respond(std::move(declined));
+        co_return;
+    }
+    co_await pause(m_delay);
+    json::array made;
+    for (const auto& item : items)
+    {
+        if (!m_refuse_pieces.empty())
+        {
+            made.push_back(json::object{{"why", m_refuse_pieces}});
+            continue;
+        }
+        const std::string handle = m_address + ':' + std::to_string(m_port) + '/' + m_id +
+                                   '-' + std::string{item.at("id").as_string()} + '-' +
+                                   std::to_string(item.at("stage").as_int64()) + '-' +
+                                   std::to_string(item.at("piece").as_int64());
+        made.push_back(json::object{{"handle", handle}});
+    }
+    json::object result;
+    result["items"] = std::move(made);
+    co_await exchange.respond(json_body(result));
+}
+
+asio::awaitable<void> worker_standin::run_request(http_exchange& exchange)
+{
+    const http_request request = exchange.request();
+    m_seen.push_back(request);
+    worker_mode mode = m_mode;
+    if (!m_script.empty())
+    {
+        mode = m_script.front();
+        m_script.erase(m_script.begin());
+    }
+    http_response response;
+    response.m_fields = proof_of(*this, request);
+    if (mode == worker_mode::decline || mode == worker_mode::input_gone)
+    {
+        response.m_status = mode == worker_mode::decline ? 503 : 409;
+        response.m_fields.emplace_back("Not-Executed", "1");
+        co_await exchange.respond(std::move(response));
+        co_return;
+    }
+    ++m_runs[std::string{find_field(request.m_fields, "Attempt-Id")}];
+    co_await pause(m_delay);
+    if (mode == worker_mode::lose_answer)
+    {
+        exchange.drop();
+        co_return;
+    }
+    if (mode == worker_mode::hang)
+    {
+        co_await pause(milliseconds{3000});
+        exchange.drop();
+        co_return;
+    }
+    if (mode == worker_mode::foreign)
+    {
+        response.m_fields[0].second = "somebody-else";
+    }
+    if (mode == worker_mode::fail)
+    {
+        response.m_status = 500;
+    }
+    const bool streams = request.m_target.starts_with("/stream") ||
+                         request.m_target.starts_with("/resume");
+    const std::string after{find_field(request.m_fields, "Last-Event-Id")};
+    if (streams && (mode == worker_mode::normal || mode == worker_mode::tear))
+    {
+        const int first = after.empty() ? 1 : std::stoi(after) + 1;
+        co_await exchange.begin_answer(200, response.m_fields, std::nullopt);
+        for (int event = first; event <= 4; ++event)
+        {
+            const std::string text = "id: " + std::to_string(event) +
+                                     "\ndata: " + std::to_string(event) + "\n\n";
+            if (mode == worker_mode::tear && event == 3)
+            {
+                // Stops in the middle of an event.
+                co_await exchange.write_part(text.substr(0, 5));
+                co_await pause(milliseconds{20});
+                exchange.drop();
+                co_return;
+            }
+            co_await exchange.write_part(text);
+            co_await pause(milliseconds{10});
+        }
+        co_await exchange.end_stream();
+        co_return;
+    }
+    response.m_body = m_id + ':' + request.m_target + ':' + request.m_body;
+    if (mode == worker_mode::tear)
+    {
+        co_await exchange.begin_answer(200, response.m_fields, response.m_body.size());
+        co_await exchange.write_part(response.m_body.substr(0, 3));
+        exchange.drop();
+        co_return;
+    }
+    co_await exchange.respond(std::move(response));
+}
+
+} // namespace geraniumdoor
--- /dev/null
+++ b/standins/edge_standins.hpp
@@ -0,0 +1,103 @@
+#pragma once
+
+#include <geraniumdoor/base/units.hpp>
+#include <geraniumdoor/net/http_server.hpp>
+
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace geraniumdoor
+{
+
+/// The platform's store in memory, behind HTTP.
+struct store_standin
+{
+    struct row
+    {
+        std::string m_value;
+        std::uint64_t m_version = 0;
+        bool m_removed = false;
+    };
+
+    std::map<std::string, std::map<std::string, row>> m_tables;
+    std::uint64_t m_version = 1;
+    /// Answers 503 to all calls.
+    bool m_down = false;
+    int m_reads = 0;
+
+    void put(const std::string& table, const std::string& key, const std::string& value);
+    void remove(const std::string& table, const std::string& key);
+    boost::asio::awaitable<void> serve(http_exchange& exchange);
+};
+
+enum class worker_mode : std::uint8_t
+{
+    normal,
+    /// Runs the request and closes the connection.
+    lose_answer,
+    /// Declines with a statement that nothing has run.
+    decline,
+    /// Runs, and answers with its own failure.
+    fail,
+    /// Begins an answer with chunks and closes in the middle.
+    tear,
+    /// Answers with the id of another request.
+    foreign,
+    /// Runs, and never answers.
+    hang,
+    /// Says that an input is gone, which only engines do.
+    input_gone,
+};
+
+/// An upstream that answers "NAME:TARGET", as two events on routes that stream, and makes
+/// pieces.
+struct worker_standin
+{
+    std::string m_id;
+    std::string m_service;
+    std::uint16_t m_port = 0;
+    worker_mode m_mode = worker_mode::normal;
+    /// Modes of the next requests, before m_mode applies again.
+    std::vector<worker_mode> m_script;
+    milliseconds m_delay{0};
+    /// Why no piece is made; empty to make them.
+    std::string m_refuse_pieces;
+    /// Status of calls of pieces.
+    unsigned m_pieces_status = 200;
+    std::map<std::string, int> m_runs;
+    std::vector<http_request> m_seen;
+    int m_calls = 0;
+    std::size_t m_most_pieces = 0;
+    int m_released = 0;
+    std::string m_address = "127.0.0.1";
+    std::unique_ptr<http_server> m_server;
+
+    /// Listens on m_port of the address. Throws boost::system::system_error if it is
+    /// taken.
+    void start(const boost::asio::any_io_executor& executor);
+
+    boost::asio::awaitable<void> serve(http_exchange& exchange);
+    boost::asio::awaitable<void> run_request(http_exchange& exchange);
+    boost::asio::awaitable<void> make_pieces(http_exchange& exchange);
+};
+
+/// Row of the registry for a worker that others reach at the port.
+std::string registry_entry(const worker_standin& worker, std::uint16_t port,
+                           const std::string& state = "ready");
+
+/// Configuration with the pools "plain", "engine" and "stage" and one workspace, whose
+/// key is "key".
+/// @param routes JSON objects with commas between them
+std::string sample_configuration(const std::string& routes, std::uint64_t version);
+
+/// Routes of sample_configuration that tests use: reads, payments, streams, and streams
+/// that may be resumed.
+extern const char* const sample_read_route;
+extern const char* const sample_pay_route;
+extern const char* const sample_stream_route;
+extern const char* const sample_resume_route;
+std::string sample_routes();
+
+} // namespace geraniumdoor
--- a/tests/standins/edge_settings_test.cpp
+++ b/tests/standins/edge_settings_test.cpp
@@ -13,6 +13,7 @@
   // Rendered by the platform.
   "host": "edge-a-1", "data_centre": "a", "region": "r",
   "callers": "10.1.0.41:8625", "readiness": "10.1.0.41:8621",
+  "metrics": "10.1.0.41:9464",
   "directory": "10.1.0.41:8620", "peers": "10.1.0.41:7740", "store": "10.200.1.7:8624",
   "seeds": ["10.1.0.41:8628", "10.2.0.25:8628"],
   "processor_share": 0.25, "open_files": 4100, "retry_ratio": 0.2, "retry_slack": 54,
--- a/tests/standins/edge_test.cpp
+++ b/tests/standins/edge_test.cpp
@@ -14,23 +14,8 @@
 namespace
 {
 
-const std::string read_route =
-    R"({"name":"read","host":"a.example","prefix":"/read/","routeType":"idempotent",)"
-    R"("timeoutMs":2000,"targetLatencyMs":300,"service":"plain","maxAttempts":2})";
-const std::string pay_route =
-    R"({"name":"pay","host":"a.example","prefix":"/pay/","routeType":"non_idempotent",)"
-    R"("timeoutMs":2000,"targetLatencyMs":300,"service":"plain","maxAttempts":1})";
-const std::string stream_route =
-    R"({"name":"stream","host":"a.example","prefix":"/stream/","routeType":"streaming",)"
-    R"("timeoutMs":3000,"targetLatencyMs":1000,"service":"engine","maxAttempts":1,)"
-    R"("gapAimMs":300,"stages":[{"service":"stage","after":[],"bytes":8000}]})";
-const std::string resume_route =
-    R"({"name":"resume","host":"a.example","prefix":"/resume/","routeType":"streaming",)"
-    R"("timeoutMs":3000,"targetLatencyMs":1000,"service":"engine","maxAttempts":2,)"
-    R"("streamResume":true,"gapAimMs":300,)"
-    R"("stages":[{"service":"stage","after":[],"bytes":8000}]})";
-const std::string all_routes =
-    read_route + ',' + pay_route + ',' + stream_route + ',' + resume_route;
+const std::string read_route = sample_read_route;
+const std::string all_routes = sample_routes();
 
 int runs_of(const edge_world& world, const std::string& id)
 {
@@ -65,7 +50,7 @@
 Test(edge, a_caller_gets_the_workers_answer_unchanged)
 {
     edge_world world{23000, 1};
-    fake_worker& worker = world.add_worker("w1", "plain");
+    worker_standin& worker = world.add_worker("w1", "plain");
     world.set_config(all_routes, 1);
     world.start();
     const auto answer = world.ask(0, sample_get("/read/1?q=2", "id1", 1500), 2s);
@@ -104,8 +89,8 @@
 Test(edge, a_read_that_fails_is_asked_for_elsewhere)
 {
     edge_world world{23120, 1};
-    fake_worker& first = world.add_worker("w1", "plain");
-    fake_worker& second = world.add_worker("w2", "plain");
+    worker_standin& first = world.add_worker("w1", "plain");
+    worker_standin& second = world.add_worker("w2", "plain");
     world.set_config(all_routes, 1);
     world.start();
     for (const auto mode : {worker_mode::fail, worker_mode::tear, worker_mode::foreign,
@@ -123,8 +108,8 @@
 Test(edge, a_whole_stream_arrives_and_its_inputs_are_released)
 {
     edge_world world{23160, 1};
-    fake_worker& engine = world.add_worker("e1", "engine");
-    fake_worker& stage = world.add_worker("s1", "stage");
+    worker_standin& engine = world.add_worker("e1", "engine");
+    worker_standin& stage = world.add_worker("s1", "stage");
     world.set_config(all_routes, 1);
     world.start();
     const auto answer = world.ask(0, streamed("/stream/1", "id1"), 3s);
@@ -138,8 +123,8 @@
 Test(edge, a_stream_that_breaks_is_resumed_without_a_gap_where_that_is_allowed)
 {
     edge_world world{23200, 1};
-    fake_worker& first = world.add_worker("e1", "engine");
-    fake_worker& second = world.add_worker("e2", "engine");
+    worker_standin& first = world.add_worker("e1", "engine");
+    worker_standin& second = world.add_worker("e2", "engine");
     world.add_worker("s1", "stage");
     first.m_script = {worker_mode::tear};
     second.m_script = {worker_mode::tear};
@@ -190,7 +175,7 @@
     edge_world world{23320, 1};
     world.add_worker("e1", "engine").m_mode = worker_mode::tear;
     world.add_worker("e2", "engine").m_mode = worker_mode::tear;
-    fake_worker& stage = world.add_worker("s1", "stage");
+    worker_standin& stage = world.add_worker("s1", "stage");
     world.set_config(all_routes, 1);
     world.start();
     const auto answer = world.start_request(0, streamed("/resume/1", "id1"), 3s);
@@ -223,7 +208,7 @@
 Test(edge, a_caller_that_leaves_takes_its_request_along)
 {
     edge_world world{23400, 1};
-    fake_worker& worker = world.add_worker("w1", "plain");
+    worker_standin& worker = world.add_worker("w1", "plain");
     worker.m_mode = worker_mode::hang;
     world.set_config(all_routes, 1);
     world.start();
@@ -237,7 +222,7 @@
 Test(edge, a_smuggled_request_is_rejected_and_reaches_no_worker)
 {
     edge_world world{23440, 1};
-    fake_worker& worker = world.add_worker("w1", "plain");
+    worker_standin& worker = world.add_worker("w1", "plain");
     world.set_config(all_routes, 1);
     world.start();
     const std::string hidden = "GET /read/hidden HTTP/1.1\r\nHost: a.example\r\n"
@@ -267,7 +252,7 @@
 {
     edge_world world{23480, 2};
     world.add_worker("e1", "engine");
-    fake_worker& stage = world.add_worker("s1", "stage");
+    worker_standin& stage = world.add_worker("s1", "stage");
     stage.m_delay = 60ms;
     world.set_config(all_routes, 1);
     world.start();
@@ -283,8 +268,11 @@
         cr_assert(answer->has_value());
         EXPECT_EQUAL((*answer)->m_status, 200U);
     }
+    // One host alone has nine pieces at most, in two calls; the queue joins those of
+    // both.
     cr_expect(stage.m_most_pieces >= 6, "most pieces in a call: %zu",
               stage.m_most_pieces);
+    cr_expect(stage.m_calls <= 5, "%d calls", stage.m_calls);
 }
 
 // The room of a call was not given back when its job was cancelled meanwhile: the worker
@@ -293,7 +281,7 @@
 {
     edge_world world{23680, 1};
     world.add_worker("e1", "engine");
-    fake_worker& stage = world.add_worker("s1", "stage");
+    worker_standin& stage = world.add_worker("s1", "stage");
     world.set_config(all_routes, 1);
     world.start();
     stage.m_delay = 60ms;
@@ -334,10 +322,61 @@
     cr_expect(not find_field(answer.m_fields, "Retry-After").empty());
 }
 
+// Hosts that came back together from a loss of power refused callers for a second, and
+// these had no repeat left.
+Test(edge, a_request_waits_for_the_configuration_of_a_host_that_starts)
+{
+    edge_world world{23720, 1};
+    world.add_worker("w1", "plain");
+    world.start();
+    const auto answer = world.start_request(0, sample_get("/read/1", "id1", 1500), 2s);
+    world.run_for(100ms);
+    cr_expect(not answer->has_value());
+    world.set_config(all_routes, 1);
+    world.run_for(900ms);
+    cr_assert(answer->has_value());
+    EXPECT_EQUAL((*answer)->m_status, 200U);
+}
+
+// A host that starts while the store is away learns what it needs from the others.
+Test(edge, a_host_starts_while_the_store_is_away)
+{
+    edge_world world{23760, 2};
+    world.add_worker("w1", "plain");
+    world.set_config(all_routes, 1);
+    world.start_store();
+    world.start_host(0);
+    world.run_for(1000ms);
+    world.m_store.m_down = true;
+    world.start_host(1);
+    world.run_for(2500ms);
+    EXPECT_EQUAL(world.ask(1, sample_get("/read/1", "id1", 1000), 2s).m_status, 200U);
+}
+
+// A stage worker whose address another process had taken was asked for each call again.
+Test(edge, a_stage_worker_that_answers_for_another_one_is_left_alone_for_a_while)
+{
+    edge_world world{23800, 1};
+    world.add_worker("e1", "engine");
+    worker_standin& wrong = world.add_worker("s1", "stage");
+    worker_standin& right = world.add_worker("s2", "stage");
+    wrong.m_pieces_status = 421;
+    world.set_config(all_routes, 1);
+    world.start();
+    for (int at = 0; at < 8; ++at)
+    {
+        const auto answer =
+            world.ask(0, streamed("/stream/1", "id" + std::to_string(at)), 3s);
+        EXPECT_EQUAL(answer.m_status, 200U);
+    }
+    cr_expect(right.m_calls >= 8);
+    cr_expect(wrong.m_calls <= 4, "%d calls to the wrong worker", wrong.m_calls);
+}
+
 Test(edge, a_worker_that_leaves_gets_nothing_more)
 {
     edge_world world{23600, 1};
-    fake_worker& first = world.add_worker("w1", "plain");
+    worker_standin& first = world.add_worker("w1", "plain");
     world.add_worker("w2", "plain");
     world.set_config(all_routes, 1);
     world.start();
@@ -356,7 +395,7 @@
 Test(edge, a_planned_stop_finishes_what_is_in_progress)
 {
     edge_world world{23640, 1};
-    fake_worker& worker = world.add_worker("w1", "plain");
+    worker_standin& worker = world.add_worker("w1", "plain");
     worker.m_delay = 700ms;
     world.set_config(all_routes, 1);
     world.start();
