Hold signals until their handlers are in place

Ruled out: the settings file (unchanged), a crash (the signal was 1). Change: SIGHUP, SIGTERM and SIGINT are blocked first thing and let through when the handlers stand.

--- a/programs/edge/geraniumdoor_edge_main.cpp
+++ b/programs/edge/geraniumdoor_edge_main.cpp
@@ -165,6 +165,7 @@
         });
     settings_watch watch{io, daemon, path};
     watch.start();
+    release_signals();
     daemon.start();
     io.run();
     return exit_ok;
@@ -212,6 +213,7 @@
 
 int main(int count, char** values)
 {
+    hold_signals();
     std::signal(SIGPIPE, SIG_IGN);
     // Returns freed memory early: the resident set is what a host is billed for.
     constexpr int trim_bytes = 128 * 1024;
--- a/programs/program_support.cpp
+++ b/programs/program_support.cpp
@@ -3,6 +3,7 @@
 #include <glog/logging.h>
 
 #include <cerrno>
+#include <csignal>
 #include <cstring>
 #include <exception>
 #include <fstream>
@@ -74,4 +75,32 @@
     }
 }
 
+namespace
+{
+
+sigset_t handled_signals()
+{
+    sigset_t signals;
+    sigemptyset(&signals);
+    for (const int signal : {SIGHUP, SIGTERM, SIGINT})
+    {
+        sigaddset(&signals, signal);
+    }
+    return signals;
+}
+
+} // namespace
+
+void hold_signals()
+{
+    const sigset_t signals = handled_signals();
+    pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+void release_signals()
+{
+    const sigset_t signals = handled_signals();
+    pthread_sigmask(SIG_UNBLOCK, &signals, nullptr);
+}
+
 } // namespace geraniumdoor
--- a/programs/program_support.hpp
+++ b/programs/program_support.hpp
@@ -39,4 +39,11 @@
                 const std::function<cxxopts::Options()>& make_options,
                 const std::function<int(const cxxopts::ParseResult&)>& run);
 
+/// Holds SIGHUP, SIGTERM and SIGINT back until their handlers are in place. Without it, a
+/// signal in the first milliseconds ends the process.
+void hold_signals();
+
+/// Delivers what was held back, and all signals from now on.
+void release_signals();
+
 } // namespace geraniumdoor
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -67,6 +67,16 @@
 // faults that overlap, on real processes.
 TestSuite(soak, .timeout = 250);
 
+// Seed 47: a host that had just been restarted got SIGHUP before it had a handler, and
+// ended.
+Test(soak, seeds_that_have_failed_keep_their_promises)
+{
+    for (const std::uint64_t seed : {47})
+    {
+        expect_promises_kept(seed);
+    }
+}
+
 Test(soak, promises_are_kept_under_overlapping_faults)
 {
     // tools/soak sets the range.
