Do not touch a request whose timer handler runs after its end

A timer that is due is queued with success; if its request ends in the same turn of the event loop, the handler still runs and released results of a request that was gone. Change: the handler holds the call weakly and does nothing when it is gone.

--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -304,15 +304,17 @@
     {
         head.m_urgency = engine_urgency(current.m_head.m_prompt);
     }
-    // The handler of a timer that is gone with its request does nothing.
     asio::steady_timer fetched{m_state.m_executor};
     if (const auto wait = fetch_time(current, id))
     {
         fetched.expires_after(*wait);
         fetched.async_wait(
-            [this, &current](const boost::system::error_code& error)
+            [this, &current,
+             attempt = std::weak_ptr{call}](const boost::system::error_code& error)
             {
-                if (!error)
+                // A handler that is due already runs without an error even if the timer
+                // and the request are gone.
+                if (!error && !attempt.expired())
                 {
                     release_results(current, true);
                 }
--- a/tests/standins/edge_test.cpp
+++ b/tests/standins/edge_test.cpp
@@ -1,8 +1,12 @@
 #include "edge_world.hpp"
 
+#include <geraniumdoor/base/random.hpp>
+
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
 
+#include <thread>
+
 // clang-format off: this header stays last.
 #include "testing.hpp"
 // clang-format on
@@ -139,6 +143,39 @@
     EXPECT_EQUAL((*answer)->m_body, whole_stream);
 }
 
+// Hosts died of a timer for the release of inputs that was due in the same turn of the
+// event loop in which its request ended. Streams end here about when the timer is due,
+// and the loop is held up so that what is due comes in batches.
+Test(edge, a_request_that_ends_when_its_inputs_are_released_leaves_the_host_alive)
+{
+    edge_world world{23880, 1};
+    worker_standin& engine = world.add_worker("e1", "engine");
+    worker_standin& stage = world.add_worker("s1", "stage");
+    world.set_config(all_routes, 1);
+    world.start();
+    random_source random{20261204};
+    std::vector<std::shared_ptr<std::optional<http_response>>> answers;
+    for (int at = 0; at < 150; ++at)
+    {
+        engine.m_delay = milliseconds{5 + uniform_below(random, 40)};
+        answers.push_back(
+            world.start_request(0, streamed("/stream/1", "id" + std::to_string(at)), 3s));
+        for (int turn = 0; turn < 6; ++turn)
+        {
+            world.run_for(milliseconds{1 + uniform_below(random, 6)});
+            std::this_thread::sleep_for(milliseconds{uniform_below(random, 9)});
+        }
+    }
+    world.run_for(1500ms);
+    int served = 0;
+    for (const auto& answer : answers)
+    {
+        served += answer->has_value() && (*answer)->m_status == 200 ? 1 : 0;
+    }
+    cr_expect(served > 100, "%d of 150 served", served);
+    cr_expect(stage.m_released > 300);
+}
+
 Test(edge, a_stream_that_breaks_is_resumed_without_a_gap_where_that_is_allowed)
 {
     edge_world world{23200, 1};
