Let the soak's store give out an earlier configuration again

Cause: no fault of the soak could show a host that goes back to an earlier configuration, so that this check could not fail. Ruled out: a change of the stand-in, which takes any version.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -44,6 +44,9 @@
 constexpr milliseconds longest_poll{1000};
 constexpr milliseconds start_limit{15000};
 
+/// Time for which the store gives out an earlier configuration, so that hosts read it.
+constexpr milliseconds lost_write_time{800};
+
 /// Time in which a process cannot have its signal handlers: it is still being loaded.
 constexpr milliseconds handlers_time{300};
 
@@ -615,7 +618,12 @@
     }
     else if (kind == 1)
     {
-        say("configuration " + std::to_string(m_version + 1));
+        // A store that has lost a write gives the one before out again.
+        say("configuration " + std::to_string(m_version - 1) + ", then " +
+            std::to_string(m_version + 1));
+        co_await control(
+            change_of("config_version", std::max<std::uint64_t>(1, m_version - 1)));
+        co_await pause_for(lost_write_time);
         co_await control(change_of("config_version", ++m_version));
     }
     else
