--- a/src/edge/stage_service.hpp
+++ b/src/edge/stage_service.hpp
@@ -18,6 +18,10 @@
 namespace geraniumdoor::edge
 {
 
+/// Shortest time to return that a refusal names, so that a caller does not return into
+/// the same queue.
+inline constexpr milliseconds shortest_retry{100};
+
 /// Runs the queues of the pools that this host is chosen for: forms calls from the pieces
 /// of all hosts, sends them, and returns the results.
 class stage_service
--- /dev/null
+++ b/src/edge/store_rows.cpp
@@ -0,0 +1,221 @@
+#include "store_watch.hpp"
+
+#include <geraniumdoor/base/log.hpp>
+
+#include <unordered_set>
+#include <utility>
+
+#include <platform/rows.hpp>
+
+// What a row means to this host, wherever it was read.
+
+namespace geraniumdoor::edge
+{
+
+void store_watch::apply(held_table& table, const platform::row_page& page, bool whole)
+{
+    if (page.m_version < table.m_version)
+    {
+        log_event{"store_read_stale"}
+            .add("table", table.m_name)
+            .add("version", page.m_version)
+            .add("held", table.m_version);
+        return;
+    }
+    const std::uint64_t before = m_changes;
+    const bool first = table.m_version == 0;
+    if (whole)
+    {
+        remove_missing(table, page);
+    }
+    for (const platform::row& entry : page.m_rows)
+    {
+        if (entry.m_removed)
+        {
+            remove_row(table, entry.m_key, entry.m_version);
+        }
+        else
+        {
+            table.m_lapsed.erase(entry.m_key);
+            apply_row(table, entry.m_key, &entry.m_value, entry.m_version);
+        }
+    }
+    table.m_version = page.m_version;
+    m_changes += first ? 1 : 0;
+    publish(before);
+}
+
+void store_watch::remove_missing(held_table& table, const platform::row_page& page)
+{
+    std::vector<std::string> missing;
+    std::unordered_set<std::string_view> present;
+    for (const platform::row& entry : page.m_rows)
+    {
+        present.insert(entry.m_key);
+    }
+    for (const auto& [key, row] : table.m_rows)
+    {
+        if (!present.contains(key) && !row.m_removed)
+        {
+            missing.push_back(key);
+        }
+    }
+    for (const std::string& key : missing)
+    {
+        remove_row(table, key, page.m_version);
+    }
+}
+
+/// Returns whether the change matters to other hosts. A null value removes the row.
+bool store_watch::apply_row(held_table& table, const std::string& key,
+                            const std::string* value, std::uint64_t version)
+{
+    held_row& held = table.m_rows[key];
+    const bool is_new = held.m_version == 0;
+    if (version <= held.m_version && !is_new)
+    {
+        return false;
+    }
+    const bool same = !is_new && held.m_removed == (value == nullptr) &&
+                      (value == nullptr || held.m_value == *value);
+    held.m_version = version;
+    held.m_removed = value == nullptr;
+    held.m_value = value == nullptr ? std::string{} : *value;
+    held.m_packed.clear();
+    if (same)
+    {
+        return false;
+    }
+    const bool matters =
+        &table == &m_intent ? apply_intent(key, value) : apply_upstream(key, value);
+    if (matters || is_new)
+    {
+        held.m_change = ++m_changes;
+        held.m_changed_version = version;
+    }
+    return matters;
+}
+
+void store_watch::publish(std::uint64_t changes_before)
+{
+    m_state.m_own.m_changes = m_changes;
+    m_state.m_registry_known = m_registry.m_version != 0;
+    if (m_changes != changes_before)
+    {
+        m_on_change();
+    }
+}
+
+void store_watch::remove_row(held_table& table, const std::string& key,
+                             std::uint64_t version)
+{
+    const auto held = table.m_rows.find(key);
+    const bool known = held != table.m_rows.end() && !held->second.m_removed;
+    const bool may_return = known && &table == &m_registry &&
+                            (table.m_lost || now() - table.m_regained < return_time);
+    if (may_return)
+    {
+        table.m_lapsed.try_emplace(key, table.m_regained + return_time);
+        return;
+    }
+    table.m_lapsed.erase(key);
+    apply_row(table, key, nullptr, version);
+}
+
+void store_watch::drop_lapsed()
+{
+    const time_point at = now();
+    std::vector<std::string> gone;
+    for (const auto& [key, until] : m_registry.m_lapsed)
+    {
+        if (until <= at && !m_registry.m_lost)
+        {
+            gone.push_back(key);
+        }
+    }
+    const std::uint64_t before = m_changes;
+    for (const std::string& key : gone)
+    {
+        m_registry.m_lapsed.erase(key);
+        apply_row(m_registry, key, nullptr, m_registry.m_version);
+    }
+    publish(before);
+}
+
+bool store_watch::apply_intent(const std::string& key, const std::string* value)
+{
+    if (const auto data_centre = platform::evacuated_data_centre(key))
+    {
+        if (value != nullptr)
+        {
+            m_state.m_upstreams.m_evacuated.insert(*data_centre);
+        }
+        else
+        {
+            m_state.m_upstreams.m_evacuated.erase(*data_centre);
+        }
+        log_event{value != nullptr ? "evacuation_begun" : "evacuation_ended"}.add(
+            "data_centre", *data_centre);
+        return true;
+    }
+    if (key != platform::configuration_key || value == nullptr)
+    {
+        return true;
+    }
+    auto config = platform::decode_configuration(*value);
+    if (!is_ok(config))
+    {
+        log_event{"configuration_rejected"}.add("reason", error_of(config).m_detail);
+        return true;
+    }
+    const auto held = m_state.m_routing;
+    if (held && value_of(config).m_version <= held->m_version)
+    {
+        log_event{"configuration_not_newer"}
+            .add("version", value_of(config).m_version)
+            .add("held", held->m_version);
+        return true;
+    }
+    m_state.m_routing =
+        std::make_shared<const serving::routing>(value_of(std::move(config)));
+    log_event{"configuration_in_force"}
+        .add("version", m_state.m_routing->m_version)
+        .add("routes", m_state.m_routing->m_routes.size())
+        .add("keys", m_state.m_routing->m_keys.size());
+    return true;
+}
+
+bool store_watch::apply_upstream(const std::string& key, const std::string* value)
+{
+    const upstream_id id{key};
+    if (value == nullptr)
+    {
+        m_state.m_upstreams.m_rows.erase(id);
+        log_event{"upstream_gone"}.add("upstream", id);
+        return true;
+    }
+    const auto entry = platform::decode_upstream(key, *value);
+    if (!is_ok(entry))
+    {
+        log_event{"registry_entry_rejected"}
+            .add("upstream", id)
+            .add("reason", error_of(entry).m_detail);
+        return m_state.m_upstreams.m_rows.erase(id);
+    }
+    const auto* known = m_state.m_upstreams.m_rows.find(id);
+    const bool matters =
+        known == nullptr || serving::differs(known->m_entry, value_of(entry));
+    if (matters)
+    {
+        log_event{"upstream_known"}
+            .add("upstream", id)
+            .add("pool", value_of(entry).m_pool)
+            .add("data_centre", value_of(entry).m_data_centre)
+            .add("leaving", value_of(entry).m_leaving)
+            .add("cold_ms", value_of(entry).m_cold_for.count());
+    }
+    serving::put_entry(m_state.m_upstreams, value_of(entry), now());
+    return matters;
+}
+
+} // namespace geraniumdoor::edge
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -1,17 +1,14 @@
 #include "store_watch.hpp"
 
 #include <geraniumdoor/base/log.hpp>
-#include <geraniumdoor/base/packed_text.hpp>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <boost/json.hpp>
 
 #include <algorithm>
-#include <unordered_set>
 #include <utility>
 
 #include <platform/rows.hpp>
@@ -31,10 +28,6 @@
 /// Hosts that read the store for all. Two fail at the same moment more often than three.
 constexpr std::size_t store_readers = 3;
 
-/// Age of a host's last read above which another host reads in its place. A read of the
-/// operator's rows takes up to intent_wait, and its age is up to a report period old.
-constexpr milliseconds longest_read_age{1100};
-
 /// Time in which a host that has just started hears of others, through the seeds.
 constexpr milliseconds hear_hosts_first{60};
 
@@ -46,10 +39,6 @@
 /// else does. 65 hosts that started together knew all after 1.4 s.
 constexpr milliseconds ask_hosts_longest{3000};
 
-/// Time for a host's answer before another one is asked. A whole table of 200 KB takes a
-/// 10 Mbit link 160 ms.
-constexpr milliseconds answer_patience{500};
-
 /// Pause of a host that does not read at the moment.
 constexpr milliseconds reader_check{50};
 
@@ -67,71 +56,9 @@
 /// An outage begins with a read that has failed for this long.
 constexpr milliseconds outage_after{1500};
 
-/// Entries that are missing for this long after an outage are gone. Source: the platform
-/// promises that live ones are back within two seconds.
-constexpr milliseconds return_time{2200};
-
 /// Time between two reads of the rows in which hosts name their addresses.
 constexpr milliseconds host_rows_pause{4000};
 
-/// Values from this size on travel compressed. A configuration of 1,500 routes has about
-/// 400 KB, which takes a link of 10 Mbit/s 320 ms.
-constexpr std::size_t packed_from = 4096;
-
-/// Longest value of a row. Source: messages between hosts have 4 MB at most.
-constexpr std::size_t longest_value = std::size_t{4} * 1024 * 1024;
-
-stored_row to_stored_row(const std::string& key, held_row& row)
-{
-    if (row.m_value.size() < packed_from)
-    {
-        return {key, row.m_value, row.m_version, row.m_removed, false};
-    }
-    if (row.m_packed.empty())
-    {
-        row.m_packed = pack_text(row.m_value);
-    }
-    return {key, row.m_packed, row.m_version, row.m_removed, true};
-}
-
-/// Rows that changed after a number of changes, or after a version when the number is
-/// zero.
-table_changes changes_of(held_table& table, std::uint64_t after, std::uint64_t version)
-{
-    table_changes changes;
-    changes.m_version = table.m_version;
-    for (auto& [key, row] : table.m_rows)
-    {
-        const bool wanted =
-            after > 0 ? row.m_change > after : row.m_changed_version > version;
-        if (wanted)
-        {
-            changes.m_rows.push_back(to_stored_row(key, row));
-        }
-    }
-    return changes;
-}
-
-/// Returns whether all values could be decompressed.
-bool unpack(table_changes& changes)
-{
-    for (stored_row& row : changes.m_rows)
-    {
-        if (!row.m_packed)
-        {
-            continue;
-        }
-        auto value = unpack_text(row.m_value, longest_value);
-        if (!value)
-        {
-            return false;
-        }
-        row.m_value = *std::move(value);
-        row.m_packed = false;
-    }
-    return true;
-}
-
 } // namespace
 
 store_watch::store_watch(edge_state& state, std::function<void()> on_change)
@@ -290,295 +217,6 @@
     }
 }
 
-void store_watch::apply(held_table& table, const platform::row_page& page, bool whole)
-{
-    if (page.m_version < table.m_version)
-    {
-        log_event{"store_read_stale"}
-            .add("table", table.m_name)
-            .add("version", page.m_version)
-            .add("held", table.m_version);
-        return;
-    }
-    const std::uint64_t before = m_changes;
-    const bool first = table.m_version == 0;
-    if (whole)
-    {
-        remove_missing(table, page);
-    }
-    for (const platform::row& entry : page.m_rows)
-    {
-        if (entry.m_removed)
-        {
-            remove_row(table, entry.m_key, entry.m_version);
-        }
-        else
-        {
-            table.m_lapsed.erase(entry.m_key);
-            apply_row(table, entry.m_key, &entry.m_value, entry.m_version);
-        }
-    }
-    table.m_version = page.m_version;
-    m_changes += first ? 1 : 0;
-    publish(before);
-}
-
-void store_watch::remove_missing(held_table& table, const platform::row_page& page)
-{
-    std::vector<std::string> missing;
-    std::unordered_set<std::string_view> present;
-    for (const platform::row& entry : page.m_rows)
-    {
-        present.insert(entry.m_key);
-    }
-    for (const auto& [key, row] : table.m_rows)
-    {
-        if (!present.contains(key) && !row.m_removed)
-        {
-            missing.push_back(key);
-        }
-    }
-    for (const std::string& key : missing)
-    {
-        remove_row(table, key, page.m_version);
-    }
-}
-
-/// Returns whether the change matters to other hosts. A null value removes the row.
-bool store_watch::apply_row(held_table& table, const std::string& key,
-                            const std::string* value, std::uint64_t version)
-{
-    held_row& held = table.m_rows[key];
-    const bool is_new = held.m_version == 0;
-    if (version <= held.m_version && !is_new)
-    {
-        return false;
-    }
-    const bool same = !is_new && held.m_removed == (value == nullptr) &&
-                      (value == nullptr || held.m_value == *value);
-    held.m_version = version;
-    held.m_removed = value == nullptr;
-    held.m_value = value == nullptr ? std::string{} : *value;
-    held.m_packed.clear();
-    if (same)
-    {
-        return false;
-    }
-    const bool matters =
-        &table == &m_intent ? apply_intent(key, value) : apply_upstream(key, value);
-    if (matters || is_new)
-    {
-        held.m_change = ++m_changes;
-        held.m_changed_version = version;
-    }
-    return matters;
-}
-
-void store_watch::publish(std::uint64_t changes_before)
-{
-    m_state.m_own.m_changes = m_changes;
-    m_state.m_registry_known = m_registry.m_version != 0;
-    if (m_changes != changes_before)
-    {
-        m_on_change();
-    }
-}
-
-void store_watch::remove_row(held_table& table, const std::string& key,
-                             std::uint64_t version)
-{
-    const auto held = table.m_rows.find(key);
-    const bool known = held != table.m_rows.end() && !held->second.m_removed;
-    const bool may_return = known && &table == &m_registry &&
-                            (table.m_lost || now() - table.m_regained < return_time);
-    if (may_return)
-    {
-        table.m_lapsed.try_emplace(key, table.m_regained + return_time);
-        return;
-    }
-    table.m_lapsed.erase(key);
-    apply_row(table, key, nullptr, version);
-}
-
-void store_watch::drop_lapsed()
-{
-    const time_point at = now();
-    std::vector<std::string> gone;
-    for (const auto& [key, until] : m_registry.m_lapsed)
-    {
-        if (until <= at && !m_registry.m_lost)
-        {
-            gone.push_back(key);
-        }
-    }
-    const std::uint64_t before = m_changes;
-    for (const std::string& key : gone)
-    {
-        m_registry.m_lapsed.erase(key);
-        apply_row(m_registry, key, nullptr, m_registry.m_version);
-    }
-    publish(before);
-}
-
-bool store_watch::apply_intent(const std::string& key, const std::string* value)
-{
-    if (const auto data_centre = platform::evacuated_data_centre(key))
-    {
-        if (value != nullptr)
-        {
-            m_state.m_upstreams.m_evacuated.insert(*data_centre);
-        }
-        else
-        {
-            m_state.m_upstreams.m_evacuated.erase(*data_centre);
-        }
-        log_event{value != nullptr ? "evacuation_begun" : "evacuation_ended"}.add(
-            "data_centre", *data_centre);
-        return true;
-    }
-    if (key != platform::configuration_key || value == nullptr)
-    {
-        return true;
-    }
-    auto config = platform::decode_configuration(*value);
-    if (!is_ok(config))
-    {
-        log_event{"configuration_rejected"}.add("reason", error_of(config).m_detail);
-        return true;
-    }
-    const auto held = m_state.m_routing;
-    if (held && value_of(config).m_version <= held->m_version)
-    {
-        log_event{"configuration_not_newer"}
-            .add("version", value_of(config).m_version)
-            .add("held", held->m_version);
-        return true;
-    }
-    m_state.m_routing =
-        std::make_shared<const serving::routing>(value_of(std::move(config)));
-    log_event{"configuration_in_force"}
-        .add("version", m_state.m_routing->m_version)
-        .add("routes", m_state.m_routing->m_routes.size())
-        .add("keys", m_state.m_routing->m_keys.size());
-    return true;
-}
-
-bool store_watch::apply_upstream(const std::string& key, const std::string* value)
-{
-    const upstream_id id{key};
-    if (value == nullptr)
-    {
-        m_state.m_upstreams.m_rows.erase(id);
-        log_event{"upstream_gone"}.add("upstream", id);
-        return true;
-    }
-    const auto entry = platform::decode_upstream(key, *value);
-    if (!is_ok(entry))
-    {
-        log_event{"registry_entry_rejected"}
-            .add("upstream", id)
-            .add("reason", error_of(entry).m_detail);
-        return m_state.m_upstreams.m_rows.erase(id);
-    }
-    const auto* known = m_state.m_upstreams.m_rows.find(id);
-    const bool matters =
-        known == nullptr || serving::differs(known->m_entry, value_of(entry));
-    if (matters)
-    {
-        log_event{"upstream_known"}
-            .add("upstream", id)
-            .add("pool", value_of(entry).m_pool)
-            .add("data_centre", value_of(entry).m_data_centre)
-            .add("leaving", value_of(entry).m_leaving)
-            .add("cold_ms", value_of(entry).m_cold_for.count());
-    }
-    serving::put_entry(m_state.m_upstreams, value_of(entry), now());
-    return matters;
-}
-
-state_push store_watch::answer_to(const state_pull& pull)
-{
-    state_push push;
-    push.m_changes = m_changes;
-    // Nothing returns to this table after an outage, so that versions alone tell what is
-    // new; the configuration is large.
-    push.m_intent = changes_of(m_intent, 0, pull.m_intent_version);
-    push.m_registry = changes_of(m_registry, pull.m_after, pull.m_registry_version);
-    if (!pull.m_wants_hosts)
-    {
-        return push;
-    }
-    push.m_hosts.push_back(to_text(m_state.m_settings.m_peers));
-    for (const auto& [id, host] : m_state.m_hosts.m_hosts)
-    {
-        if (serving::is_live(host, live_for(m_state), now()))
-        {
-            const node_address& peer = host.m_report.m_peer;
-            push.m_hosts.push_back(peer.m_ip + ':' + std::to_string(peer.m_port));
-        }
-    }
-    return push;
-}
-
-std::optional<state_pull> store_watch::question_for(const host_report& report,
-                                                    bool wants_hosts)
-{
-    taken& known = m_taken[report.m_node];
-    if (known.m_incarnation != report.m_incarnation)
-    {
-        known = {report.m_incarnation, 0};
-    }
-    const bool nothing_known = m_intent.m_version == 0 || m_registry.m_version == 0;
-    const bool reads = report.m_store_age_ms <= longest_read_age.count();
-    const bool news = report.m_changes > known.m_changes && (reads || nothing_known);
-    // One question at a time: the tables are large for a narrow link, and all readers
-    // tell the same.
-    if ((!news && !wants_hosts) || now() < m_answer_due)
-    {
-        return std::nullopt;
-    }
-    m_answer_due = now() + answer_patience;
-    // The answer counts as all that the host knows, so that every question asks for all
-    // that is missing.
-    return state_pull{known.m_changes, m_intent.m_version, m_registry.m_version,
-                      wants_hosts || nothing_known};
-}
-
-void store_watch::take(const node_id& from, incarnation from_incarnation, state_push push)
-{
-    const bool readable = unpack(push.m_intent) && unpack(push.m_registry);
-    if (!readable)
-    {
-        log_event{"rows_unreadable"}.add("host", from);
-        return;
-    }
-    taken& known = m_taken[from];
-    known.m_incarnation = from_incarnation;
-    m_answer_due = now();
-    known.m_changes = std::max(known.m_changes, push.m_changes);
-    const std::uint64_t before = m_changes;
-    take_table(m_intent, push.m_intent);
-    take_table(m_registry, push.m_registry);
-    publish(before);
-    for (const std::string& address : push.m_hosts)
-    {
-        add_seed(address);
-    }
-}
-
-void store_watch::take_table(held_table& table, const table_changes& changes)
-{
-    for (const stored_row& row : changes.m_rows)
-    {
-        // The other host has waited for entries that may return after an outage.
-        table.m_lapsed.erase(row.m_key);
-        apply_row(table, row.m_key, row.m_removed ? nullptr : &row.m_value,
-                  row.m_version);
-    }
-    m_changes += table.m_version == 0 && changes.m_version != 0 ? 1 : 0;
-    table.m_version = std::max(table.m_version, changes.m_version);
-}
-
 bool store_watch::others_read() const
 {
     return std::any_of(m_state.m_hosts.m_hosts.begin(), m_state.m_hosts.m_hosts.end(),
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -15,6 +15,14 @@
 namespace geraniumdoor::edge
 {
 
+/// Age of a host's last read above which another host reads in its place. A read of the
+/// operator's rows takes up to intent_wait, and its age is up to a report period old.
+inline constexpr milliseconds longest_read_age{1100};
+
+/// Entries that are missing for this long after an outage are gone. Source: the platform
+/// promises that live ones are back within two seconds.
+inline constexpr milliseconds return_time{2200};
+
 struct held_row
 {
     std::string m_value;
