--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -713,6 +713,8 @@
         }
         close_absence(host);
     }
+    // So that there is an earlier configuration to go back to.
+    co_await control(change_of("config_version", ++m_version));
     m_began = clock_now();
     m_sending = true;
     spawn(send_requests());
