Never refuse a request that has run, when its inputs cannot be made again

Ruled out: the decision table, which gives fail for this state, and the stand-in's count (one run of each request in its ledger). Change: a refusal after a run is a failure. /admin/* of an edge host answers 404 for what it does not know, and "status" shows the age of the store as a number. The entry node hands the ends of table calls on in one place.

--- a/src/daemon/entry_node.hpp
+++ b/src/daemon/entry_node.hpp
@@ -102,6 +102,10 @@
     void close_all(bool may_announce_left);
 
     // Calls to the platform and to upstreams.
+    /// Gives the end of a table call to the part that made it, and runs what follows.
+    template<class Handler>
+    void hand_to(table_user user, const Handler& handler);
+
     boost::asio::awaitable<void> run_transaction(table_transaction transaction,
                                                  table_user user);
     boost::asio::awaitable<void> run_read(table_read read, table_user user);
--- a/src/daemon/entry_node_actions.cpp
+++ b/src/daemon/entry_node_actions.cpp
@@ -161,6 +161,29 @@
     run(actions);
 }
 
+template<class Handler>
+void entry_node::hand_to(table_user user, const Handler& handler)
+{
+    if (user == table_user::ownership)
+    {
+        std::vector<ownership_action> actions;
+        handler(m_ownership, actions);
+        run(actions);
+    }
+    else if (user == table_user::coordinator)
+    {
+        coordinator_actions actions;
+        handler(m_coordinator, actions);
+        run(actions);
+    }
+    else
+    {
+        config_actions actions;
+        handler(m_config, actions);
+        run(actions);
+    }
+}
+
 asio::awaitable<void> entry_node::run_transaction(table_transaction transaction,
                                                   table_user user)
 {
@@ -180,24 +203,11 @@
         end.m_outcome = open ? table_outcome::unknown : table_outcome::not_written;
     }
     const time_point now = std::chrono::steady_clock::now();
-    if (user == table_user::ownership)
-    {
-        std::vector<ownership_action> actions;
-        on_table_transaction_end(m_ownership, end, now, actions);
-        run(actions);
-    }
-    else if (user == table_user::coordinator)
-    {
-        coordinator_actions actions;
-        on_table_transaction_end(m_coordinator, end, now, actions);
-        run(actions);
-    }
-    else
-    {
-        config_actions actions;
-        on_table_transaction_end(m_config, end, now, actions);
-        run(actions);
-    }
+    hand_to(user,
+            [&](auto& part, auto& actions)
+            {
+                on_table_transaction_end(part, end, now, actions);
+            });
 }
 
 asio::awaitable<void> entry_node::run_read(table_read read, table_user user)
@@ -210,24 +220,11 @@
         end.m_row = std::move(value_of(outcome));
     }
     const time_point now = std::chrono::steady_clock::now();
-    if (user == table_user::ownership)
-    {
-        std::vector<ownership_action> actions;
-        on_table_read_end(m_ownership, end, now, actions);
-        run(actions);
-    }
-    else if (user == table_user::coordinator)
-    {
-        coordinator_actions actions;
-        on_table_read_end(m_coordinator, end, now, actions);
-        run(actions);
-    }
-    else
-    {
-        config_actions actions;
-        on_table_read_end(m_config, end, now, actions);
-        run(actions);
-    }
+    hand_to(user,
+            [&](auto& part, auto& actions)
+            {
+                on_table_read_end(part, end, now, actions);
+            });
 }
 
 asio::awaitable<void> entry_node::run_scan(table_scan scan)
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -121,6 +121,7 @@
     void begin_stop(std::function<void()> on_stopped);
     void check_stop();
     asio::awaitable<void> serve_readiness(http_exchange& exchange);
+    http_response answer_operator(const std::string& target) const;
     asio::awaitable<void> serve_directory(http_exchange& exchange);
 
     node_transport_callbacks callbacks();
@@ -489,12 +490,9 @@
         co_await exchange.respond(std::move(response));
         co_return;
     }
-    const host_facts facts{m_relay.active(), m_store.is_reader(), m_store.age_ms(),
-                           m_queues.queues()};
-    if (const auto status = describe(m_state, facts, exchange.request().m_target, now()))
+    if (exchange.request().m_target.starts_with("/admin/"))
     {
-        response.m_fields.emplace_back("Content-Type", "application/json");
-        response.m_body = boost::json::serialize(*status);
+        response = answer_operator(exchange.request().m_target);
         co_await exchange.respond(std::move(response));
         co_return;
     }
@@ -504,6 +502,22 @@
     co_await exchange.respond(std::move(response));
 }
 
+http_response edge_daemon::parts::answer_operator(const std::string& target) const
+{
+    const host_facts facts{m_relay.active(), m_store.is_reader(), m_store.age_ms(),
+                           m_queues.queues()};
+    const auto status = describe(m_state, facts, target, now());
+    if (!status)
+    {
+        return platform::failure(404,
+                                 "ask for status, hosts, upstreams, queues or limits");
+    }
+    http_response response;
+    response.m_fields.emplace_back("Content-Type", "application/json");
+    response.m_body = boost::json::serialize(*status);
+    return response;
+}
+
 asio::awaitable<void> edge_daemon::parts::serve_directory(http_exchange& exchange)
 {
     const auto question = platform::read_address_question(exchange.request());
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -31,7 +31,7 @@
 /// Age of the newest read of the store; null when it was never read.
 json::value age_of(std::uint32_t age_ms)
 {
-    return age_ms == UINT32_MAX ? json::value{} : json::value{age_ms};
+    return age_ms == UINT32_MAX ? json::value{} : json::value(age_ms);
 }
 
 json::object host_row(const host_report& report, bool live, std::int64_t heard_ms)
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -210,6 +210,12 @@
         current.m_exchange.drop();
         co_return;
     }
+    if (current.m_attempts.m_ran > 0)
+    {
+        // A refusal would say that nothing has run.
+        co_await fail(current);
+        co_return;
+    }
     current.m_answered = true;
     const milliseconds back = time_to_return(until_capacity, time_left(current));
     log_end(current, "refused", 503);
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -68,10 +68,11 @@
 TestSuite(soak, .timeout = 250);
 
 // Seed 47: a host that had just been restarted got SIGHUP before it had a handler, and
-// ended.
+// ended. Seed 10: a stream whose engine broke had its inputs made again; when that was
+// refused, the caller was told that nothing had run.
 Test(soak, seeds_that_have_failed_keep_their_promises)
 {
-    for (const std::uint64_t seed : {47})
+    for (const std::uint64_t seed : {10, 47})
     {
         expect_promises_kept(seed);
     }
--- a/tests/standins/edge_test.cpp
+++ b/tests/standins/edge_test.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/asio/connect.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/json.hpp>
 
 #include <thread>
 
@@ -124,6 +125,59 @@
     EXPECT_EQUAL(stage.m_released, 3);
 }
 
+// Seed 10 of the soak: a stream whose engine broke before its first event had its inputs
+// made again, these were refused, and the caller was told that nothing had run.
+Test(edge, a_request_that_has_run_is_not_refused_when_its_inputs_cannot_be_made_again)
+{
+    edge_world world{23920, 1};
+    for (const char* id : {"e1", "e2"})
+    {
+        worker_standin& engine = world.add_worker(id, "engine");
+        engine.m_mode = worker_mode::lose_answer;
+        engine.m_delay = 300ms;
+    }
+    worker_standin& stage = world.add_worker("s1", "stage");
+    world.set_config(all_routes, 1);
+    world.start();
+    const auto answer = world.start_request(0, streamed("/resume/1", "id1"), 4s);
+    world.run_for(200ms);
+    EXPECT_EQUAL(stage.m_released, 3);
+    stage.m_refuse_pieces = "error";
+    world.run_for(3500ms);
+    cr_assert(answer->has_value());
+    EXPECT_EQUAL(runs_of(world, "id1"), 1);
+    EXPECT_EQUAL((*answer)->m_status / 100, 5U);
+    cr_expect((*answer)->m_status != 503);
+}
+
+// What operators see of a running host.
+Test(edge, a_host_says_what_it_knows)
+{
+    edge_world world{23960, 2};
+    world.add_worker("w1", "plain");
+    world.add_worker("s1", "stage");
+    world.set_config(all_routes, 7);
+    world.start();
+    const auto ask = [&world](const std::string& subject)
+    {
+        const auto answer = world.ask_operator(0, "/admin/" + subject);
+        EXPECT_EQUAL(answer.m_status, 200U);
+        return boost::json::parse(answer.m_body).as_object();
+    };
+    const auto status = ask("status");
+    EXPECT_EQUAL(status.at("configuration_version").as_int64(), 7);
+    cr_expect(status.at("ready").as_bool());
+    EXPECT_EQUAL(status.at("live_hosts").as_int64(), 2);
+    cr_expect(status.at("store_age_ms").is_number());
+    EXPECT_EQUAL(ask("hosts").at("hosts").as_array().size(), 2U);
+    EXPECT_EQUAL(ask("upstreams").at("upstreams").as_array().size(), 2U);
+    const auto queues = ask("queues").at("queues").as_array();
+    cr_assert(queues.size() == 1);
+    EXPECT_EQUAL(queues[0].at("pool").as_string(), "stage");
+    EXPECT_EQUAL(ask("limits").at("hosts_that_share_bounds").as_int64(), 2);
+    EXPECT_EQUAL(world.ask_operator(0, "/admin/unknown").m_status, 404U);
+}
+
 // Results held the room of their makers for as long as the engine read the prompt.
 Test(edge, inputs_are_released_while_the_engine_reads_the_prompt)
 {
--- a/tests/standins/edge_world.cpp
+++ b/tests/standins/edge_world.cpp
@@ -134,31 +134,50 @@
 }
 
 std::shared_ptr<std::optional<http_response>>
-edge_world::start_request(int host, http_request request, milliseconds limit)
+edge_world::start_request_to(tcp::endpoint endpoint, http_request request,
+                             milliseconds limit)
 {
     auto answer = std::make_shared<std::optional<http_response>>();
     const auto send =
-        [](http_client& client, tcp::endpoint endpoint, http_request message,
+        [](http_client& client, tcp::endpoint place, http_request message,
            milliseconds timeout,
            std::shared_ptr<std::optional<http_response>> target) -> asio::awaitable<void>
     {
         http_call_options options;
         options.m_timeout = timeout;
         options.m_fresh_connection = true;
-        const auto result = co_await client.send(endpoint, std::move(message), options);
+        const auto result = co_await client.send(place, std::move(message), options);
         http_response none;
         none.m_status = 0;
         *target = is_ok(result) ? value_of(result) : none;
     };
-    asio::co_spawn(m_io,
-                   send(m_client, callers_of(host), std::move(request), limit, answer),
+    asio::co_spawn(m_io, send(m_client, endpoint, std::move(request), limit, answer),
                    asio::detached);
     return answer;
 }
 
+std::shared_ptr<std::optional<http_response>>
+edge_world::start_request(int host, http_request request, milliseconds limit)
+{
+    return start_request_to(callers_of(host), std::move(request), limit);
+}
+
 http_response edge_world::ask(int host, http_request request, milliseconds limit)
 {
-    const auto answer = start_request(host, std::move(request), limit);
+    return ask_at(callers_of(host), std::move(request), limit);
+}
+
+http_response edge_world::ask_operator(int host, const std::string& target)
+{
+    http_request request;
+    request.m_target = target;
+    return ask_at(readiness_of(host), std::move(request), milliseconds{1000});
+}
+
+http_response edge_world::ask_at(tcp::endpoint endpoint, http_request request,
+                                 milliseconds limit)
+{
+    const auto answer = start_request_to(endpoint, std::move(request), limit);
     const auto last = std::chrono::steady_clock::now() + limit + milliseconds{200};
     while (!*answer && std::chrono::steady_clock::now() < last)
     {
--- a/tests/standins/edge_world.hpp
+++ b/tests/standins/edge_world.hpp
@@ -45,6 +45,9 @@
     std::shared_ptr<std::optional<http_response>>
     start_request(int host, http_request request, milliseconds limit);
 
+    /// Asks the readiness address of a host.
+    http_response ask_operator(int host, const std::string& target);
+
     void begin_stop(int host, std::function<void()> done);
 
     boost::asio::ip::tcp::endpoint callers_of(int host) const;
@@ -61,6 +64,11 @@
     /// Hosts have the same ports and loopback addresses of their own, as on the platform.
     boost::asio::ip::tcp::endpoint endpoint_of(int host, int part) const;
     edge::edge_settings settings_of(int host) const;
+    std::shared_ptr<std::optional<http_response>>
+    start_request_to(boost::asio::ip::tcp::endpoint endpoint, http_request request,
+                     milliseconds limit);
+    http_response ask_at(boost::asio::ip::tcp::endpoint endpoint, http_request request,
+                         milliseconds limit);
 
     std::uint16_t m_base;
     std::unique_ptr<http_server> m_store_server;
