--- a/bench/log_bench_main.cpp
+++ b/bench/log_bench_main.cpp
@@ -48,7 +48,7 @@
 /// write included, to standard error. Usage: log_bench | cat > /dev/null
 int main()
 {
-    bounded_log log{STDOUT_FILENO, {UINT32_MAX, 64 * 1024}};
+    bounded_log log{STDOUT_FILENO, {UINT32_MAX, std::size_t{64} * 1024}};
     set_log_sink(
         [&log](std::string_view line)
         {
