--- a/tests/standins/store_watch_test.cpp
+++ b/tests/standins/store_watch_test.cpp
@@ -1,4 +1,9 @@
+#include <geraniumdoor/base/random.hpp>
+
 #include <boost/asio/io_context.hpp>
+#include <rapidcheck.h>
+
+#include <algorithm>
 
 #include <src/edge/store_watch.hpp>
 
@@ -104,6 +109,35 @@
     cr_expect(not world.worker()->m_entry.m_leaving);
 }
 
+// The same for any order of answers: what the newest row says is what the host knows.
+Test(store_watch, the_newest_row_counts_in_whatever_order_readers_answer)
+{
+    const bool holds = rc::check(
+        [](std::uint32_t seed)
+        {
+            random_source random{seed};
+            watch_world world;
+            std::uint64_t newest = 0;
+            std::string state;
+            for (int answer = 0; answer < 30; ++answer)
+            {
+                const std::uint64_t version = 1 + uniform_below(random, 50);
+                // A version stands for one row, whichever reader tells it.
+                const std::string told = version % 3 == 0   ? ""
+                                         : version % 3 == 1 ? "ready"
+                                                            : "draining";
+                world.take_worker("reader-" + std::to_string(answer % 3), version, told);
+                state = version > newest ? told : state;
+                newest = std::max(newest, version);
+                const serving::upstream* worker = world.worker();
+                RC_ASSERT((worker == nullptr) == state.empty());
+                const bool leaving = worker != nullptr && worker->m_entry.m_leaving;
+                RC_ASSERT(leaving == (state == "draining"));
+            }
+        });
+    cr_expect(holds);
+}
+
 // A configuration that a store gives back after it has lost a write must not replace the
 // one in force.
 Test(store_watch, a_lower_configuration_in_a_newer_row_is_not_taken_over)
