--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -314,4 +314,35 @@
     co_await exchange.respond(std::move(response));
 }
 
+http_request sample_get(const std::string& target, const std::string& id, int deadline_ms)
+{
+    http_request request;
+    request.m_target = target;
+    request.m_fields = {{"Host", "a.example"},
+                        {"Attempt-Id", id},
+                        {"Deadline-Ms", std::to_string(deadline_ms)},
+                        {"Credential", "key"}};
+    return request;
+}
+
+http_request sample_post(const std::string& target, const std::string& id,
+                         int deadline_ms)
+{
+    http_request request = sample_get(target, id, deadline_ms);
+    request.m_method = "POST";
+    request.m_body = "body";
+    return request;
+}
+
+http_request sample_stream(const std::string& target, const std::string& id,
+                           int deadline_ms)
+{
+    http_request request = sample_post(target, id, deadline_ms);
+    request.m_fields.emplace_back("Token-Usage", "100,20");
+    request.m_fields.emplace_back("Prompt-Prefix", "aa:80,bb:20");
+    request.m_fields.emplace_back("Pieces", "3");
+    request.m_fields.emplace_back("Piece-Key", "k");
+    return request;
+}
+
 } // namespace geraniumdoor
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -100,4 +100,14 @@
 extern const char* const sample_resume_route;
 std::string sample_routes();
 
+/// Requests of the workspace of sample_configuration.
+http_request sample_get(const std::string& target, const std::string& id,
+                        int deadline_ms);
+http_request sample_post(const std::string& target, const std::string& id,
+                         int deadline_ms);
+
+/// A request with a prompt and a stage of three pieces.
+http_request sample_stream(const std::string& target, const std::string& id,
+                           int deadline_ms);
+
 } // namespace geraniumdoor
--- a/tests/net/http_bytes_test.cpp
+++ b/tests/net/http_bytes_test.cpp
@@ -27,10 +27,10 @@
 
 const std::string sound_request =
     "POST /path HTTP/1.1\r\nHost: a\r\nContent-Length: 4\r\n"
-    "Attempt-Id: x\r\n\r\nbody";
+    "X-Id: x\r\n\r\nbody";
 
 const std::string sound_answer =
-    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nAttempt-Id: x\r\n\r\n"
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nX-Id: x\r\n\r\n"
     "5\r\nhello\r\n3;a=b\r\nabc\r\n0\r\n\r\n";
 
 /// Returns the text with a few bytes replaced, removed or repeated, or cut off.
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -16,6 +16,8 @@
 #include <fstream>
 #include <stdexcept>
 
+#include <standins/edge_standins.hpp>
+
 namespace geraniumdoor::soak
 {
 
@@ -100,25 +102,19 @@
 
 http_request request_of(request_kind kind, const std::string& id, milliseconds deadline)
 {
-    static constexpr std::array<const char*, request_kinds> paths{"/read/", "/pay/",
-                                                                  "/stream/", "/resume/"};
-    http_request request;
-    request.m_method = kind == request_kind::read ? "GET" : "POST";
-    request.m_target = paths[static_cast<std::size_t>(kind)] + id;
-    request.m_body = kind == request_kind::read ? "" : "body";
-    request.m_fields = {{"Host", "a.example"},
-                        {"Attempt-Id", id},
-                        {"Deadline-Ms", std::to_string(deadline.count())},
-                        {"Credential", "key"}};
-    if (is_stream(kind))
-    {
-        const http_fields prompt{{"Token-Usage", "100,20"},
-                                 {"Prompt-Prefix", "aa:80,bb:20"},
-                                 {"Pieces", "3"},
-                                 {"Piece-Key", id}};
-        request.m_fields.insert(request.m_fields.end(), prompt.begin(), prompt.end());
-    }
-    return request;
+    const int deadline_ms = static_cast<int>(deadline.count());
+    switch (kind)
+    {
+    case request_kind::read:
+        return sample_get("/read/" + id, id, deadline_ms);
+    case request_kind::pay:
+        return sample_post("/pay/" + id, id, deadline_ms);
+    case request_kind::stream:
+        return sample_stream("/stream/" + id, id, deadline_ms);
+    case request_kind::resume:
+        return sample_stream("/resume/" + id, id, deadline_ms);
+    }
+    throw std::invalid_argument{"unknown kind of request"};
 }
 
 struct host_process
--- a/tests/standins/edge_test.cpp
+++ b/tests/standins/edge_test.cpp
@@ -35,12 +35,7 @@
 
 http_request streamed(const std::string& target, const std::string& id)
 {
-    http_request request = sample_post(target, id, 3000);
-    request.m_fields.emplace_back("Token-Usage", "100,20");
-    request.m_fields.emplace_back("Prompt-Prefix", "aa:80,bb:20");
-    request.m_fields.emplace_back("Pieces", "3");
-    request.m_fields.emplace_back("Piece-Key", "k");
-    return request;
+    return sample_stream(target, id, 3000);
 }
 
 const std::string whole_stream =
--- a/tests/standins/edge_world.cpp
+++ b/tests/standins/edge_world.cpp
@@ -186,24 +186,4 @@
     return answer->value_or(http_response{0, {}, {}});
 }
 
-http_request sample_get(const std::string& target, const std::string& id, int deadline_ms)
-{
-    http_request request;
-    request.m_target = target;
-    request.m_fields = {{"Host", "a.example"},
-                        {"Attempt-Id", id},
-                        {"Deadline-Ms", std::to_string(deadline_ms)},
-                        {"Credential", "key"}};
-    return request;
-}
-
-http_request sample_post(const std::string& target, const std::string& id,
-                         int deadline_ms)
-{
-    http_request request = sample_get(target, id, deadline_ms);
-    request.m_method = "POST";
-    request.m_body = "body";
-    return request;
-}
-
 } // namespace geraniumdoor::test
--- a/tests/standins/edge_world.hpp
+++ b/tests/standins/edge_world.hpp
@@ -76,9 +76,4 @@
     std::uint64_t m_incarnation = 1;
 };
 
-http_request sample_get(const std::string& target, const std::string& id,
-                        int deadline_ms);
-http_request sample_post(const std::string& target, const std::string& id,
-                         int deadline_ms);
-
 } // namespace geraniumdoor::test
