Bound bytes that form no message, and start again sooner after a loss of power

Cause 1: Beast buffers the head of a chunk and a trailer as a whole, and our buffers had no limit; interim responses were read for as long as they came. The HTTP client took an interim response for the answer and kept the connection, on which the answer itself then arrived for the next caller.

Change 1: buffers of the server, the client and the upstream call are limited to one head and one read; interim responses count as one head together; the client skips them; one time limit for a part. Streams that may be resumed end an upstream that sends 256 KB without an event, and only events with an id count as progress against the route's gap.

Cause 2: after all hosts lose power, a host without data waited up to 700 ms while another one knew of more hosts. The first read of the store came 0.6 s after the start.

Cause 3: the incarnation is the time of day of the start. A host that was restarted after its clock was set back reported a lower one, and all others ignored it for as long as the clock had been set back. Change 3: a lower incarnation counts as older only while the known process is live. The new test fails on the code before.

--- a/include/geraniumdoor/serving/host_table.hpp
+++ b/include/geraniumdoor/serving/host_table.hpp
@@ -57,8 +57,9 @@
 /// of hosts.
 milliseconds liveness_timeout(const host_report& report);
 
-/// Stores a report unless it is older than the known one. Returns true when the host was
-/// unknown, down or restarted before this report.
+/// Stores a report unless it is older than the known one. A lower incarnation counts as
+/// older only while the known process is live. Returns true when the host was unknown, down
+/// or restarted before this report.
 bool apply_report(host_table& table, const host_report& report, time_point now);
 
 bool is_live(const peer_host& host, time_point now);
--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -63,9 +63,4 @@
 /// Whether another live host reads the store with success.
 bool is_store_read_elsewhere(const host_table& table, time_point now);
 
-/// Whether a live host knows of more live hosts than this one does. A host that has just
-/// started should learn of them before it takes a role.
-bool knows_fewer_hosts_than_others(const host_table& table, const host_report& own,
-                                   time_point now);
-
 } // namespace geraniumdoor::serving
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -43,6 +43,10 @@
 /// target by this margin.
 constexpr milliseconds event_gap_margin{150};
 
+/// Longest event of a stream that may be resumed. An upstream in trouble may send bytes
+/// without end that form no event.
+constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
+
 /// Retry-after time when no upstream has run a request.
 constexpr milliseconds declined_retry_after{100};
 
@@ -514,6 +518,7 @@
             may_resume ? std::nullopt : head.m_length);
     }
     current.m_partial_event.clear();
+    current.m_last_event_at = now();
     std::string part = std::move(body_so_far);
     while (true)
     {
@@ -535,10 +540,19 @@
         }
         const bool can_retry = may_resume && current.m_retry_state.m_possible_runs + 1 <
                                                  current.m_route->m_max_upstreams;
+        // Only events count as progress: a stalled upstream may send single bytes or
+        // comments.
+        const time_point next_event_due = current.m_last_event_at +
+                                          current.m_route->m_event_gap_target +
+                                          event_gap_margin;
         const milliseconds read_timeout =
-            can_retry ? std::min(time_left(current),
-                                 current.m_route->m_event_gap_target + event_gap_margin)
+            can_retry ? std::min(time_left(current), ms_between(now(), next_event_due))
                       : time_left(current);
+        if (read_timeout <= milliseconds{0} ||
+            current.m_partial_event.size() > max_event_bytes)
+        {
+            co_return attempt_outcome::broken_stream;
+        }
         auto next = co_await current.m_upstream_call->read_part(read_timeout);
         if (!is_ok(next))
         {
@@ -576,6 +590,7 @@
         const std::string_view event =
             std::string_view{current.m_partial_event}.substr(start, end + 2 - start);
         const std::string id = event_id(event);
+        current.m_last_event_at = id.empty() ? current.m_last_event_at : now();
         if (id.empty() || !is_repeated(id, current.m_last_event_id))
         {
             complete += event;
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -83,6 +83,8 @@
     /// incomplete event.
     std::string m_last_event_id;
     std::string m_partial_event;
+    /// When the last event with an id arrived, or the response began.
+    time_point m_last_event_at{};
     time_point m_first_byte_at{};
     /// Start of the most recent attempt.
     time_point m_last_sent_at{};
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -34,10 +34,6 @@
 /// it first learns of the other hosts from the addresses that it was given.
 constexpr milliseconds startup_discovery_time{60};
 
-/// Time after the start in which a host without data does not read the store while others
-/// know of more hosts than it does.
-constexpr milliseconds startup_peer_phase{700};
-
 /// Time after the start at which a host that received no data from the readers reads the
 /// store itself. Above the 1.4 s after which 65 hosts that start together have all data.
 constexpr milliseconds startup_peer_timeout{3000};
@@ -111,12 +107,6 @@
     {
         return false;
     }
-    if (has_no_data && since_start < startup_peer_phase &&
-        serving::knows_fewer_hosts_than_others(m_state.m_hosts, m_state.m_own_report,
-                                               now()))
-    {
-        return false;
-    }
     if (has_no_data && since_start > startup_peer_timeout &&
         serving::is_store_read_elsewhere(m_state.m_hosts, now()))
     {
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -38,7 +38,9 @@
 struct http_call::state : std::enable_shared_from_this<http_call::state>
 {
     state(asio::any_io_executor executor, http_limits limits)
-        : m_stream{std::move(executor)}, m_limits{limits}
+        : m_stream{std::move(executor)}
+        , m_limits{limits}
+        , m_buffer{limits.m_header_bytes + part_bytes}
     {
     }
 
@@ -48,6 +50,7 @@
 
     beast::tcp_stream m_stream;
     http_limits m_limits;
+    /// Limited, because Beast buffers the head of a chunk and the trailer as a whole.
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     http::request<http::string_body> m_request;
@@ -90,6 +93,8 @@
 
 asio::awaitable<beast::error_code> http_call::state::read_head()
 {
+    // Interim responses count towards the limit as one head.
+    std::size_t interim_bytes = 0;
     while (true)
     {
         m_parser.emplace();
@@ -104,6 +109,11 @@
         {
             co_return error;
         }
+        interim_bytes += size;
+        if (interim_bytes > m_limits.m_header_bytes)
+        {
+            co_return make_error_code(http::error::header_limit);
+        }
     }
 }
 
@@ -180,12 +190,13 @@
 asio::awaitable<result<std::string, http_error>> http_call::read_part(milliseconds limit)
 {
     const auto self = m_state;
+    // One limit for all reads: a peer may send bytes of the framing without end.
+    self->m_stream.expires_after(limit);
     while (!self->m_parser->is_done())
     {
         auto& body = self->m_parser->get().body();
         body.data = self->m_part.data();
         body.size = self->m_part.size();
-        self->m_stream.expires_after(limit);
         auto [error, size] = co_await http::async_read_some(
             self->m_stream, self->m_buffer, *self->m_parser, use_tuple);
         if (error == http::error::need_buffer)
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -7,6 +7,7 @@
 
 #include <deque>
 #include <map>
+#include <optional>
 #include <utility>
 
 namespace geraniumdoor
@@ -23,6 +24,9 @@
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 constexpr std::size_t idle_per_endpoint = 64;
 
+/// Bytes that one read returns at most.
+constexpr std::size_t read_bytes = std::size_t{64} * 1024;
+
 using stream_ptr = std::shared_ptr<beast::tcp_stream>;
 using response_parser = http::response_parser<http::string_body>;
 
@@ -120,29 +124,58 @@
     co_return beast::error_code{};
 }
 
+/// Reads the head of the final answer. Interim responses are skipped; they count towards
+/// the limit as one head.
+asio::awaitable<beast::error_code> read_final_head(beast::tcp_stream& stream,
+                                                   beast::flat_buffer& buffer,
+                                                   std::optional<response_parser>& parser,
+                                                   const http_limits& limits,
+                                                   std::uint64_t& received)
+{
+    std::size_t interim_bytes = 0;
+    while (interim_bytes <= limits.m_header_bytes)
+    {
+        parser.emplace();
+        parser->header_limit(static_cast<std::uint32_t>(limits.m_header_bytes));
+        parser->body_limit(limits.m_body_bytes);
+        const auto [error, size] =
+            co_await http::async_read_header(stream, buffer, *parser, use_tuple);
+        received += size;
+        const bool interim = !error && http::to_status_class(parser->get().result()) ==
+                                           http::status_class::informational;
+        if (!interim)
+        {
+            co_return error;
+        }
+        interim_bytes += size;
+    }
+    co_return make_error_code(http::error::header_limit);
+}
+
 /// Reads the whole answer and adds its size. Lines are passed on only when the status is
 /// 200.
 asio::awaitable<beast::error_code> read_answer(beast::tcp_stream& stream,
-                                               response_parser& parser,
+                                               std::optional<response_parser>& parser,
+                                               const http_limits& limits,
                                                const http_call_options& options,
                                                std::uint64_t& received)
 {
-    beast::flat_buffer buffer;
-    const auto [header_error, header_size] =
-        co_await http::async_read_header(stream, buffer, parser, use_tuple);
-    received += header_size;
+    // Limited, because Beast buffers the head of a chunk and the trailer as a whole.
+    beast::flat_buffer buffer{limits.m_header_bytes + read_bytes};
+    const beast::error_code header_error =
+        co_await read_final_head(stream, buffer, parser, limits, received);
     if (header_error)
     {
         co_return header_error;
     }
-    if (options.m_on_line && parser.get().result() == http::status::ok)
+    if (options.m_on_line && parser->get().result() == http::status::ok)
     {
         const beast::error_code lines_error =
-            co_await read_lines(stream, buffer, parser, options, received);
+            co_await read_lines(stream, buffer, *parser, options, received);
         co_return lines_error;
     }
     const auto [error, size] =
-        co_await http::async_read(stream, buffer, parser, use_tuple);
+        co_await http::async_read(stream, buffer, *parser, use_tuple);
     received += size;
     co_return error;
 }
@@ -181,8 +214,8 @@
     void keep_idle(const tcp::endpoint& endpoint, stream_ptr stream);
     asio::awaitable<std::pair<beast::error_code, bool>>
     exchange(beast::tcp_stream& stream, bool connected, const tcp::endpoint& endpoint,
-             const http::request<http::string_body>& message, response_parser& parser,
-             const http_call_options& options);
+             const http::request<http::string_body>& message,
+             std::optional<response_parser>& parser, const http_call_options& options);
 
     asio::any_io_executor m_executor;
     http_limits m_limits;
@@ -217,11 +250,10 @@
 }
 
 /// Returns the error and whether any byte of the request may have left.
-asio::awaitable<std::pair<beast::error_code, bool>>
-http_client::state::exchange(beast::tcp_stream& stream, bool connected,
-                             const tcp::endpoint& endpoint,
-                             const http::request<http::string_body>& message,
-                             response_parser& parser, const http_call_options& options)
+asio::awaitable<std::pair<beast::error_code, bool>> http_client::state::exchange(
+    beast::tcp_stream& stream, bool connected, const tcp::endpoint& endpoint,
+    const http::request<http::string_body>& message,
+    std::optional<response_parser>& parser, const http_call_options& options)
 {
     if (!connected)
     {
@@ -241,7 +273,7 @@
         co_return std::pair{write_error, true};
     }
     const beast::error_code error =
-        co_await read_answer(stream, parser, options, m_bytes_received);
+        co_await read_answer(stream, parser, m_limits, options, m_bytes_received);
     co_return std::pair{error, true};
 }
 
@@ -279,9 +311,7 @@
     }
     stream->expires_after(options.m_timeout);
     const auto message = to_message(endpoint, std::move(request));
-    response_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(self->m_limits.m_header_bytes));
-    parser.body_limit(self->m_limits.m_body_bytes);
+    std::optional<response_parser> parser;
     const auto [error, sent] =
         co_await self->exchange(*stream, connected, endpoint, message, parser, options);
     if (options.m_control)
@@ -293,8 +323,8 @@
         stream->close();
         co_return make_error(error, sent, options);
     }
-    const bool keep_alive = parser.get().keep_alive();
-    http_response response = to_response(parser.release());
+    const bool keep_alive = parser->get().keep_alive();
+    http_response response = to_response(parser->release());
     const bool trusted = !options.m_may_reuse || options.m_may_reuse(response);
     if (keep_alive && trusted)
     {
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -10,6 +10,7 @@
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
+#include <algorithm>
 #include <exception>
 #include <optional>
 #include <unordered_set>
@@ -87,6 +88,9 @@
     return by_peer ? 0 : 400;
 }
 
+/// Bytes that one read returns at most.
+constexpr std::size_t read_bytes = std::size_t{64} * 1024;
+
 constexpr milliseconds refusal_timeout{1000};
 /// Refused connections that are told why at the same time; more are closed at once.
 constexpr std::size_t max_refusals = 64;
@@ -281,6 +285,9 @@
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(m_limits.m_header_bytes));
     parser.body_limit(m_limits.m_body_bytes);
+    // Beast buffers the head of a chunk and the trailer as a whole.
+    peer.m_buffer.max_size(
+        std::max(m_limits.m_header_bytes + read_bytes, peer.m_buffer.size()));
     const beast::error_code error = co_await read_request(peer, parser);
     if (error)
     {
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -41,16 +41,19 @@
 {
     const auto [position, inserted] = table.m_hosts.try_emplace(report.m_node);
     peer_host& host = position->second;
-    const bool is_stale =
-        !inserted && (report.m_incarnation < host.m_report.m_incarnation ||
-                      (report.m_incarnation == host.m_report.m_incarnation &&
-                       report.m_sequence <= host.m_report.m_sequence));
-    if (is_stale)
+    const bool is_known_live = !inserted && is_live(host, now);
+    const bool is_repeated = !inserted &&
+                             report.m_incarnation == host.m_report.m_incarnation &&
+                             report.m_sequence <= host.m_report.m_sequence;
+    // A host whose time of day was set back restarts with a lower incarnation.
+    const bool is_of_earlier_process =
+        is_known_live && report.m_incarnation < host.m_report.m_incarnation;
+    if (is_repeated || is_of_earlier_process)
     {
         return false;
     }
-    const bool was_live = !inserted && is_live(host, now) &&
-                          report.m_incarnation == host.m_report.m_incarnation;
+    const bool was_live =
+        is_known_live && report.m_incarnation == host.m_report.m_incarnation;
     if (inserted || host.m_report.m_processor != report.m_processor)
     {
         host.m_reader_weight = role_weight(store_reader_role, report);
--- a/src/serving/store_readers.cpp
+++ b/src/serving/store_readers.cpp
@@ -102,15 +102,4 @@
                        });
 }
 
-bool knows_fewer_hosts_than_others(const host_table& table, const host_report& own,
-                                   time_point now)
-{
-    return std::any_of(table.m_hosts.begin(), table.m_hosts.end(),
-                       [&](const auto& entry)
-                       {
-                           return entry.second.m_report.m_live_hosts > own.m_live_hosts &&
-                                  is_live(entry.second, now);
-                       });
-}
-
 } // namespace geraniumdoor::serving
--- a/tests/serving/host_table_test.cpp
+++ b/tests/serving/host_table_test.cpp
@@ -167,6 +167,24 @@
     cr_expect(not is_live(table.m_hosts.at(node_id{"a2"}), now + 900ms));
 }
 
+// Guards against a host that nobody hears for as long as its time of day was set back:
+// its incarnation is the time of its start.
+Test(host_table, a_host_that_restarts_after_its_clock_was_set_back_is_heard_again)
+{
+    host_table table;
+    host_report before = report_of("a1");
+    before.m_incarnation.m_value = 5'000'000;
+    before.m_sequence = 70;
+    apply_report(table, before, now);
+    host_report after = report_of("a1");
+    after.m_incarnation.m_value = 2'600'000;
+    cr_expect(not apply_report(table, after, now + 500ms),
+              "a report of an earlier process may arrive late");
+    cr_expect(apply_report(table, after, now + 900ms));
+    cr_expect(table.m_hosts.at(node_id{"a1"}).m_report.m_incarnation ==
+              after.m_incarnation);
+}
+
 Test(host_table, most_queues_are_run_by_large_hosts)
 {
     host_table table;
