Test streams that stall, never end an event or are slow within their gaps

The stand-in of an upstream gets three ways to stream: comments only after two events, an event without end, and events 400 ms apart.

--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -50,6 +50,20 @@
     co_await timer.async_wait(asio::use_awaitable);
 }
 
+/// Sends bytes that form no event, until the peer closes or for five seconds.
+asio::awaitable<void> send_no_events(http_exchange& exchange, worker_mode mode)
+{
+    const std::string part =
+        mode == worker_mode::stall ? ": still here\n\n" : std::string(16384, 'a');
+    constexpr int parts = 50;
+    bool open = true;
+    for (int at = 0; open && at < parts; ++at)
+    {
+        open = co_await exchange.write_part(part);
+        co_await pause(milliseconds{100});
+    }
+}
+
 http_fields proof_of(const worker_standin& worker, const http_request& request)
 {
     return {{"Attempt-Id", std::string{find_field(request.m_fields, "Attempt-Id")}},
@@ -281,7 +295,11 @@
     const bool streams = request.m_target.starts_with("/stream") ||
                          request.m_target.starts_with("/resume");
     const std::string after{find_field(request.m_fields, "Last-Event-Id")};
-    if (streams && (mode == worker_mode::normal || mode == worker_mode::tear))
+    const bool is_stream_mode = mode == worker_mode::normal ||
+                                mode == worker_mode::tear || mode == worker_mode::stall ||
+                                mode == worker_mode::endless_event ||
+                                mode == worker_mode::slow_stream;
+    if (streams && is_stream_mode)
     {
         const int first = after.empty() ? 1 : std::stoi(after) + 1;
         co_await exchange.begin_answer(200, response.m_fields, std::nullopt);
@@ -297,8 +315,16 @@
                 exchange.drop();
                 co_return;
             }
+            const bool stops =
+                mode == worker_mode::stall || mode == worker_mode::endless_event;
+            if (stops && event == 3)
+            {
+                co_await send_no_events(exchange, mode);
+                exchange.drop();
+                co_return;
+            }
             co_await exchange.write_part(text);
-            co_await pause(milliseconds{10});
+            co_await pause(milliseconds{mode == worker_mode::slow_stream ? 400 : 10});
         }
         co_await exchange.end_stream();
         co_return;
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -43,6 +43,12 @@
     fail,
     /// Begins an answer with chunks and closes in the middle.
     tear,
+    /// A stream stalls after two events and sends comments only.
+    stall,
+    /// A stream goes on after two events with an event that does not end.
+    endless_event,
+    /// The events of a stream are 400 ms apart.
+    slow_stream,
     /// Answers with the id of another request.
     foreign,
     /// Runs, and never answers.
--- a/tests/standins/edge_test.cpp
+++ b/tests/standins/edge_test.cpp
@@ -38,6 +38,18 @@
     return sample_stream(target, id, 3000);
 }
 
+/// Returns the events of a stream without its comments, which may be forwarded.
+std::string without_comments(std::string stream)
+{
+    const std::string comment = ": still here\n\n";
+    for (auto at = stream.find(comment); at != std::string::npos;
+         at = stream.find(comment))
+    {
+        stream.erase(at, comment.size());
+    }
+    return stream;
+}
+
 const std::string complete_stream =
     "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n";
 
@@ -252,6 +264,66 @@
     EXPECT_EQUAL(count_runs(cluster, "id1"), 2);
 }
 
+// Guards against upstreams in trouble whose bytes keep a stream open: a stalled one that
+// sends comments, and one whose event does not end.
+Test(edge, a_stalled_stream_is_resumed_although_bytes_arrive)
+{
+    edge_cluster cluster{24000, 1};
+    worker_standin& first = cluster.add_worker("e1", "engine");
+    worker_standin& second = cluster.add_worker("e2", "engine");
+    cluster.add_worker("s1", "stage");
+    cluster.set_config(all_routes, 1);
+    cluster.start();
+    for (const auto mode : {worker_mode::stall, worker_mode::endless_event})
+    {
+        first.m_seen.clear();
+        second.m_seen.clear();
+        first.m_script = {mode};
+        second.m_script = {mode};
+        const std::string id = "id" + std::to_string(static_cast<int>(mode));
+        const auto answer =
+            cluster.start_request(0, make_stream_request("/resume/1", id), 3s);
+        for (int at = 0; at < 100 && first.m_seen.empty() && second.m_seen.empty(); ++at)
+        {
+            cluster.run_for(10ms);
+        }
+        (first.m_seen.empty() ? first : second).m_script.clear();
+        cluster.run_for(1500ms);
+        cr_assert(answer->has_value());
+        EXPECT_EQUAL(without_comments((*answer)->m_body), complete_stream);
+        EXPECT_EQUAL(count_runs(cluster, id), 2);
+    }
+}
+
+Test(edge, a_stalled_stream_that_may_not_be_resumed_ends_at_the_callers_deadline)
+{
+    edge_cluster cluster{24040, 1};
+    cluster.add_worker("e1", "engine").m_mode = worker_mode::stall;
+    cluster.add_worker("s1", "stage");
+    cluster.set_config(all_routes, 1);
+    cluster.start();
+    const auto began = std::chrono::steady_clock::now();
+    const auto answer =
+        cluster.send_request(0, sample_stream("/stream/1", "id1", 1500), 4s);
+    EXPECT_EQUAL(answer.m_status, 0U);
+    cr_expect(std::chrono::steady_clock::now() - began < 3s);
+    EXPECT_EQUAL(count_runs(cluster, "id1"), 1);
+}
+
+Test(edge, a_slow_stream_within_its_gaps_runs_once_to_its_end)
+{
+    edge_cluster cluster{22960, 1};
+    cluster.add_worker("e1", "engine").m_mode = worker_mode::slow_stream;
+    cluster.add_worker("e2", "engine").m_mode = worker_mode::slow_stream;
+    cluster.add_worker("s1", "stage");
+    cluster.set_config(all_routes, 1);
+    cluster.start();
+    const auto answer =
+        cluster.send_request(0, make_stream_request("/resume/1", "id1"), 4s);
+    EXPECT_EQUAL(answer.m_body, complete_stream);
+    EXPECT_EQUAL(count_runs(cluster, "id1"), 1);
+}
+
 Test(edge, a_broken_stream_that_may_not_be_resumed_never_looks_complete)
 {
     edge_cluster cluster{23240, 1};
