Answer requests that arrive at a planned stop, and report when ready

Cause 1: at a planned stop the listener was closed with connections in its backlog, and idle connections were cancelled although a request had arrived that was not read yet. Both ended as a reset or an end without an answer. Change: pending connections are accepted before the listener closes, and a connection with unread bytes is served. The new test fails on the code before on both connections.

Cause 2: after a loss of power of all hosts, a host with data tells others only at its next report, up to 0.8 s later. Change: a host reports at once when it becomes ready.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -521,13 +521,16 @@
         m_callers.set_limits(caller_http_limits(m_state.m_routing->m_limits,
                                                 m_state.m_settings.m_max_open_files));
     }
+    const bool was_ready = m_state.m_own_report.m_ready;
     m_state.m_own_report.m_ready = m_state.m_routing && m_state.m_registry_loaded &&
                                    !m_state.m_own_report.m_stopping;
     update_remote_loads();
     m_scheduler.refresh();
-    if (m_store.is_reader())
+    const bool became_ready = m_state.m_own_report.m_ready && !was_ready;
+    if (m_store.is_reader() || became_ready)
     {
-        // The report tells other hosts that there is a change to pull.
+        // The report tells other hosts that there is a change to pull. After a loss of
+        // power, hosts without data pull from any host that is ready.
         send_reports();
     }
 }
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -161,6 +161,8 @@
     }
 
     asio::awaitable<void> accept_loop();
+    void add_connection(tcp::socket socket);
+    void accept_pending();
     void refuse(tcp::socket socket);
     asio::awaitable<void> serve(std::shared_ptr<connection> peer);
     asio::awaitable<bool> serve_one(connection& peer);
@@ -188,21 +190,42 @@
     while (m_acceptor.is_open())
     {
         auto [error, socket] = co_await m_acceptor.async_accept(use_tuple);
-        if (error)
+        if (!error)
         {
-            continue;
+            add_connection(std::move(socket));
         }
-        if (m_connections.size() >= m_limits.m_connections)
+    }
+}
+
+void http_server::state::add_connection(tcp::socket socket)
+{
+    if (m_connections.size() >= m_limits.m_connections)
+    {
+        log_event{"connection_refused"}.add("reason", "too_many_connections");
+        refuse(std::move(socket));
+        return;
+    }
+    beast::error_code ignored;
+    socket.set_option(tcp::no_delay{true}, ignored);
+    auto peer = std::make_shared<connection>(std::move(socket));
+    m_connections.insert(peer);
+    asio::co_spawn(m_executor, serve(std::move(peer)), asio::detached);
+}
+
+/// Accepts the connections that the kernel has completed. Closing the listener would
+/// reset them, with the requests that they may carry.
+void http_server::state::accept_pending()
+{
+    beast::error_code error;
+    m_acceptor.non_blocking(true, error);
+    while (!error)
+    {
+        tcp::socket socket{m_executor};
+        m_acceptor.accept(socket, error);
+        if (!error)
         {
-            log_event{"connection_refused"}.add("reason", "too_many_connections");
-            refuse(std::move(socket));
-            continue;
+            add_connection(std::move(socket));
         }
-        beast::error_code ignored;
-        socket.set_option(tcp::no_delay{true}, ignored);
-        auto peer = std::make_shared<connection>(std::move(socket));
-        m_connections.insert(peer);
-        asio::co_spawn(m_executor, serve(std::move(peer)), asio::detached);
     }
 }
 
@@ -377,7 +400,11 @@
 {
     for (const auto& peer : m_state->m_connections)
     {
-        if (peer->m_idle && peer->m_buffer.size() == 0)
+        // A request that has arrived and was not read yet is served.
+        beast::error_code ignored;
+        const bool has_bytes =
+            peer->m_buffer.size() > 0 || peer->m_stream.socket().available(ignored) > 0;
+        if (peer->m_idle && !has_bytes)
         {
             peer->m_stream.cancel();
         }
@@ -386,13 +413,15 @@
 
 void http_server::stop_accepting()
 {
+    m_state->accept_pending();
     beast::error_code ignored;
     m_state->m_acceptor.close(ignored);
 }
 
 void http_server::close()
 {
-    stop_accepting();
+    beast::error_code ignored;
+    m_state->m_acceptor.close(ignored);
     m_state->m_closed = true;
     for (const auto& peer : m_state->m_connections)
     {
--- a/tests/net/http_limits_test.cpp
+++ b/tests/net/http_limits_test.cpp
@@ -4,6 +4,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/read.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
@@ -188,3 +189,40 @@
     cr_expect(is_ok(server.call("/line", options)));
     EXPECT_EQUAL(lines, std::vector<std::string>{"/line"});
 }
+
+// Guards against a planned stop that cuts off requests which have arrived and were not
+// read yet: on a connection that the kernel has accepted, and on one that was kept.
+Test(http_limits, a_request_that_arrives_at_a_planned_stop_is_answered)
+{
+    fixture server{24105};
+    const std::string request = "GET /late HTTP/1.1\r\nHost: a\r\n\r\n";
+    tcp::socket kept{server.m_io};
+    kept.connect(loopback(24105));
+    server.m_io.run_for(20ms);
+    EXPECT_EQUAL(server.m_server.connection_count(), 1U);
+    asio::write(kept, asio::buffer(request));
+    tcp::socket pending{server.m_io};
+    pending.connect(loopback(24105));
+    asio::write(pending, asio::buffer(request));
+    tcp::socket silent{server.m_io};
+    silent.connect(loopback(24105));
+
+    server.m_server.begin_drain();
+    server.m_server.stop_accepting();
+    server.m_server.close_idle();
+    server.m_io.restart();
+    server.m_io.run_for(100ms);
+    for (tcp::socket* socket : {&kept, &pending})
+    {
+        std::string answer;
+        boost::system::error_code error;
+        asio::read(*socket, asio::dynamic_buffer(answer), error);
+        cr_expect(error == asio::error::eof, "%s", error.message().c_str());
+        cr_expect(answer.starts_with("HTTP/1.1 200"), "%s", answer.c_str());
+        cr_expect(answer.ends_with("/late"));
+    }
+    tcp::socket refused{server.m_io};
+    boost::system::error_code error;
+    refused.connect(loopback(24105), error);
+    cr_expect(error.failed(), "the listener is closed");
+}
