Probe a silent queue host before its work is started elsewhere

Cause: jobs at a queue host were sent to another host as soon as its reports had not arrived for four intervals. Reports are datagrams: they are lost when a link is full and late when a host has no processor time, while the host and its calls go on. The pieces then ran twice.

Change: any message of a host counts as a sign of life, and a silent host is sent a probe over its connection. Its jobs move when the probe is not answered within 400 ms or the connection is lost, which is known at once.

Two of the three new tests fail with the rule before; the one for a lost connection holds on both. Ruled out: waiting for the connection alone, because a stopped process keeps its connection open.

--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -551,13 +551,25 @@
     }
 };
 
+/// Asks a host whose reports have not arrived for a sign of life, or is its answer.
+struct host_probe
+{
+    bool m_is_answer = false;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_is_answer);
+    }
+};
+
 using node_message =
     std::variant<hello, stage_call, stage_chunk, stage_result, stage_cancel,
                  attempt_query, attempt_status, ownership_announce, lease_extend,
                  lease_grant, lease_transfer, lease_transfer_ack, transfer_outstanding,
                  config_pull, config_push, pieces_request, pieces_result, pieces_cancel,
                  results_release, state_pull, state_push, pieces_announce,
-                 pieces_forecast>;
+                 pieces_forecast, host_probe>;
 
 } // namespace geraniumdoor
 
--- a/include/geraniumdoor/serving/host_table.hpp
+++ b/include/geraniumdoor/serving/host_table.hpp
@@ -58,10 +58,15 @@
 milliseconds liveness_timeout(const host_report& report);
 
 /// Stores a report unless it is older than the known one. A lower incarnation counts as
-/// older only while the known process is live. Returns true when the host was unknown, down
-/// or restarted before this report.
+/// older only while the known process is live. Returns true when the host was unknown,
+/// down or restarted before this report.
 bool apply_report(host_table& table, const host_report& report, time_point now);
 
+/// Counts a message of a host as a sign of life. Its reports are datagrams, which are
+/// lost when its link is full, while messages on its connections still arrive.
+void record_message(host_table& table, const node_id& from, incarnation from_incarnation,
+                    time_point now);
+
 bool is_live(const peer_host& host, time_point now);
 
 /// Number of hosts among which a shared rate limit is divided: this host and all hosts
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -476,7 +476,15 @@
 void edge_daemon::parts::on_message(const node_id& peer, incarnation peer_incarnation,
                                     node_message message)
 {
-    if (const auto* request = std::get_if<pieces_request>(&message))
+    serving::record_message(m_state.m_hosts, peer, peer_incarnation, now());
+    if (const auto* probe = std::get_if<host_probe>(&message))
+    {
+        if (!probe->m_is_answer)
+        {
+            m_transport.send(peer, host_probe{true});
+        }
+    }
+    else if (const auto* request = std::get_if<pieces_request>(&message))
     {
         m_scheduler.on_request(peer, peer_incarnation, *request);
     }
--- a/src/edge/stage_client.cpp
+++ b/src/edge/stage_client.cpp
@@ -17,6 +17,10 @@
 /// host itself sends a result at the deadline.
 constexpr milliseconds result_grace_period{150};
 
+/// Time that a silent queue host has to answer a probe, before its jobs are sent to
+/// another one. A connection that is lost meanwhile ends the wait.
+constexpr milliseconds probe_timeout{400};
+
 /// Retry time in the refusal of a job without a result.
 constexpr std::uint32_t retry_after_no_answer_ms = 200;
 
@@ -168,9 +172,30 @@
             !serving::is_live(known->second, now()));
 }
 
+bool stage_client::is_unresponsive(const node_id& host)
+{
+    if (!is_down(host))
+    {
+        return false;
+    }
+    const auto [probe, inserted] = m_probes.try_emplace(host, now());
+    if (inserted)
+    {
+        log_event{"host_probed"}.add("host", host);
+        m_send(host, host_probe{false});
+    }
+    return now() - probe->second >= probe_timeout;
+}
+
 void stage_client::check_jobs()
 {
     const time_point at = now();
+    // A host that was lost is probed anew when it has been live in between.
+    std::erase_if(m_probes,
+                  [this](const auto& entry)
+                  {
+                      return !is_down(entry.first);
+                  });
     std::vector<std::uint64_t> expired;
     for (auto& [id, job] : m_jobs)
     {
@@ -183,7 +208,7 @@
             expired.push_back(id);
             continue;
         }
-        const bool silent = is_down(job.m_host);
+        const bool silent = job.m_sent && is_unresponsive(job.m_host);
         if (!job.m_sent || silent)
         {
             log_event{"stage_sent_again"}
--- a/src/edge/stage_client.hpp
+++ b/src/edge/stage_client.hpp
@@ -78,6 +78,8 @@
     };
 
     void send_job(open_job& job);
+    /// Whether a silent host has not answered a probe in time. Sends the probe first.
+    bool is_unresponsive(const node_id& host);
     void finish(std::uint64_t job, pieces_result result, const node_id& host);
     bool is_down(const node_id& host) const;
     void check_jobs();
@@ -85,6 +87,8 @@
     edge_state& m_state;
     message_sender m_send;
     std::map<std::uint64_t, open_job> m_jobs;
+    /// Silent hosts, and when each was probed.
+    std::map<node_id, time_point> m_probes;
     std::uint64_t m_last_job = 0;
 };
 
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -63,6 +63,17 @@
     return !was_live;
 }
 
+void record_message(host_table& table, const node_id& from, incarnation from_incarnation,
+                    time_point now)
+{
+    const auto known = table.m_hosts.find(from);
+    if (known != table.m_hosts.end() &&
+        known->second.m_report.m_incarnation == from_incarnation)
+    {
+        known->second.m_last_heard = now;
+    }
+}
+
 bool is_live(const peer_host& host, time_point now)
 {
     return now - host.m_last_heard <= liveness_timeout(host.m_report);
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -151,7 +151,8 @@
             pieces_cancel{3, pool_id{"stage"}},
             results_release{pool_id{"stage"}, {"10.0.0.1:1/a"}},
             state_pull{},
-            push};
+            push,
+            host_probe{true}};
 }
 
 Test(codec, messages_of_edge_hosts_arrive_as_they_were_sent_and_never_in_part)
--- a/tests/standins/stage_client_test.cpp
+++ b/tests/standins/stage_client_test.cpp
@@ -1,5 +1,8 @@
 #include <boost/asio/io_context.hpp>
 
+#include <algorithm>
+#include <thread>
+
 #include <src/edge/stage_client.hpp>
 
 // clang-format off: this header stays last.
@@ -114,3 +117,78 @@
                                {7, pieces_outcome::done, {"10.0.0.1:1/a"}, 0});
     EXPECT_EQUAL(queue_host.m_value, "other");
 }
+
+namespace
+{
+
+/// Submits a job that runs on the host "other", and lets the host fall silent.
+struct silent_host : client_fixture
+{
+    silent_host()
+    {
+        m_client.start();
+        pieces_request request;
+        request.m_pool = pool_of("other");
+        request.m_pieces = 1;
+        request.m_deadline_ms = 10000;
+        m_client.submit(7, request, [](const pieces_result&, const node_id&) {});
+        // The reports of the host state an interval of 200 ms.
+        m_state.m_hosts.m_hosts.at(node_id{"other"}).m_last_heard = now() - 2s;
+    }
+
+    /// Runs the checks of the client for a time.
+    void run_for(milliseconds length)
+    {
+        const time_point end = now() + length;
+        while (now() < end)
+        {
+            std::this_thread::sleep_for(10ms);
+            m_timers.advance_to(now());
+        }
+    }
+
+    template<class Message>
+    std::size_t count_sent(const std::string& host) const
+    {
+        return static_cast<std::size_t>(
+            std::count_if(m_sent.begin(), m_sent.end(),
+                          [&host](const auto& sent)
+                          {
+                              return sent.first.m_value == host &&
+                                     std::holds_alternative<Message>(sent.second);
+                          }));
+    }
+};
+
+} // namespace
+
+// Guards against work that is started a second time because its host was only silent: its
+// reports were lost, or it had no processor time for them.
+Test(stage_client, work_of_a_silent_host_stays_there_when_the_host_answers_a_probe)
+{
+    silent_host fixture;
+    fixture.run_for(150ms);
+    EXPECT_EQUAL(fixture.count_sent<host_probe>("other"), 1U);
+    serving::record_message(fixture.m_state.m_hosts, node_id{"other"}, incarnation{1},
+                            now());
+    fixture.run_for(600ms);
+    EXPECT_EQUAL(fixture.count_sent<pieces_request>("other"), 1U);
+    EXPECT_EQUAL(fixture.count_sent<pieces_request>("own"), 0U);
+}
+
+Test(stage_client, work_of_a_silent_host_is_sent_elsewhere_without_an_answer)
+{
+    silent_host fixture;
+    fixture.run_for(300ms);
+    EXPECT_EQUAL(fixture.count_sent<pieces_request>("own"), 0U);
+    fixture.run_for(300ms);
+    EXPECT_EQUAL(fixture.count_sent<pieces_request>("own"), 1U);
+}
+
+Test(stage_client, work_of_a_host_whose_connection_is_lost_is_sent_elsewhere_at_once)
+{
+    silent_host fixture;
+    fixture.m_client.on_connection_lost(node_id{"other"});
+    fixture.run_for(100ms);
+    EXPECT_EQUAL(fixture.count_sent<pieces_request>("own"), 1U);
+}
