Send the registry compressed, and decline pulls while the link is full

Every host then pulls the whole registry, some hundred KB that were not compressed, from the first host that has it, asked the next one after 500 ms while that answer was still underway, and so multiplied the load. The size and the time-out are facts of the code.

Change: a whole registry travels as one compressed text, which is kept for 2 s for the hosts that ask next, with the rows that have changed since beside it. A pull waits 3 s, or until the connection is lost. A host with 1 MB waiting to be sent declines pulls of whole tables, and the puller asks another one.

--- a/include/geraniumdoor/cluster/codec.hpp
+++ b/include/geraniumdoor/cluster/codec.hpp
@@ -57,4 +57,12 @@
 
 result<datagram, codec_error> decode_datagram(std::string_view bytes);
 
+/// Returns rows as one compressed text.
+std::string pack_rows(const std::vector<stored_row>& rows);
+
+/// Returns the rows that pack_rows has compressed.
+/// @param max_bytes upper bound of the decompressed size
+result<std::vector<stored_row>, codec_error> unpack_rows(std::string_view packed,
+                                                         std::size_t max_bytes);
+
 } // namespace geraniumdoor
--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -526,17 +526,22 @@
     /// Version of the store as of which the host holds the table; zero for not at all.
     std::uint64_t m_version = 0;
     std::vector<stored_row> m_rows;
+    /// Compressed rows that are older than m_rows, as pack_rows returns them; empty for
+    /// none.
+    std::string m_packed_rows;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_version, m_rows);
+        archive(m_version, m_rows, m_packed_rows);
     }
 };
 
 /// Answer to state_pull.
 struct state_push
 {
+    /// The sender has too many answers underway; this one has no rows and counts as none.
+    bool m_busy = false;
     /// Changes that the sender has applied, these included.
     std::uint64_t m_changes = 0;
     table_changes m_intent;
@@ -547,7 +552,7 @@
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_changes, m_intent, m_registry, m_hosts);
+        archive(m_busy, m_changes, m_intent, m_registry, m_hosts);
     }
 };
 
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -1,5 +1,6 @@
 #include "bounded_archive.hpp"
 
+#include <geraniumdoor/base/packed_text.hpp>
 #include <geraniumdoor/cluster/codec.hpp>
 
 #include <exception>
@@ -286,4 +287,42 @@
     return decode_body<datagram>(bytes);
 }
 
+std::string pack_rows(const std::vector<stored_row>& rows)
+{
+    std::string bytes;
+    {
+        appending_buffer buffer{bytes};
+        std::ostream stream{&buffer};
+        using archive_type = cereal::PortableBinaryOutputArchive;
+        archive_type archive{stream, archive_type::Options::LittleEndian()};
+        archive(rows);
+    }
+    return pack_text(bytes);
+}
+
+result<std::vector<stored_row>, codec_error> unpack_rows(std::string_view packed,
+                                                         std::size_t max_bytes)
+{
+    const auto bytes = unpack_text(packed, max_bytes);
+    if (!bytes)
+    {
+        return error_with(codec_fault::malformed, "rows cannot be decompressed");
+    }
+    try
+    {
+        std::vector<stored_row> rows;
+        bounded_input_archive archive{*bytes};
+        archive(rows);
+        if (!archive.at_end())
+        {
+            return error_with(codec_fault::trailing_bytes, "bytes follow the rows");
+        }
+        return rows;
+    }
+    catch (const cereal::Exception& failure)
+    {
+        return error_with(codec_fault::malformed, failure.what());
+    }
+}
+
 } // namespace geraniumdoor
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -232,10 +232,12 @@
     calls.m_on_lost = [this](const node_id& peer, incarnation)
     {
         m_stages.on_connection_lost(peer);
+        m_store.on_peer_lost(peer);
     };
     calls.m_on_not_sent = [this](const node_id& peer, const node_message& message)
     {
         m_stages.on_not_sent(peer, message);
+        m_store.on_peer_lost(peer);
     };
     calls.m_on_datagram = [this](const datagram& message, const node_address&)
     {
@@ -510,7 +512,7 @@
     }
     else if (const auto* pull = std::get_if<state_pull>(&message))
     {
-        m_transport.send(peer, m_store.push_for(*pull));
+        m_transport.send(peer, m_store.push_for(*pull, m_transport.queued_bytes()));
     }
     else if (const auto* push = std::get_if<state_push>(&message))
     {
--- a/src/edge/store_exchange.cpp
+++ b/src/edge/store_exchange.cpp
@@ -2,8 +2,10 @@
 
 #include <geraniumdoor/base/log.hpp>
 #include <geraniumdoor/base/packed_text.hpp>
+#include <geraniumdoor/cluster/codec.hpp>
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 // Exchange of rows between hosts.
@@ -14,9 +16,26 @@
 namespace
 {
 
-/// Time that a pull may take before another host is asked. A complete table of
-/// 200 KB takes 160 ms on a 10 Mbit/s link.
-constexpr milliseconds pull_timeout{500};
+/// Time that a pull may take before another host is asked. A host that cannot be reached
+/// is noticed sooner, by its connection. A second pull while the answer to the first is
+/// still underway would double the load of the links, at the moment at which all hosts
+/// pull.
+constexpr milliseconds pull_timeout{3000};
+
+/// Time after which a host that was busy is asked again.
+constexpr milliseconds busy_delay{300};
+
+/// Bytes that wait to be sent to other hosts above which a host declines pulls of whole
+/// tables; 400 ms on a 20 Mbit/s link. The pullers find other hosts that have the tables
+/// by then.
+constexpr std::size_t max_push_backlog = std::size_t{1024} * 1024;
+
+/// Age up to which the compressed registry is sent again. Rows that have changed since
+/// are sent beside it.
+constexpr milliseconds max_packed_age{2000};
+
+/// Number of rows from which the whole registry is sent compressed.
+constexpr std::size_t min_packed_rows = 32;
 
 /// Values of at least this size are sent compressed. A configuration of 1,500 routes has
 /// about 400 KB, which takes 320 ms on a 10 Mbit/s link.
@@ -73,19 +92,57 @@
         row.m_value = *std::move(value);
         row.m_packed = false;
     }
+    if (changes.m_packed_rows.empty())
+    {
+        return true;
+    }
+    auto older = unpack_rows(changes.m_packed_rows, max_value_bytes);
+    if (!is_ok(older))
+    {
+        return false;
+    }
+    auto rows = value_of(std::move(older));
+    std::move(changes.m_rows.begin(), changes.m_rows.end(), std::back_inserter(rows));
+    changes.m_rows = std::move(rows);
+    changes.m_packed_rows.clear();
     return true;
 }
 
 } // namespace
 
-state_push store_watch::push_for(const state_pull& pull)
+table_changes store_watch::whole_registry()
+{
+    if (m_registry.m_rows.size() < min_packed_rows)
+    {
+        return changes_of(m_registry, 0, 0);
+    }
+    if (m_packed_registry.empty() || now() - m_registry_packed_at > max_packed_age)
+    {
+        m_packed_registry = pack_rows(changes_of(m_registry, 0, 0).m_rows);
+        m_registry_packed_at = now();
+        m_packed_changes = m_changes;
+    }
+    table_changes changes = changes_of(m_registry, m_packed_changes, 0);
+    changes.m_packed_rows = m_packed_registry;
+    return changes;
+}
+
+state_push store_watch::push_for(const state_pull& pull, std::size_t backlog_bytes)
 {
     state_push push;
+    const bool wants_all = pull.m_after == 0 && pull.m_registry_version == 0;
+    if (wants_all && backlog_bytes > max_push_backlog)
+    {
+        push.m_busy = true;
+        return push;
+    }
     push.m_changes = m_changes;
     // The rows of this table are not restored after an outage, so that store versions
     // suffice to tell what is new. That avoids sending the large configuration again.
     push.m_intent = changes_of(m_operator_table, 0, pull.m_intent_version);
-    push.m_registry = changes_of(m_registry, pull.m_after, pull.m_registry_version);
+    push.m_registry = wants_all
+                          ? whole_registry()
+                          : changes_of(m_registry, pull.m_after, pull.m_registry_version);
     if (!pull.m_wants_hosts)
     {
         return push;
@@ -116,20 +173,36 @@
         report.m_changes > progress.m_changes && (reads_store || has_no_data);
     // One pull at a time: all readers return the same tables, which are large for a slow
     // link.
-    if ((!has_new_changes && !wants_hosts) || now() < m_pull_deadline)
+    if ((!has_new_changes && !wants_hosts) || now() < m_pull_deadline ||
+        now() < progress.m_busy_until)
     {
         return std::nullopt;
     }
     m_pull_deadline = now() + pull_timeout;
+    m_pulled_host = report.m_node;
     // apply_push records the answer as complete up to the host's change number, so every
     // pull has to request all missing rows, even if only the list of hosts is wanted.
     return state_pull{progress.m_changes, m_operator_table.m_version,
                       m_registry.m_version, wants_hosts || has_no_data};
 }
 
+void store_watch::on_peer_lost(const node_id& host)
+{
+    if (host == m_pulled_host)
+    {
+        m_pull_deadline = now();
+    }
+}
+
 void store_watch::apply_push(const node_id& from, incarnation from_incarnation,
                              state_push push)
 {
+    on_peer_lost(from);
+    if (push.m_busy)
+    {
+        m_peer_progress[from].m_busy_until = now() + busy_delay;
+        return;
+    }
     const bool decompressed =
         decompress_values(push.m_intent) && decompress_values(push.m_registry);
     if (!decompressed)
@@ -139,7 +212,6 @@
     }
     peer_progress& progress = m_peer_progress[from];
     progress.m_incarnation = from_incarnation;
-    m_pull_deadline = now();
     progress.m_changes = std::max(progress.m_changes, push.m_changes);
     const std::uint64_t changes_before = m_changes;
     apply_changes(m_operator_table, push.m_intent);
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -73,8 +73,9 @@
     void start();
     void stop();
 
-    /// Returns the rows that answer another host's pull.
-    state_push push_for(const state_pull& pull);
+    /// Returns the rows that answer another host's pull, or that this host is busy.
+    /// @param backlog_bytes bytes that wait to be sent to other hosts
+    state_push push_for(const state_pull& pull, std::size_t backlog_bytes);
 
     /// Applies the rows of another host that are newer than the local ones.
     void apply_push(const node_id& from, incarnation from_incarnation, state_push push);
@@ -84,6 +85,10 @@
     /// @param wants_hosts pull even without new changes, to get the list of live hosts
     std::optional<state_pull> next_pull(const host_report& report, bool wants_hosts);
 
+    /// Ends the wait for the answer of a host whose connection was lost, or that a pull
+    /// did not reach.
+    void on_peer_lost(const node_id& host);
+
     /// Whether this host is one of those that read the store at the moment.
     bool is_reader() const;
 
@@ -113,6 +118,9 @@
     bool apply_operator_row(const std::string& key, const std::string* value);
     bool apply_upstream(const std::string& key, const std::string* value);
     void remove_row(cached_table& table, const std::string& key, std::uint64_t version);
+    /// Returns all rows of the registry; a large one is compressed, and kept for the
+    /// hosts that ask next.
+    table_changes whole_registry();
     void remove_missing(cached_table& table, const platform::row_page& page);
     void publish(std::uint64_t changes_before);
     void apply_pending_removals();
@@ -136,10 +144,18 @@
     {
         incarnation m_incarnation;
         std::uint64_t m_changes = 0;
+        /// The host declined a pull and is not asked before this time.
+        time_point m_busy_until{};
     };
     std::map<node_id, peer_progress> m_peer_progress;
-    /// When the pull in progress times out.
+    /// When the pull in progress times out, and the host that was asked.
     time_point m_pull_deadline{};
+    node_id m_pulled_host;
+    /// The registry as compressed for the last pull of all rows, when it was compressed,
+    /// and the number of changes that it includes.
+    std::string m_packed_registry;
+    time_point m_registry_packed_at{};
+    std::uint64_t m_packed_changes = 0;
     time_point m_started{};
     bool m_stopped = false;
 };
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -1,5 +1,6 @@
 #include "testing.hpp"
 
+#include <geraniumdoor/base/packed_text.hpp>
 #include <geraniumdoor/base/random.hpp>
 #include <geraniumdoor/cluster/codec.hpp>
 
@@ -215,6 +216,7 @@
                 const std::string head{version, static_cast<char>(type)};
                 (void)decode_frame_body(head + random);
             }
+            (void)unpack_rows(pack_text(random), 65536);
             for (std::size_t type = 0; type < std::variant_size_v<datagram>; ++type)
             {
                 const std::string head{version, static_cast<char>(type)};
--- a/tests/standins/store_watch_test.cpp
+++ b/tests/standins/store_watch_test.cpp
@@ -212,7 +212,7 @@
     large.insert(1, R"("comment":")" + std::string(50'000, 'x') + R"(",)");
     read.m_intent.m_rows.push_back({"config", large, 10, false, false});
     reader.m_watch.apply_push(node_id{"store"}, incarnation{1}, read);
-    state_push sent = reader.m_watch.push_for({});
+    state_push sent = reader.m_watch.push_for({}, 0);
     cr_assert(sent.m_intent.m_rows.size() == 1);
     cr_expect(sent.m_intent.m_rows[0].m_value.size() < 5'000);
     watch_fixture puller;
@@ -235,10 +235,84 @@
     watch_fixture fixture;
     fixture.push_worker("reader-1", 10, "ready");
     fixture.push_config("reader-1", 1, 10);
-    const state_push all = fixture.m_watch.push_for({0, 0, 0, false});
+    const state_push all = fixture.m_watch.push_for({0, 0, 0, false}, 0);
     EXPECT_EQUAL(all.m_intent.m_rows.size(), 1U);
     EXPECT_EQUAL(all.m_registry.m_rows.size(), 1U);
-    const state_push none = fixture.m_watch.push_for({all.m_changes, 10, 10, false});
+    const state_push none = fixture.m_watch.push_for({all.m_changes, 10, 10, false}, 0);
     cr_expect(none.m_intent.m_rows.empty());
     cr_expect(none.m_registry.m_rows.empty());
 }
+
+// Guards against a start of a large fleet in which every host pulls whole tables from the
+// first one that has them, times out and pulls again elsewhere: at 300 hosts and 3,000
+// upstreams no host served within 30 s after all had been killed.
+Test(store_watch, a_large_registry_is_compressed_once_and_arrives_with_later_changes)
+{
+    watch_fixture reader;
+    state_push read;
+    read.m_changes = 1;
+    read.m_registry.m_version = 10;
+    for (int at = 0; at < 3000; ++at)
+    {
+        read.m_registry.m_rows.push_back(
+            {"w" + std::to_string(at), registry_row("ready"), 10, false, false});
+    }
+    reader.m_watch.apply_push(node_id{"store"}, incarnation{1}, std::move(read));
+    const state_push first = reader.m_watch.push_for({}, 0);
+    cr_expect(first.m_registry.m_rows.empty());
+    cr_expect(first.m_registry.m_packed_rows.size() < 60'000);
+
+    reader.m_changes = 10'000;
+    reader.push_worker("store", 12, "draining");
+    const state_push second = reader.m_watch.push_for({}, 0);
+    EXPECT_EQUAL(second.m_registry.m_rows.size(), 1U);
+    EXPECT_EQUAL(second.m_registry.m_packed_rows, first.m_registry.m_packed_rows);
+    watch_fixture puller;
+    puller.m_watch.apply_push(node_id{"reader"}, incarnation{1}, second);
+    EXPECT_EQUAL(puller.m_state.m_upstreams.m_rows.size(), 3000U);
+    cr_expect(puller.worker()->m_entry.m_leaving);
+
+    // Damaged rows are discarded, and the host pulls again.
+    watch_fixture other;
+    state_push damaged = second;
+    damaged.m_registry.m_packed_rows.resize(100);
+    other.m_watch.apply_push(node_id{"reader"}, incarnation{1}, damaged);
+    EXPECT_EQUAL(other.m_state.m_upstreams.m_rows.size(), 0U);
+}
+
+Test(store_watch, a_host_with_a_full_link_declines_pulls_of_whole_tables)
+{
+    constexpr std::size_t full_link_bytes = std::size_t{8} * 1024 * 1024;
+    watch_fixture reader;
+    reader.push_worker("store", 10, "ready");
+    cr_expect(reader.m_watch.push_for({}, full_link_bytes).m_busy);
+    cr_expect(not reader.m_watch.push_for({1, 0, 9, false}, full_link_bytes).m_busy,
+              "changes are small");
+
+    // The puller does not take it for an answer, and asks another host at once.
+    watch_fixture puller;
+    cr_assert(puller.m_watch.next_pull(puller.report_of("reader", 5), false).has_value());
+    state_push busy;
+    busy.m_busy = true;
+    puller.m_watch.apply_push(node_id{"reader"}, incarnation{1}, busy);
+    cr_expect(
+        not puller.m_watch.next_pull(puller.report_of("reader", 5), false).has_value());
+    const auto next = puller.m_watch.next_pull(puller.report_of("other", 5), false);
+    cr_assert(next.has_value());
+    EXPECT_EQUAL(next->m_after, 0U);
+}
+
+Test(store_watch, a_lost_connection_ends_the_wait_for_an_answer)
+{
+    watch_fixture fixture;
+    cr_assert(
+        fixture.m_watch.next_pull(fixture.report_of("first", 5), false).has_value());
+    cr_expect(
+        not fixture.m_watch.next_pull(fixture.report_of("second", 5), false).has_value());
+    fixture.m_watch.on_peer_lost(node_id{"third"});
+    cr_expect(
+        not fixture.m_watch.next_pull(fixture.report_of("second", 5), false).has_value());
+    fixture.m_watch.on_peer_lost(node_id{"first"});
+    cr_expect(
+        fixture.m_watch.next_pull(fixture.report_of("second", 5), false).has_value());
+}
