Ask another reader after half a second again, unless whole tables are pulled

A host with data whose reader is paused would then get a new configuration later than the 2 s that the small sites allow. Change: 3 s for a host without data alone.

--- a/src/edge/store_exchange.cpp
+++ b/src/edge/store_exchange.cpp
@@ -16,11 +16,14 @@
 namespace
 {
 
-/// Time that a pull may take before another host is asked. A host that cannot be reached
-/// is noticed sooner, by its connection. A second pull while the answer to the first is
-/// still underway would double the load of the links, at the moment at which all hosts
-/// pull.
-constexpr milliseconds pull_timeout{3000};
+/// Time that a pull of changes may take before another host is asked. A reader may be
+/// paused, and a new configuration must not wait for it.
+constexpr milliseconds pull_timeout{500};
+
+/// The same for a pull of whole tables. A host that cannot be reached is noticed sooner,
+/// by its connection. A second pull while the answer to the first is still underway would
+/// double the load of the links, at the moment at which all hosts pull.
+constexpr milliseconds whole_pull_timeout{3000};
 
 /// Time after which a host that was busy is asked again.
 constexpr milliseconds busy_delay{300};
@@ -178,7 +181,7 @@
     {
         return std::nullopt;
     }
-    m_pull_deadline = now() + pull_timeout;
+    m_pull_deadline = now() + (has_no_data ? whole_pull_timeout : pull_timeout);
     m_pulled_host = report.m_node;
     // apply_push records the answer as complete up to the host's change number, so every
     // pull has to request all missing rows, even if only the list of hosts is wanted.
--- a/tests/standins/store_watch_test.cpp
+++ b/tests/standins/store_watch_test.cpp
@@ -4,6 +4,7 @@
 #include <rapidcheck.h>
 
 #include <algorithm>
+#include <thread>
 
 #include <src/edge/store_watch.hpp>
 
@@ -316,3 +317,22 @@
     cr_expect(
         fixture.m_watch.next_pull(fixture.report_of("second", 5), false).has_value());
 }
+
+// Guards against a new configuration that waits for a paused reader, and against a host
+// without data that pulls whole tables twice at the moment at which all hosts pull.
+Test(store_watch, another_reader_is_asked_soon_by_a_host_that_has_data)
+{
+    watch_fixture fresh;
+    watch_fixture fixture;
+    fixture.push_worker("reader-1", 10, "ready");
+    fixture.push_config("reader-1", 1, 10);
+    for (watch_fixture* host : {&fresh, &fixture})
+    {
+        cr_assert(host->m_watch.next_pull(host->report_of("reader-1", 50), false));
+    }
+    std::this_thread::sleep_for(700ms);
+    cr_expect(
+        fixture.m_watch.next_pull(fixture.report_of("reader-2", 50), false).has_value());
+    cr_expect(
+        not fresh.m_watch.next_pull(fresh.report_of("reader-2", 50), false).has_value());
+}
