--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -13,7 +13,7 @@
 inline constexpr std::size_t store_reader_count = 3;
 
 /// A host counts as failing after at least this many failed reads in a row that took this
-/// long together. A single lost response does not move the role.
+/// long together. A single lost response does not make it fail.
 inline constexpr int min_failed_reads = 2;
 inline constexpr milliseconds store_failure_time{1000};
 
