Log how the stream of an upstream ended

The logs could not tell whether a body that was delivered as complete had chunks, a length or neither, nor whether it ended in the middle of an event, so that hypotheses 1 and 2 of the postmortem looked alike. http_call reports the framing of a body, serving/event_stream.hpp follows the events of a stream whatever ends their lines, and the relay writes stream_ended for each stream that broke, ended inside an event or ends with its connection, and counts streams_ended_total. What callers get is unchanged.

--- a/include/geraniumdoor/net/http_call.hpp
+++ b/include/geraniumdoor/net/http_call.hpp
@@ -7,6 +7,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
 
+#include <cstdint>
 #include <memory>
 #include <optional>
 #include <string>
@@ -14,11 +15,23 @@
 namespace geraniumdoor
 {
 
+/// What marks the end of a body.
+enum class body_framing : std::uint8_t
+{
+    length,
+    chunks,
+    /// The end of the connection, which a peer that crashes causes as well.
+    connection_end,
+};
+
+const char* to_text(body_framing framing);
+
 /// Status and fields of an answer whose body is read in parts.
 struct http_answer_head
 {
     unsigned m_status = 0;
     http_fields m_fields;
+    body_framing m_framing = body_framing::length;
     /// Length of the body as announced; empty for a chunked body or one that ends with
     /// its connection.
     std::optional<std::uint64_t> m_length;
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -456,6 +456,7 @@
     if (streams)
     {
         const auto outcome = co_await relay_stream(current, head, {});
+        record_stream_end(current, head.m_framing, outcome);
         co_return outcome;
     }
     const auto outcome = co_await relay_buffered(current, std::move(head));
@@ -518,6 +519,8 @@
             may_resume ? std::nullopt : head.m_length);
     }
     current.m_partial_event.clear();
+    current.m_event_position = {};
+    current.m_events = 0;
     current.m_last_event_at = now();
     std::string part = std::move(body_so_far);
     while (true)
@@ -531,6 +534,7 @@
                 // elsewhere, they are prepared again.
                 release_results(current, true);
             }
+            count_events(current, part);
             const bool forwarded = co_await forward_part(current, std::move(part));
             if (!forwarded)
             {
@@ -572,6 +576,36 @@
     co_return attempt_outcome::answered;
 }
 
+void request_relay::count_events(request& current, std::string_view part) const
+{
+    while (const auto end = find_event_end(current.m_event_position, part))
+    {
+        ++current.m_events;
+        part.remove_prefix(*end);
+    }
+}
+
+void request_relay::record_stream_end(const request& current, body_framing framing,
+                                      attempt_outcome outcome)
+{
+    const bool inside_event = is_inside_event(current.m_event_position);
+    m_state.m_metrics.add("streams_ended", {{"framing", to_text(framing)},
+                                            {"end", to_text(outcome)},
+                                            {"inside_event", inside_event ? "1" : "0"}});
+    if (framing != body_framing::connection_end && outcome == attempt_outcome::answered &&
+        !inside_event)
+    {
+        return;
+    }
+    log_event{"stream_ended"}
+        .add("request", current.m_metadata.m_request)
+        .add("upstream", current.m_upstream)
+        .add("framing", to_text(framing))
+        .add("events", current.m_events)
+        .add("inside_event", inside_event)
+        .add("end", to_text(outcome));
+}
+
 asio::awaitable<bool> request_relay::forward_part(request& current, std::string part)
 {
     if (current.m_route->m_retry_safety != retry_safety::stream_resumable)
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -8,6 +8,7 @@
 #include <geraniumdoor/net/http_server.hpp>
 #include <geraniumdoor/serving/attempt_rules.hpp>
 #include <geraniumdoor/serving/engine_choice.hpp>
+#include <geraniumdoor/serving/event_stream.hpp>
 #include <geraniumdoor/serving/path_estimate.hpp>
 
 #include <boost/asio/awaitable.hpp>
@@ -83,6 +84,9 @@
     /// incomplete event.
     std::string m_last_event_id;
     std::string m_partial_event;
+    /// Position in the stream of the latest attempt, and the events it has brought.
+    serving::event_position m_event_position;
+    std::uint32_t m_events = 0;
     /// When the last event with an id arrived, or the response began.
     time_point m_last_event_at{};
     time_point m_first_byte_at{};
@@ -192,6 +196,10 @@
     /// @param body_so_far first bytes of the body, if any were read already
     boost::asio::awaitable<serving::attempt_outcome>
     relay_stream(request& current, const http_answer_head& head, std::string body_so_far);
+    void count_events(request& current, std::string_view part) const;
+    /// Logs and counts how the stream of an attempt ended.
+    void record_stream_end(const request& current, body_framing framing,
+                           serving::attempt_outcome outcome);
     /// Forwards part of a stream. Returns false if the caller cannot be written to.
     boost::asio::awaitable<bool> forward_part(request& current, std::string part);
     milliseconds time_left(const request& current) const;
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -33,8 +33,31 @@
            error != http::error::end_of_stream && error != http::error::partial_message;
 }
 
+body_framing framing_of(const http::response_parser<http::buffer_body>& parser)
+{
+    if (parser.chunked())
+    {
+        return body_framing::chunks;
+    }
+    return parser.need_eof() ? body_framing::connection_end : body_framing::length;
+}
+
 } // namespace
 
+const char* to_text(body_framing framing)
+{
+    switch (framing)
+    {
+    case body_framing::length:
+        return "length";
+    case body_framing::chunks:
+        return "chunks";
+    case body_framing::connection_end:
+        return "connection_end";
+    }
+    return "unknown";
+}
+
 struct http_call::state : std::enable_shared_from_this<http_call::state>
 {
     state(asio::any_io_executor executor, http_limits limits)
@@ -176,6 +199,7 @@
     http_answer_head head;
     const auto& message = self->m_parser->get();
     head.m_status = message.result_int();
+    head.m_framing = framing_of(*self->m_parser);
     for (const auto& field : message)
     {
         head.m_fields.emplace_back(field.name_string(), field.value());
