Show by a test that a truncated unframed stream is delivered as complete

The stand-in workers can answer with neither length nor chunks and crash inside the third event or after the head; http_exchange gets begin_unframed_answer for it, whose drop resets the connection.

--- a/include/geraniumdoor/net/http_server.hpp
+++ b/include/geraniumdoor/net/http_server.hpp
@@ -41,6 +41,10 @@
     begin_answer(unsigned status, http_fields fields,
                  std::optional<std::uint64_t> length) = 0;
 
+    /// Starts a response with neither length nor chunks, which ends with its connection.
+    virtual boost::asio::awaitable<void> begin_unframed_answer(unsigned status,
+                                                               http_fields fields) = 0;
+
     /// Sends one chunk. Returns false when the peer has gone.
     virtual boost::asio::awaitable<bool> write_part(std::string part) = 0;
 
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -46,6 +46,16 @@
     return error.failed() || size == 0;
 }
 
+http::response<http::empty_body> make_head(unsigned status, const http_fields& fields)
+{
+    http::response<http::empty_body> message{http::int_to_status(status), 11};
+    for (const auto& [name, value] : fields)
+    {
+        message.insert(name, value);
+    }
+    return message;
+}
+
 void watch_peer(tcp::socket& socket, const std::shared_ptr<peer_watch>& watch)
 {
     auto on_readable = [&socket, watch](beast::error_code error)
@@ -119,16 +129,8 @@
 asio::awaitable<void> beast_exchange::begin_answer(unsigned status, http_fields fields,
                                                    std::optional<std::uint64_t> length)
 {
-    mark_answered();
-    m_streaming = true;
     m_left = length;
-    http::response<http::empty_body> message;
-    message.version(11);
-    message.result(status);
-    for (const auto& [name, value] : fields)
-    {
-        message.insert(name, value);
-    }
+    auto message = make_head(status, fields);
     if (length)
     {
         message.content_length(*length);
@@ -138,6 +140,23 @@
         message.chunked(true);
     }
     message.keep_alive(m_keep_alive);
+    co_await write_head(std::move(message));
+}
+
+asio::awaitable<void> beast_exchange::begin_unframed_answer(unsigned status,
+                                                            http_fields fields)
+{
+    m_unframed = true;
+    m_keep_alive = false;
+    auto message = make_head(status, fields);
+    message.keep_alive(false);
+    co_await write_head(std::move(message));
+}
+
+asio::awaitable<void> beast_exchange::write_head(http::response<http::empty_body> message)
+{
+    mark_answered();
+    m_streaming = true;
     http::response_serializer<http::empty_body> serializer{message};
     m_stream.expires_after(m_limits.m_receive_timeout);
     const auto [error, size] =
@@ -157,9 +176,10 @@
         require_invariant(part.size() <= *m_left, "answer_within_its_length",
                           m_request.m_target);
         *m_left -= part.size();
-        const auto [error, size] =
-            co_await asio::async_write(m_stream, asio::buffer(part), use_tuple);
-        note_written(error);
+    }
+    if (m_left || m_unframed)
+    {
+        co_await write_bytes(std::move(part));
         co_return !m_broken;
     }
     const auto chunk = http::make_chunk(asio::buffer(part));
@@ -168,13 +188,20 @@
     co_return !m_broken;
 }
 
+asio::awaitable<void> beast_exchange::write_bytes(std::string bytes)
+{
+    const auto [error, size] =
+        co_await asio::async_write(m_stream, asio::buffer(bytes), use_tuple);
+    note_written(error);
+}
+
 asio::awaitable<void> beast_exchange::end_stream()
 {
     if (m_left && *m_left > 0)
     {
         drop();
     }
-    if (!m_broken && !m_left)
+    if (!m_broken && !m_left && !m_unframed)
     {
         m_stream.expires_after(m_limits.m_receive_timeout);
         const auto last = http::make_chunk_last();
@@ -190,6 +217,11 @@
     m_answered = true;
     m_broken = true;
     beast::error_code ignored;
+    if (m_unframed)
+    {
+        // An orderly close would be the end of the answer.
+        m_stream.socket().set_option(asio::socket_base::linger{true, 0}, ignored);
+    }
     m_stream.socket().close(ignored);
 }
 
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -3,6 +3,7 @@
 #include <geraniumdoor/net/http_server.hpp>
 
 #include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
 
 namespace geraniumdoor
 {
@@ -27,6 +28,8 @@
     boost::asio::awaitable<void>
     begin_answer(unsigned status, http_fields fields,
                  std::optional<std::uint64_t> length) override;
+    boost::asio::awaitable<void> begin_unframed_answer(unsigned status,
+                                                       http_fields fields) override;
     boost::asio::awaitable<bool> write_part(std::string part) override;
     boost::asio::awaitable<void> end_stream() override;
     void drop() override;
@@ -44,6 +47,9 @@
     }
 
 private:
+    boost::asio::awaitable<void>
+    write_head(boost::beast::http::response<boost::beast::http::empty_body> message);
+    boost::asio::awaitable<void> write_bytes(std::string bytes);
     void mark_answered();
     void note_written(boost::beast::error_code error);
     void end_watch();
@@ -56,6 +62,8 @@
     bool m_streaming = false;
     /// Bytes that are left of an answer with a length.
     std::optional<std::uint64_t> m_left;
+    /// The answer ends with its connection.
+    bool m_unframed = false;
     bool m_broken = false;
     std::shared_ptr<peer_watch> m_watch;
 };
--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -64,6 +64,20 @@
     }
 }
 
+bool is_unframed(worker_mode mode)
+{
+    return mode == worker_mode::unframed || mode == worker_mode::unframed_cut ||
+           mode == worker_mode::unframed_empty;
+}
+
+/// Whether a stream gets events in this mode; otherwise it gets one body.
+bool sends_events(worker_mode mode)
+{
+    return mode == worker_mode::normal || mode == worker_mode::tear ||
+           mode == worker_mode::stall || mode == worker_mode::endless_event ||
+           mode == worker_mode::slow_stream || is_unframed(mode);
+}
+
 http_fields proof_of(const worker_standin& worker, const http_request& request)
 {
     return {{"Attempt-Id", std::string{find_field(request.m_fields, "Attempt-Id")}},
@@ -294,42 +308,19 @@
     }
     const bool streams = request.m_target.starts_with("/stream") ||
                          request.m_target.starts_with("/resume");
-    const std::string after{find_field(request.m_fields, "Last-Event-Id")};
-    const bool is_stream_mode = mode == worker_mode::normal ||
-                                mode == worker_mode::tear || mode == worker_mode::stall ||
-                                mode == worker_mode::endless_event ||
-                                mode == worker_mode::slow_stream;
-    if (streams && is_stream_mode)
+    if (streams && sends_events(mode))
     {
-        const int first = after.empty() ? 1 : std::stoi(after) + 1;
-        co_await exchange.begin_answer(200, response.m_fields, std::nullopt);
-        for (int event = first; event <= 4; ++event)
-        {
-            const std::string text = "id: " + std::to_string(event) +
-                                     "\ndata: " + std::to_string(event) + "\n\n";
-            if (mode == worker_mode::tear && event == 3)
-            {
-                // Stops in the middle of an event.
-                co_await exchange.write_part(text.substr(0, 5));
-                co_await pause(milliseconds{20});
-                exchange.drop();
-                co_return;
-            }
-            const bool stops =
-                mode == worker_mode::stall || mode == worker_mode::endless_event;
-            if (stops && event == 3)
-            {
-                co_await send_no_events(exchange, mode);
-                exchange.drop();
-                co_return;
-            }
-            co_await exchange.write_part(text);
-            co_await pause(milliseconds{mode == worker_mode::slow_stream ? 400 : 10});
-        }
-        co_await exchange.end_stream();
+        co_await run_stream(exchange, std::move(response.m_fields), mode);
         co_return;
     }
     response.m_body = m_id + ':' + request.m_target + ':' + request.m_body;
+    if (is_unframed(mode))
+    {
+        co_await exchange.begin_unframed_answer(200, response.m_fields);
+        co_await exchange.write_part(std::move(response.m_body));
+        co_await exchange.end_stream();
+        co_return;
+    }
     if (mode == worker_mode::tear)
     {
         co_await exchange.begin_answer(200, response.m_fields, response.m_body.size());
@@ -340,6 +331,50 @@
     co_await exchange.respond(std::move(response));
 }
 
+asio::awaitable<void> worker_standin::run_stream(http_exchange& exchange,
+                                                 http_fields fields, worker_mode mode)
+{
+    const std::string after{find_field(exchange.request().m_fields, "Last-Event-Id")};
+    const int first = after.empty() ? 1 : std::stoi(after) + 1;
+    if (is_unframed(mode))
+    {
+        co_await exchange.begin_unframed_answer(200, std::move(fields));
+    }
+    else
+    {
+        co_await exchange.begin_answer(200, std::move(fields), std::nullopt);
+    }
+    for (int event = first; event <= 4 && mode != worker_mode::unframed_empty; ++event)
+    {
+        const std::string text =
+            "id: " + std::to_string(event) + "\ndata: " + std::to_string(event) + "\n\n";
+        if (mode == worker_mode::unframed_cut && event == 3)
+        {
+            co_await exchange.write_part(text.substr(0, 5));
+            break;
+        }
+        if (mode == worker_mode::tear && event == 3)
+        {
+            // Stops in the middle of an event.
+            co_await exchange.write_part(text.substr(0, 5));
+            co_await pause(milliseconds{20});
+            exchange.drop();
+            co_return;
+        }
+        const bool stops =
+            mode == worker_mode::stall || mode == worker_mode::endless_event;
+        if (stops && event == 3)
+        {
+            co_await send_no_events(exchange, mode);
+            exchange.drop();
+            co_return;
+        }
+        co_await exchange.write_part(text);
+        co_await pause(milliseconds{mode == worker_mode::slow_stream ? 400 : 10});
+    }
+    co_await exchange.end_stream();
+}
+
 http_request sample_get(const std::string& target, const std::string& id, int deadline_ms)
 {
     http_request request;
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -55,6 +55,12 @@
     hang,
     /// Says that an input is gone, which only engines do.
     input_gone,
+    /// Answers with neither length nor chunks; the end of the connection ends the answer.
+    unframed,
+    /// The same, and crashes in the middle of the third event of a stream.
+    unframed_cut,
+    /// The same, and crashes after the head.
+    unframed_empty,
 };
 
 /// An upstream that answers "NAME:TARGET", as two events on routes that stream, and makes
@@ -86,6 +92,8 @@
 
     boost::asio::awaitable<void> serve(http_exchange& exchange);
     boost::asio::awaitable<void> run_request(http_exchange& exchange);
+    boost::asio::awaitable<void> run_stream(http_exchange& exchange, http_fields fields,
+                                            worker_mode mode);
     boost::asio::awaitable<void> make_pieces(http_exchange& exchange);
 };
 
--- a/standins/gd_standin_edge_main.cpp
+++ b/standins/gd_standin_edge_main.cpp
@@ -14,10 +14,17 @@
 {
 
 const std::map<std::string, worker_mode> worker_modes{
-    {"normal", worker_mode::normal},   {"lose_answer", worker_mode::lose_answer},
-    {"decline", worker_mode::decline}, {"fail", worker_mode::fail},
-    {"tear", worker_mode::tear},       {"foreign", worker_mode::foreign},
-    {"hang", worker_mode::hang},       {"input_gone", worker_mode::input_gone},
+    {"normal", worker_mode::normal},
+    {"lose_answer", worker_mode::lose_answer},
+    {"decline", worker_mode::decline},
+    {"fail", worker_mode::fail},
+    {"tear", worker_mode::tear},
+    {"foreign", worker_mode::foreign},
+    {"hang", worker_mode::hang},
+    {"input_gone", worker_mode::input_gone},
+    {"unframed", worker_mode::unframed},
+    {"unframed_cut", worker_mode::unframed_cut},
+    {"unframed_empty", worker_mode::unframed_empty},
 };
 
 /// Returns the value of a field that holds a port. Throws if there is none.
--- a/tests/standins/edge_test.cpp
+++ b/tests/standins/edge_test.cpp
@@ -338,6 +338,60 @@
     EXPECT_EQUAL(count_runs(cluster, "id1"), 1);
 }
 
+// Guards against a stream whose end is only the end of its connection and that its
+// crashed upstream cut inside an event, delivered as complete.
+Test(edge, an_unframed_stream_that_ends_inside_an_event_never_looks_complete)
+{
+    edge_cluster cluster{22920, 1};
+    worker_standin& engine = cluster.add_worker("e1", "engine");
+    cluster.add_worker("s1", "stage");
+    cluster.set_config(all_routes, 1);
+    cluster.start();
+    for (const auto mode : {worker_mode::unframed_cut, worker_mode::unframed_empty})
+    {
+        engine.m_mode = mode;
+        const std::string id = "id" + std::to_string(static_cast<int>(mode));
+        const auto answer =
+            cluster.send_request(0, make_stream_request("/stream/1", id), 3s);
+        EXPECT_EQUAL(answer.m_status, 0U);
+        EXPECT_EQUAL(count_runs(cluster, id), 1);
+    }
+    engine.m_mode = worker_mode::unframed;
+    const auto answer =
+        cluster.send_request(0, make_stream_request("/stream/1", "whole"), 3s);
+    EXPECT_EQUAL(answer.m_status, 200U);
+    EXPECT_EQUAL(answer.m_body, complete_stream);
+}
+
+Test(edge, an_unframed_stream_that_ends_inside_an_event_is_resumed)
+{
+    edge_cluster cluster{22880, 1};
+    worker_standin& first = cluster.add_worker("e1", "engine");
+    worker_standin& second = cluster.add_worker("e2", "engine");
+    cluster.add_worker("s1", "stage");
+    cluster.set_config(all_routes, 1);
+    cluster.start();
+    for (const auto mode : {worker_mode::unframed_cut, worker_mode::unframed_empty})
+    {
+        first.m_seen.clear();
+        second.m_seen.clear();
+        first.m_script = {mode};
+        second.m_script = {mode};
+        const std::string id = "id" + std::to_string(static_cast<int>(mode));
+        const auto answer =
+            cluster.start_request(0, make_stream_request("/resume/1", id), 3s);
+        for (int at = 0; at < 100 && first.m_seen.empty() && second.m_seen.empty(); ++at)
+        {
+            cluster.run_for(10ms);
+        }
+        (first.m_seen.empty() ? first : second).m_script.clear();
+        cluster.run_for(1500ms);
+        cr_assert(answer->has_value());
+        EXPECT_EQUAL((*answer)->m_body, complete_stream);
+        EXPECT_EQUAL(count_runs(cluster, id), 2);
+    }
+}
+
 // The host crashed when it released the stage results of a rejected request, which has
 // none.
 Test(edge, a_rejected_request_on_a_route_with_stages_does_not_crash_the_host)
