Relay a body without events on a stream route as it is

Callers of a route whose streams may be resumed got nothing of a large response that is no stream, such as a JSON document or an error page over 256 KB: the relay kept its bytes until an empty line came, took it for an endless event, and cut it off. A response that broke after some of its body could even be continued with events of another upstream. Such a body is now relayed by relay_large_body as it arrives and is never resumed; Content-Type tells it from a stream. The relay of streams finds events with serving/event_stream.hpp, so that events whose lines end with CR or CRLF are forwarded, too; before, only LF LF ended an event.

--- a/include/geraniumdoor/serving/event_stream.hpp
+++ b/include/geraniumdoor/serving/event_stream.hpp
@@ -2,6 +2,7 @@
 
 #include <cstddef>
 #include <optional>
+#include <string>
 #include <string_view>
 
 namespace geraniumdoor::serving
@@ -23,11 +24,20 @@
     bool m_after_cr = false;
 };
 
-/// Advances to the end of the next event, or of the next block of comments. Returns the
-/// number of bytes up to and including the empty line that ends it; empty if the bytes
-/// end before. Continue with the remaining bytes.
-std::optional<std::size_t> find_event_end(event_position& position,
-                                          std::string_view bytes);
+/// End of an event, or of a block of comments, which an empty line ends as well.
+struct event_end
+{
+    /// Number of bytes up to and including the empty line.
+    std::size_t m_size = 0;
+    bool m_is_comment = false;
+};
+
+/// Advances to the end of the next event or block of comments; empty if the bytes end
+/// before. Continue with the remaining bytes.
+std::optional<event_end> find_event_end(event_position& position, std::string_view bytes);
+
+/// Value of the id field of an event; empty if it has none.
+std::string event_id(std::string_view event);
 
 /// Whether the stream ends in the middle of an event or of a line if no byte follows.
 bool is_inside_event(const event_position& position);
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -3,6 +3,7 @@
 
 #include <geraniumdoor/base/log.hpp>
 
+#include <boost/algorithm/string/predicate.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -55,6 +56,15 @@
            outcome != attempt_outcome::wrong_upstream;
 }
 
+/// Whether the body is a stream of events, which is assumed unless the head says
+/// otherwise.
+bool has_events(const http_answer_head& head)
+{
+    constexpr std::string_view event_stream = "text/event-stream";
+    const std::string_view type = find_field(head.m_fields, "Content-Type");
+    return type.empty() || boost::algorithm::istarts_with(type, event_stream);
+}
+
 } // namespace
 
 milliseconds request_relay::expected_first_token_time(const request& current) const
@@ -407,11 +417,11 @@
     {
         co_return attempt_outcome::unusable;
     }
-    const bool streams =
-        is_stream(current.m_route->m_retry_safety) && head.m_status == 200;
+    const bool streams = is_stream(current.m_route->m_retry_safety) &&
+                         head.m_status == 200 && has_events(head);
     if (streams)
     {
-        const auto outcome = co_await relay_stream(current, head, {});
+        const auto outcome = co_await relay_stream(current, head);
         record_stream_end(current, head.m_framing, outcome);
         co_return outcome;
     }
@@ -444,7 +454,8 @@
         body += value_of(part);
         if (body.size() > max_buffered_response_bytes)
         {
-            const auto outcome = co_await relay_stream(current, head, std::move(body));
+            const auto outcome =
+                co_await relay_large_body(current, head, std::move(body));
             co_return outcome;
         }
     }
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -24,29 +24,6 @@
 /// without end that form no event.
 constexpr std::size_t max_event_bytes = std::size_t{256} * 1024;
 
-/// Value of the id field of a server-sent event; empty if it has none.
-std::string event_id(std::string_view event)
-{
-    std::size_t at = 0;
-    while (at < event.size())
-    {
-        const auto end = std::min(event.find('\n', at), event.size());
-        std::string_view line = event.substr(at, end - at);
-        at = end + 1;
-        if (!line.empty() && line.back() == '\r')
-        {
-            line.remove_suffix(1);
-        }
-        if (line.starts_with("id:"))
-        {
-            line.remove_prefix(3);
-            line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
-            return std::string{line};
-        }
-    }
-    return {};
-}
-
 /// Whether an event was already delivered before the stream was resumed. Event ids are
 /// increasing numbers; other ids never count as repeated.
 bool is_repeated(const std::string& id, const std::string& last)
@@ -61,72 +38,67 @@
 
 } // namespace
 
+asio::awaitable<void> request_relay::begin_response(request& current,
+                                                    const http_answer_head& head,
+                                                    std::optional<std::uint64_t> length)
+{
+    current.m_buffered_response.reset();
+    current.m_any_response_started = true;
+    current.m_retry_state.m_stream_begun = true;
+    co_await current.m_exchange.begin_answer(
+        head.m_status, platform::fields_for_caller(head.m_fields), length);
+}
+
+void request_relay::record_first_byte(request& current)
+{
+    if (current.m_first_byte_at == time_point{})
+    {
+        current.m_first_byte_at = now();
+        // The engine has fetched its inputs. If the stream is resumed elsewhere, they
+        // are prepared again.
+        release_results(current, true);
+    }
+}
+
 asio::awaitable<attempt_outcome> request_relay::relay_stream(request& current,
-                                                             const http_answer_head& head,
-                                                             std::string body_so_far)
+                                                             const http_answer_head& head)
 {
-    const bool resumes = current.m_retry_state.m_stream_begun;
-    const bool may_resume =
-        current.m_route->m_retry_safety == retry_safety::stream_resumable;
-    if (!resumes)
+    if (!current.m_retry_state.m_stream_begun)
     {
-        current.m_buffered_response.reset();
-        current.m_any_response_started = true;
-        current.m_retry_state.m_stream_begun = true;
         // The total length of a stream that may be resumed is unknown.
-        co_await current.m_exchange.begin_answer(
-            head.m_status, platform::fields_for_caller(head.m_fields),
-            may_resume ? std::nullopt : head.m_length);
+        const bool may_resume =
+            current.m_route->m_retry_safety == retry_safety::stream_resumable;
+        co_await begin_response(current, head, may_resume ? std::nullopt : head.m_length);
     }
     current.m_partial_event.clear();
     current.m_event_position = {};
     current.m_events = 0;
     current.m_last_event_at = now();
-    std::string part = std::move(body_so_far);
     while (true)
     {
-        if (!part.empty())
-        {
-            if (current.m_first_byte_at == time_point{})
-            {
-                current.m_first_byte_at = now();
-                // The engine has fetched its inputs. If the stream is resumed
-                // elsewhere, they are prepared again.
-                release_results(current, true);
-            }
-            count_events(current, part);
-            const bool forwarded = co_await forward_part(current, std::move(part));
-            if (!forwarded)
-            {
-                current.m_caller_gone = true;
-                co_return attempt_outcome::broken_stream;
-            }
-        }
-        const bool can_retry = may_resume && current.m_retry_state.m_possible_runs + 1 <
-                                                 current.m_route->m_max_upstreams;
-        // Only events count as progress: a stalled upstream may send single bytes or
-        // comments.
-        const time_point next_event_due = current.m_last_event_at +
-                                          current.m_route->m_event_gap_target +
-                                          event_gap_margin;
-        const milliseconds read_timeout =
-            can_retry ? std::min(time_left(current), ms_between(now(), next_event_due))
-                      : time_left(current);
+        const milliseconds read_timeout = event_timeout(current);
         if (read_timeout <= milliseconds{0} ||
             current.m_partial_event.size() > max_event_bytes)
         {
             co_return attempt_outcome::broken_stream;
         }
-        auto next = co_await current.m_upstream_call->read_part(read_timeout);
-        if (!is_ok(next))
+        auto part = co_await current.m_upstream_call->read_part(read_timeout);
+        if (!is_ok(part))
         {
             co_return attempt_outcome::broken_stream;
         }
-        if (value_of(next).empty())
+        if (value_of(part).empty())
         {
             break;
         }
-        part = value_of(std::move(next));
+        record_first_byte(current);
+        const bool forwarded = co_await current.m_exchange.write_part(
+            take_events(current, value_of(std::move(part))));
+        if (!forwarded)
+        {
+            current.m_caller_gone = true;
+            co_return attempt_outcome::broken_stream;
+        }
     }
     if (!current.m_partial_event.empty())
     {
@@ -136,13 +108,48 @@
     co_return attempt_outcome::answered;
 }
 
-void request_relay::count_events(request& current, std::string_view part) const
+milliseconds request_relay::event_timeout(const request& current) const
 {
-    while (const auto end = find_event_end(current.m_event_position, part))
+    const bool can_resume =
+        current.m_route->m_retry_safety == retry_safety::stream_resumable &&
+        current.m_retry_state.m_possible_runs + 1 < current.m_route->m_max_upstreams;
+    if (!can_resume)
     {
-        ++current.m_events;
-        part.remove_prefix(*end);
+        return time_left(current);
+    }
+    // Only events count as progress: a stalled upstream may send single bytes or
+    // comments.
+    const time_point next_event_due =
+        current.m_last_event_at + current.m_route->m_event_gap_target + event_gap_margin;
+    return std::min(time_left(current), ms_between(now(), next_event_due));
+}
+
+asio::awaitable<attempt_outcome>
+request_relay::relay_large_body(request& current, const http_answer_head& head,
+                                std::string body_so_far)
+{
+    // A body without events cannot be resumed.
+    current.m_retry_state.m_retry_safety = retry_safety::at_most_once;
+    co_await begin_response(current, head, head.m_length);
+    std::string part = std::move(body_so_far);
+    while (!part.empty())
+    {
+        record_first_byte(current);
+        const bool forwarded = co_await current.m_exchange.write_part(std::move(part));
+        if (!forwarded)
+        {
+            current.m_caller_gone = true;
+            co_return attempt_outcome::broken_stream;
+        }
+        auto next = co_await current.m_upstream_call->read_part(time_left(current));
+        if (!is_ok(next))
+        {
+            co_return attempt_outcome::broken_stream;
+        }
+        part = value_of(std::move(next));
     }
+    co_await current.m_exchange.end_stream();
+    co_return attempt_outcome::answered;
 }
 
 void request_relay::record_stream_end(const request& current, body_framing framing,
@@ -166,39 +173,35 @@
         .add("end", to_text(outcome));
 }
 
-asio::awaitable<bool> request_relay::forward_part(request& current, std::string part)
+std::string request_relay::take_events(request& current, std::string part) const
 {
-    if (current.m_route->m_retry_safety != retry_safety::stream_resumable)
-    {
-        const bool written = co_await current.m_exchange.write_part(std::move(part));
-        co_return written;
-    }
-    // Only complete events are forwarded, so that the stream can be resumed after any of
-    // them.
-    current.m_partial_event += part;
+    const bool may_resume =
+        current.m_route->m_retry_safety == retry_safety::stream_resumable;
     std::string complete;
-    std::size_t start = 0;
-    for (auto end = current.m_partial_event.find("\n\n"); end != std::string::npos;
-         end = current.m_partial_event.find("\n\n", start))
+    std::string_view rest = part;
+    while (const auto end = find_event_end(current.m_event_position, rest))
     {
-        const std::string_view event =
-            std::string_view{current.m_partial_event}.substr(start, end + 2 - start);
-        const std::string id = event_id(event);
-        current.m_last_event_at = id.empty() ? current.m_last_event_at : now();
-        if (id.empty() || !is_repeated(id, current.m_last_event_id))
+        current.m_events += end->m_is_comment ? 0 : 1;
+        if (may_resume)
         {
-            complete += event;
-            current.m_last_event_id = id.empty() ? current.m_last_event_id : id;
+            current.m_partial_event += rest.substr(0, end->m_size);
+            const std::string id = event_id(current.m_partial_event);
+            current.m_last_event_at = id.empty() ? current.m_last_event_at : now();
+            if (id.empty() || !is_repeated(id, current.m_last_event_id))
+            {
+                complete += current.m_partial_event;
+                current.m_last_event_id = id.empty() ? current.m_last_event_id : id;
+            }
+            current.m_partial_event.clear();
         }
-        start = end + 2;
+        rest.remove_prefix(end->m_size);
     }
-    current.m_partial_event.erase(0, start);
-    if (complete.empty())
+    if (!may_resume)
     {
-        co_return true;
+        return part;
     }
-    const bool written = co_await current.m_exchange.write_part(std::move(complete));
-    co_return written;
+    current.m_partial_event += rest;
+    return complete;
 }
 
 } // namespace geraniumdoor::edge
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -84,7 +84,8 @@
     /// incomplete event.
     std::string m_last_event_id;
     std::string m_partial_event;
-    /// Position in the stream of the latest attempt, and the events it has brought.
+    /// Position in the stream of the latest attempt, and the events that it has brought,
+    /// without comments.
     serving::event_position m_event_position;
     std::uint32_t m_events = 0;
     /// When the last event with an id arrived, or the response began.
@@ -190,18 +191,29 @@
     boost::asio::awaitable<serving::attempt_outcome>
     handle_response_head(request& current, http_answer_head head);
     /// Buffers the response, so that a truncated one can be requested again. Switches to
-    /// relay_stream when it exceeds the limit.
+    /// relay_large_body when it exceeds the limit.
     boost::asio::awaitable<serving::attempt_outcome>
     relay_buffered(request& current, http_answer_head head);
-    /// @param body_so_far first bytes of the body, if any were read already
+    /// @param body_so_far first bytes of the body
     boost::asio::awaitable<serving::attempt_outcome>
-    relay_stream(request& current, const http_answer_head& head, std::string body_so_far);
-    void count_events(request& current, std::string_view part) const;
+    relay_large_body(request& current, const http_answer_head& head,
+                     std::string body_so_far);
+    /// Relays a stream of events.
+    boost::asio::awaitable<serving::attempt_outcome>
+    relay_stream(request& current, const http_answer_head& head);
+    boost::asio::awaitable<void> begin_response(request& current,
+                                                const http_answer_head& head,
+                                                std::optional<std::uint64_t> length);
+    void record_first_byte(request& current);
+    /// Time to wait for more of a stream, until its next event is overdue.
+    milliseconds event_timeout(const request& current) const;
     /// Logs and counts how the stream of an attempt ended.
     void record_stream_end(const request& current, body_framing framing,
                            serving::attempt_outcome outcome);
-    /// Forwards part of a stream. Returns false if the caller cannot be written to.
-    boost::asio::awaitable<bool> forward_part(request& current, std::string part);
+    /// Returns the bytes to forward once a part of a stream has arrived. Of a stream that
+    /// may be resumed these are whole events, so that it can be resumed after any of
+    /// them.
+    std::string take_events(request& current, std::string part) const;
     milliseconds time_left(const request& current) const;
     milliseconds response_head_timeout(const request& current) const;
     void record_attempt(request& current, serving::attempt_outcome outcome,
--- a/src/serving/event_stream.cpp
+++ b/src/serving/event_stream.cpp
@@ -1,25 +1,39 @@
 #include <geraniumdoor/serving/event_stream.hpp>
 
+#include <algorithm>
+#include <cstdint>
+
 namespace geraniumdoor::serving
 {
 
 namespace
 {
 
-/// Returns whether the line end is that of an empty line after a block.
-bool end_line(event_position& position)
+enum class line_end : std::uint8_t
+{
+    inside_block,
+    ends_event,
+    ends_comment,
+};
+
+line_end end_line(event_position& position)
 {
     if (position.m_line_begun)
     {
         position.m_event_begun = position.m_event_begun || !position.m_comment;
         position.m_block_begun = true;
         position.m_line_begun = false;
-        return false;
+        return line_end::inside_block;
     }
     const bool ends_block = position.m_block_begun;
+    const bool ends_event = position.m_event_begun;
     position.m_block_begun = false;
     position.m_event_begun = false;
-    return ends_block;
+    if (!ends_block)
+    {
+        return line_end::inside_block;
+    }
+    return ends_event ? line_end::ends_event : line_end::ends_comment;
 }
 
 void add_to_line(event_position& position, char byte)
@@ -33,8 +47,7 @@
 
 } // namespace
 
-std::optional<std::size_t> find_event_end(event_position& position,
-                                          std::string_view bytes)
+std::optional<event_end> find_event_end(event_position& position, std::string_view bytes)
 {
     for (std::size_t at = 0; at < bytes.size(); ++at)
     {
@@ -50,20 +63,36 @@
             add_to_line(position, byte);
             continue;
         }
-        if (end_line(position))
+        const line_end end = end_line(position);
+        if (end == line_end::inside_block)
         {
-            const bool with_line_feed =
-                byte == '\r' && at + 1 < bytes.size() && bytes[at + 1] == '\n';
-            if (with_line_feed)
-            {
-                position.m_after_cr = false;
-            }
-            return at + (with_line_feed ? 2 : 1);
+            continue;
         }
+        const bool line_feed_follows =
+            byte == '\r' && at + 1 < bytes.size() && bytes[at + 1] == '\n';
+        position.m_after_cr = position.m_after_cr && !line_feed_follows;
+        return event_end{at + (line_feed_follows ? 2 : 1), end == line_end::ends_comment};
     }
     return std::nullopt;
 }
 
+std::string event_id(std::string_view event)
+{
+    while (!event.empty())
+    {
+        const auto end = std::min(event.find_first_of("\r\n"), event.size());
+        std::string_view line = event.substr(0, end);
+        if (line.starts_with("id:"))
+        {
+            line.remove_prefix(3);
+            line.remove_prefix(std::min(line.find_first_not_of(' '), line.size()));
+            return std::string{line};
+        }
+        event.remove_prefix(std::min(end + 1, event.size()));
+    }
+    return {};
+}
+
 bool is_inside_event(const event_position& position)
 {
     return position.m_line_begun || position.m_event_begun;
--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -314,6 +314,11 @@
         co_return;
     }
     response.m_body = m_id + ':' + request.m_target + ':' + request.m_body;
+    if (mode == worker_mode::document)
+    {
+        response.m_fields.emplace_back("Content-Type", "application/json");
+        response.m_body = json::serialize(json::array(std::size_t{150} * 1024, 1));
+    }
     if (is_unframed(mode))
     {
         co_await exchange.begin_unframed_answer(200, response.m_fields);
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -55,6 +55,8 @@
     hang,
     /// Says that an input is gone, which only engines do.
     input_gone,
+    /// Answers with a JSON document of 300 KB, also on routes that stream.
+    document,
     /// Answers with neither length nor chunks; the end of the connection ends the answer.
     unframed,
     /// The same, and crashes in the middle of the third event of a stream.
--- a/tests/serving/event_stream_test.cpp
+++ b/tests/serving/event_stream_test.cpp
@@ -25,9 +25,9 @@
         std::string_view part = std::string_view{bytes}.substr(at, part_size);
         while (const auto end = find_event_end(position, part))
         {
-            events.back() += part.substr(0, *end);
+            events.back() += part.substr(0, end->m_size);
             events.emplace_back();
-            part.remove_prefix(*end);
+            part.remove_prefix(end->m_size);
         }
         events.back() += part;
     }
@@ -69,6 +69,9 @@
             cr_expect(events[0].find("data: a") != std::string::npos);
             cr_expect(events[1].find(": comment") != std::string::npos);
             cr_expect(events[2].find("data: c") != std::string::npos);
+            EXPECT_EQUAL(event_id(events[0]), "1");
+            EXPECT_EQUAL(event_id(events[1]), "");
+            EXPECT_EQUAL(event_id(events[2]), "2");
             cr_expect(not is_inside_event(position));
             std::string joined;
             for (const std::string& event : events)
@@ -92,3 +95,14 @@
     cr_expect(not ends_inside_event(event + ": comment\n"));
     cr_expect(ends_inside_event(event + ": comm"));
 }
+
+Test(event_stream, comments_are_told_apart_from_events)
+{
+    event_position position;
+    const auto comment = find_event_end(position, ": still here\n\n");
+    cr_assert(comment.has_value());
+    cr_expect(comment->m_is_comment);
+    const auto event = find_event_end(position, ": note\nid: 1\n\n");
+    cr_assert(event.has_value());
+    cr_expect(not event->m_is_comment);
+}
--- a/tests/standins/edge_test.cpp
+++ b/tests/standins/edge_test.cpp
@@ -369,6 +369,9 @@
     worker_standin& first = cluster.add_worker("e1", "engine");
     worker_standin& second = cluster.add_worker("e2", "engine");
     cluster.add_worker("s1", "stage");
+    // Time to clear the script of the engine that the request did not reach.
+    first.m_delay = 50ms;
+    second.m_delay = 50ms;
     cluster.set_config(all_routes, 1);
     cluster.start();
     for (const auto mode : {worker_mode::unframed_cut, worker_mode::unframed_empty})
@@ -392,6 +395,27 @@
     }
 }
 
+// Guards against a body of another type that is taken for a broken stream, or split at
+// its empty lines.
+Test(edge, a_body_without_events_on_a_stream_route_is_delivered_unchanged)
+{
+    edge_cluster cluster{22840, 1};
+    worker_standin& engine = cluster.add_worker("e1", "engine");
+    cluster.add_worker("s1", "stage");
+    cluster.set_config(all_routes, 1);
+    cluster.start();
+    engine.m_mode = worker_mode::document;
+    const std::string document =
+        boost::json::serialize(boost::json::array(std::size_t{150} * 1024, 1));
+    for (const std::string target : {"/stream/1", "/resume/1"})
+    {
+        const auto answer =
+            cluster.send_request(0, make_stream_request(target, "id" + target), 3s);
+        EXPECT_EQUAL(answer.m_status, 200U);
+        EXPECT_EQUAL(answer.m_body.size(), document.size());
+    }
+}
+
 // The host crashed when it released the stage results of a rejected request, which has
 // none.
 Test(edge, a_rejected_request_on_a_route_with_stages_does_not_crash_the_host)
