Treat a stream that ends inside an event as broken off

Cause: a stream with neither length nor chunks ends with its connection, which is also how a crash looks. relay_stream took the end of the connection for the end of the stream, forwarded the bytes that it held of an event and wrote its own last chunk. Class of fault: an end in the transport taken for an end in the protocol above it; the framing that the relay wrote said more than it knew.

Change: the relay follows the events of every stream. One that ends inside an event, with any framing, or that ends with its connection before its first event is broken off: it is resumed where the route allows that, and otherwise the caller's connection is closed without a last chunk. Streams are always sent on without a length, so that their end is still open when the upstream's body ends.

Looked for elsewhere: results of pieces and pages of the store are JSON objects, of which no prefix decodes (adapter/no_truncated_body_decodes); the entry daemon requires a last line (upstream_client/reports_a_stream_without_its_last_line_as_broken); a plain response without framing that is reset is broken already (read error), one that ends in order is complete by the platform's rule.

--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -36,6 +36,15 @@
     return own_end.ec == std::errc{} && last_end.ec == std::errc{} && own <= delivered;
 }
 
+/// Whether the upstream broke the stream off although the body ended in order. The end of
+/// a connection may be that of a crashed upstream; any stream has an event.
+bool was_broken_off(const relayed_request& current, body_framing framing)
+{
+    const bool empty = current.m_events == 0;
+    return is_inside_event(current.m_event_position) ||
+           (framing == body_framing::connection_end && empty);
+}
+
 } // namespace
 
 asio::awaitable<void> request_relay::begin_response(request& current,
@@ -65,10 +74,9 @@
 {
     if (!current.m_retry_state.m_stream_begun)
     {
-        // The total length of a stream that may be resumed is unknown.
-        const bool may_resume =
-            current.m_route->m_retry_safety == retry_safety::stream_resumable;
-        co_await begin_response(current, head, may_resume ? std::nullopt : head.m_length);
+        // Whether the stream is complete is known only at its end, so that it is sent
+        // without a length.
+        co_await begin_response(current, head, std::nullopt);
     }
     current.m_partial_event.clear();
     current.m_event_position = {};
@@ -100,9 +108,9 @@
             co_return attempt_outcome::broken_stream;
         }
     }
-    if (!current.m_partial_event.empty())
+    if (was_broken_off(current, head.m_framing))
     {
-        co_await current.m_exchange.write_part(std::move(current.m_partial_event));
+        co_return attempt_outcome::broken_stream;
     }
     co_await current.m_exchange.end_stream();
     co_return attempt_outcome::answered;
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -176,6 +176,24 @@
     EXPECT_EQUAL(platform::producer_address("10.0.0.1:80/a"), "10.0.0.1:80");
 }
 
+// Guards against a body that its connection ended early, taken for a whole one.
+Test(adapter, no_truncated_body_decodes)
+{
+    const std::string pieces = R"({"items":[{"handle":"10.0.0.1:80/a"}]})";
+    const std::string rows =
+        R"({"rows":[{"key":"k","value":"bm9kZS0x","ver":412}],"hasMore":false,"ver":530})";
+    for (std::size_t size = 0; size < pieces.size(); ++size)
+    {
+        cr_expect(not is_ok(platform::decode_pieces(pieces.substr(0, size), 1)));
+    }
+    for (std::size_t size = 0; size < rows.size(); ++size)
+    {
+        cr_expect(not is_ok(platform::decode_row_page(rows.substr(0, size))));
+    }
+    cr_expect(is_ok(platform::decode_pieces(pieces, 1)));
+    cr_expect(is_ok(platform::decode_row_page(rows)));
+}
+
 Test(adapter, decodes_rows_and_encodes_transactions)
 {
     const auto page = platform::decode_row_page(
