Log what a broken attempt had shown, and the parts of its prompt

The attempt lines of a crashed upstream did not say which parts the prompt had, whether the head of the response had come, how many events, and whether the connection was closed or a timeout passed, so that a prompt that crashes upstreams could not be told from an upstream that crashes of overload. No decision is changed.

--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -56,6 +56,18 @@
            outcome != attempt_outcome::wrong_upstream;
 }
 
+/// Ids of the parts of a prompt, for the log.
+std::string part_ids(const prompt& request_prompt)
+{
+    std::string ids;
+    for (const prompt_part& part : request_prompt.m_parts)
+    {
+        ids += ids.empty() ? "" : ",";
+        ids += part.m_id;
+    }
+    return ids;
+}
+
 /// Whether the body is a stream of events, which is assumed unless the head says
 /// otherwise.
 bool has_events(const http_answer_head& head)
@@ -270,6 +282,7 @@
         }
     };
     update_running(true);
+    current.m_progress = {};
     const auto connected = co_await call->connect(
         to_tcp(address), std::min(connect_timeout, time_left(current)));
     if (!is_ok(connected) || current.m_caller_gone)
@@ -310,12 +323,18 @@
     attempt_outcome outcome = attempt_outcome::broken;
     if (is_ok(response))
     {
+        current.m_progress.m_head_received = true;
         outcome = co_await handle_response_head(current, value_of(response));
     }
     else if (error_of(response).m_kind == http_error_kind::malformed)
     {
         outcome = attempt_outcome::unusable;
     }
+    else
+    {
+        current.m_progress.m_connection_lost =
+            error_of(response).m_kind == http_error_kind::closed;
+    }
     call->close();
     current.m_upstream_call.reset();
     update_running(false);
@@ -355,12 +374,20 @@
     m_state.m_metrics.add("attempts", {{"end", to_text(outcome)}});
     if (outcome != attempt_outcome::answered)
     {
-        log_event{"attempt"}
-            .add("request", current.m_metadata.m_request)
+        log_event line{"attempt"};
+        line.add("request", current.m_metadata.m_request)
             .add("upstream", current.m_upstream)
             .add("end", to_text(outcome))
             .add("caller_gone", current.m_caller_gone)
             .add("took_ms", ms_between(began, at).count());
+        if (outcome == attempt_outcome::broken ||
+            outcome == attempt_outcome::broken_stream)
+        {
+            line.add("head", current.m_progress.m_head_received)
+                .add("events", current.m_progress.m_events)
+                .add("connection_lost", current.m_progress.m_connection_lost)
+                .add("parts", part_ids(current.m_metadata.m_prompt));
+        }
     }
     if (row == nullptr || current.m_caller_gone)
     {
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -40,7 +40,7 @@
 /// a connection may be that of a crashed upstream; any stream has an event.
 bool was_broken_off(const relayed_request& current, body_framing framing)
 {
-    const bool empty = current.m_events == 0;
+    const bool empty = current.m_progress.m_events == 0;
     return is_inside_event(current.m_event_position) ||
            (framing == body_framing::connection_end && empty);
 }
@@ -80,7 +80,6 @@
     }
     current.m_partial_event.clear();
     current.m_event_position = {};
-    current.m_events = 0;
     current.m_last_event_at = now();
     while (true)
     {
@@ -93,6 +92,8 @@
         auto part = co_await current.m_upstream_call->read_part(read_timeout);
         if (!is_ok(part))
         {
+            current.m_progress.m_connection_lost =
+                error_of(part).m_kind == http_error_kind::closed;
             co_return attempt_outcome::broken_stream;
         }
         if (value_of(part).empty())
@@ -110,6 +111,7 @@
     }
     if (was_broken_off(current, head.m_framing))
     {
+        current.m_progress.m_connection_lost = true;
         co_return attempt_outcome::broken_stream;
     }
     co_await current.m_exchange.end_stream();
@@ -176,7 +178,7 @@
         .add("request", current.m_metadata.m_request)
         .add("upstream", current.m_upstream)
         .add("framing", to_text(framing))
-        .add("events", current.m_events)
+        .add("events", current.m_progress.m_events)
         .add("inside_event", inside_event)
         .add("end", to_text(outcome));
 }
@@ -189,7 +191,7 @@
     std::string_view rest = part;
     while (const auto end = find_event_end(current.m_event_position, rest))
     {
-        current.m_events += end->m_is_comment ? 0 : 1;
+        current.m_progress.m_events += end->m_is_comment ? 0 : 1;
         if (may_resume)
         {
             current.m_partial_event += rest.substr(0, end->m_size);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -23,6 +23,16 @@
 namespace geraniumdoor::edge
 {
 
+/// What the latest attempt of a request has shown.
+struct attempt_progress
+{
+    bool m_head_received = false;
+    /// Events of a stream, without comments.
+    std::uint32_t m_events = 0;
+    /// The upstream closed or lost the connection, as it does when it crashes.
+    bool m_connection_lost = false;
+};
+
 /// State of one caller request from its arrival to the end of its response.
 struct relayed_request
 {
@@ -84,10 +94,9 @@
     /// incomplete event.
     std::string m_last_event_id;
     std::string m_partial_event;
-    /// Position in the stream of the latest attempt, and the events that it has brought,
-    /// without comments.
+    /// Position in the stream of the latest attempt.
     serving::event_position m_event_position;
-    std::uint32_t m_events = 0;
+    attempt_progress m_progress;
     /// When the last event with an id arrived, or the response began.
     time_point m_last_event_at{};
     time_point m_first_byte_at{};
