--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -1,5 +1,7 @@
 #include "edge_standins.hpp"
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core/detail/base64.hpp>
@@ -78,6 +80,12 @@
            mode == worker_mode::slow_stream || is_unframed(mode);
 }
 
+bool has_part(const http_request& request, const std::string& part)
+{
+    const std::string parts{find_field(request.m_fields, "Prompt-Prefix")};
+    return !part.empty() && (',' + parts).find(',' + part + ':') != std::string::npos;
+}
+
 http_fields proof_of(const worker_standin& worker, const http_request& request)
 {
     return {{"Attempt-Id", std::string{find_field(request.m_fields, "Attempt-Id")}},
@@ -214,6 +222,21 @@
     m_server->start();
 }
 
+void worker_standin::crash(const asio::any_io_executor& executor)
+{
+    // The server is kept until the handlers of its connections have ended.
+    const std::shared_ptr<http_server> crashed{std::move(m_server)};
+    crashed->close();
+    asio::co_spawn(
+        executor,
+        [this, executor, crashed]() -> asio::awaitable<void>
+        {
+            co_await pause(m_restart_delay);
+            start(executor);
+        },
+        asio::detached);
+}
+
 asio::awaitable<void> worker_standin::serve(http_exchange& exchange)
 {
     const std::string target = exchange.request().m_target;
@@ -287,6 +310,14 @@
     }
     ++m_runs[std::string{find_field(request.m_fields, "Attempt-Id")}];
     co_await pause(m_delay);
+    if (has_part(request, m_crash_part))
+    {
+        m_crash_arrivals.push_back(std::chrono::steady_clock::now());
+        co_await exchange.begin_answer(200, std::move(response.m_fields), std::nullopt);
+        co_await pause(milliseconds{20});
+        crash(co_await asio::this_coro::executor);
+        co_return;
+    }
     if (mode == worker_mode::lose_answer)
     {
         exchange.drop();
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -87,6 +87,12 @@
     int m_released = 0;
     std::string m_address = "127.0.0.1";
     std::unique_ptr<http_server> m_server;
+    /// A request whose prompt has this part crashes the worker when it begins to write.
+    std::string m_crash_part;
+    /// Time after which a crashed worker is back.
+    milliseconds m_restart_delay{1000};
+    /// When requests that crash the worker arrived.
+    std::vector<time_point> m_crash_arrivals;
 
     /// Listens on m_port of the address. Throws boost::system::system_error if it is
     /// taken.
@@ -97,6 +103,9 @@
     boost::asio::awaitable<void> run_stream(http_exchange& exchange, http_fields fields,
                                             worker_mode mode);
     boost::asio::awaitable<void> make_pieces(http_exchange& exchange);
+
+    /// Closes all connections and the listener, and starts again after the delay.
+    void crash(const boost::asio::any_io_executor& executor);
 };
 
 /// Row of the registry for a worker that others reach at the port.
