Hold back requests with a part of a prompt that crashes upstreams

Cause: a prompt may have a part that crashes each upstream which begins to write an answer on it. A broken stream was judged as a failure of the upstream alone: the upstream was ejected, and the same prompt was sent to the next one, by whichever host it came to; where streams may be resumed the system repeated it itself. Class of fault: the blame for a failure is put on one side of an exchange only, so that the cause travels on to sound peers.

Change: serving/crash_suspects.hpp, free functions over plain structs. Each host records the shared parts of prompts whose upstream closed the connection before the fourth event, and the parts of sound streams, and reports both to all others in a datagram of its own (crash_report, sent only while there is something to tell; codec version 5 stays, an older host rejects the datagram and serves on). A part that was at crashes of three different processes within a minute, spread over half a second or more, and at no sound stream, is quarantined on every host: requests with it are refused at once, as not run, with the time that is left. A request that may have crashed two upstreams is not repeated. After 20 s, 120 s, 600 s one request at a time is let through, by one host after the other; a sound stream ends the quarantine everywhere. Parts that sound requests share are cleared by these, and a part whose crashes are all among those of a part with twice as many is not blamed.

Ruled out as the way: counting crashes for a request or a caller, because no two requests are alike and sound ones share the caller.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -287,6 +287,79 @@
     }
 };
 
-using datagram = std::variant<ping, ping_req, ack, host_report>;
+/// A request with a part of a prompt was at an upstream that closed its connections.
+struct crash_sighting
+{
+    /// Hashes of the part's id and of the upstream's process.
+    std::uint64_t m_part = 0;
+    std::uint64_t m_upstream = 0;
+    std::uint32_t m_age_ms = 0;
+    std::uint8_t m_weight = 0;
+
+    bool operator==(const crash_sighting&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_part, m_upstream, m_age_ms, m_weight);
+    }
+};
+
+/// A stream with the part was sound.
+struct part_success
+{
+    std::uint64_t m_part = 0;
+    std::uint32_t m_age_ms = 0;
+
+    bool operator==(const part_success&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_part, m_age_ms);
+    }
+};
+
+/// Requests with the part are not sent.
+struct quarantine_notice
+{
+    std::uint64_t m_part = 0;
+    std::uint32_t m_age_ms = 0;
+    /// Negative after the end of the quarantine.
+    std::int32_t m_left_ms = 0;
+    std::uint8_t m_count = 1;
+
+    bool operator==(const quarantine_notice&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_part, m_age_ms, m_left_ms, m_count);
+    }
+};
+
+/// Most entries of each kind in one report, so that it fits a datagram.
+constexpr std::size_t max_reported_sightings = 24;
+constexpr std::size_t max_reported_successes = 24;
+constexpr std::size_t max_reported_quarantines = 16;
+
+/// What a host knows of parts of prompts that may crash upstreams. Sent to all others
+/// with its host_report while there is something to tell.
+struct crash_report
+{
+    std::vector<crash_sighting> m_sightings;
+    std::vector<part_success> m_successes;
+    std::vector<quarantine_notice> m_quarantines;
+
+    bool operator==(const crash_report&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_sightings, m_successes, m_quarantines);
+    }
+};
+
+using datagram = std::variant<ping, ping_req, ack, host_report, crash_report>;
 
 } // namespace geraniumdoor
--- a/include/geraniumdoor/serving/attempt_rules.hpp
+++ b/include/geraniumdoor/serving/attempt_rules.hpp
@@ -65,6 +65,8 @@
     bool m_has_budget = false;
     /// Whether enough time is left for another attempt.
     bool m_has_time = false;
+    /// Whether the request may be what crashes its upstreams.
+    bool m_may_crash_upstreams = false;
     /// Whether part of a streamed response has been sent to the caller.
     bool m_stream_begun = false;
 };
--- a/programs/gdctl_commands.cpp
+++ b/programs/gdctl_commands.cpp
@@ -246,6 +246,7 @@
         {"hosts", {1, false, &show}},
         {"upstreams", {1, false, &show}},
         {"queues", {1, false, &show}},
+        {"suspects", {1, false, &show}},
         {"limits", {1, false, &show}},
         {"in-doubt", {1, false, &show}},
     };
--- a/programs/gdctl_main.cpp
+++ b/programs/gdctl_main.cpp
@@ -18,7 +18,8 @@
     "import SHEET | show | data-centre out|in NAME | change workspace NAME "
     "priority|weight N | change pool NAME cold_limit|warm_limit N | change-status ID | "
     "hosts | upstreams | in-doubt | forget-host NODE INCARNATION. At the readiness "
-    "address of an edge host: status | hosts | upstreams | queues | limits";
+    "address of an edge host: status | hosts | upstreams | queues | "
+    "suspects | limits";
 
 cxxopts::Options make_options()
 {
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -128,6 +128,13 @@
            message.m_store_access <= store_access::failing;
 }
 
+bool in_range(const crash_report& message)
+{
+    return message.m_sightings.size() <= max_reported_sightings &&
+           message.m_successes.size() <= max_reported_successes &&
+           message.m_quarantines.size() <= max_reported_quarantines;
+}
+
 bool in_range(const pieces_result& message)
 {
     return message.m_outcome <= pieces_outcome::failed;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -48,6 +48,9 @@
 /// Interval at which a host checks whether it should run a queue.
 constexpr milliseconds queue_check_interval{100};
 
+/// Time that reports spend on their way between two hosts, and in their queues.
+constexpr milliseconds exchange_margin{200};
+
 /// Share of the rate limit for cold upstreams that is used.
 constexpr double cold_rate_safety = 0.8;
 
@@ -115,6 +118,8 @@
     void start();
     void start_metrics();
     void run_timers();
+    void update_quarantines();
+    void on_crash_report(const crash_report& report);
     /// Updates the list of queues that this host runs. Returns whether it has changed.
     bool update_queues();
     void send_reports();
@@ -245,6 +250,10 @@
         {
             on_report(*report);
         }
+        else if (const auto* crashes = std::get_if<crash_report>(&message))
+        {
+            on_crash_report(*crashes);
+        }
     };
     return calls;
 }
@@ -275,6 +284,7 @@
                        {
                            send_reports();
                        }
+                       update_quarantines();
                    });
     run_timers();
     log_event{"started"}
@@ -367,11 +377,17 @@
                                    static_cast<std::uint32_t>(row.m_running_tokens)});
         }
     }
+    const auto crashes =
+        serving::make_crash_report(m_state.m_crash_suspects, false, m_last_report);
     std::vector<node_address> sent;
     for (const auto& [id, host] : m_state.m_hosts.m_hosts)
     {
         sent.push_back(host.m_report.m_peer);
         m_transport.send_datagram(host.m_report.m_peer, own);
+        if (crashes)
+        {
+            m_transport.send_datagram(host.m_report.m_peer, *crashes);
+        }
     }
     for (const node_address& seed : m_state.m_hosts.m_known_addresses)
     {
@@ -385,6 +401,38 @@
     update_remote_loads();
 }
 
+void edge_daemon::parts::update_quarantines()
+{
+    auto& suspects = m_state.m_crash_suspects;
+    if (suspects.m_parts.empty())
+    {
+        return;
+    }
+    // A report of a crash goes out, and the reports of sound streams come back.
+    const milliseconds exchange_time =
+        2 * serving::report_interval(m_state.m_hosts.m_hosts.size() + 1, false) +
+        exchange_margin;
+    for (const serving::part_key key :
+         serving::update_quarantines(suspects, exchange_time, now()))
+    {
+        const serving::suspect_part& part = suspects.m_parts.at(key);
+        log_event{"prompt_part_quarantined"}
+            .add("part", part.m_id.empty() ? std::to_string(key.m_value) : part.m_id)
+            .add("key", key)
+            .add("crashes", part.m_crashes.size());
+        m_state.m_metrics.add("quarantines", {});
+    }
+}
+
+void edge_daemon::parts::on_crash_report(const crash_report& report)
+{
+    for (const serving::part_key key :
+         serving::apply_crash_report(m_state.m_crash_suspects, report, now()))
+    {
+        log_event{"prompt_part_lifted"}.add("part", key);
+    }
+}
+
 void edge_daemon::parts::update_remote_loads()
 {
     struct remote_load
@@ -461,8 +509,15 @@
     }
     if (is_new)
     {
-        // A host that has just started learns immediately whom it can query.
+        // A host that has just started learns immediately whom it can query, and what it
+        // must not send.
         m_transport.send_datagram(report.m_peer, m_state.m_own_report);
+        const auto crashes =
+            serving::make_crash_report(m_state.m_crash_suspects, true, at);
+        if (crashes)
+        {
+            m_transport.send_datagram(report.m_peer, *crashes);
+        }
     }
     const bool knows_more_hosts =
         report.m_live_hosts > m_state.m_own_report.m_live_hosts &&
@@ -553,6 +608,9 @@
         response.m_fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
         m_state.m_metrics.set("requests_active", {},
                               static_cast<double>(m_relay.active()));
+        m_state.m_metrics.set(
+            "prompt_parts_in_quarantine", {},
+            static_cast<double>(serving::count_quarantines(m_state.m_crash_suspects)));
         response.m_body = m_state.m_metrics.exposition();
         co_await exchange.respond(std::move(response));
         co_return;
@@ -578,7 +636,7 @@
     {
         return platform::make_error_response(
             404, "unknown path; expected /admin/status, /admin/hosts, "
-                 "/admin/upstreams, /admin/queues or /admin/limits");
+                 "/admin/upstreams, /admin/queues, /admin/suspects or /admin/limits");
     }
     http_response response;
     response.m_fields.emplace_back("Content-Type", "application/json");
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -4,6 +4,7 @@
 #include <geraniumdoor/base/timer_service.hpp>
 #include <geraniumdoor/edge/edge_settings.hpp>
 #include <geraniumdoor/metrics/metric_registry.hpp>
+#include <geraniumdoor/serving/crash_suspects.hpp>
 #include <geraniumdoor/serving/host_table.hpp>
 #include <geraniumdoor/serving/retry_budget.hpp>
 #include <geraniumdoor/serving/routing.hpp>
@@ -43,6 +44,7 @@
     serving::host_table m_hosts;
     host_report m_own_report;
     serving::retry_budget m_retry_budget;
+    serving::crash_suspects m_crash_suspects;
 };
 
 /// Current time of the steady clock. The time of the timer service does not advance while
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -150,6 +150,29 @@
     return body;
 }
 
+/// Lists the parts of prompts that have been at crashes of upstreams.
+json::object suspects_status(const edge_state& state, time_point at)
+{
+    json::array rows;
+    for (const auto& [key, part] : state.m_crash_suspects.m_parts)
+    {
+        json::object row;
+        row["part"] = part.m_id;
+        row["key"] = key.m_value;
+        row["crashes"] = part.m_crashes.size();
+        row["sound_ms_ago"] = part.m_last_success
+                                  ? json::value(whole_ms(at - *part.m_last_success))
+                                  : json::value{};
+        row["quarantined"] = part.m_quarantine.has_value();
+        row["quarantine_left_ms"] =
+            part.m_quarantine ? ms_until(part.m_quarantine->m_until, at) : 0;
+        rows.push_back(std::move(row));
+    }
+    json::object body;
+    body["suspects"] = std::move(rows);
+    return body;
+}
+
 json::object limits_status(const edge_state& state)
 {
     json::object body;
@@ -215,6 +238,10 @@
     {
         return queues_status(state, stats);
     }
+    if (path == "/admin/suspects")
+    {
+        return suspects_status(state, at);
+    }
     if (path == "/admin/limits")
     {
         return limits_status(state);
--- a/src/edge/host_status.hpp
+++ b/src/edge/host_status.hpp
@@ -38,8 +38,8 @@
 };
 
 /// Returns the body of an admin query, or nothing if the path is unknown. Known paths are
-/// "/admin/status", "/admin/hosts", "/admin/upstreams", "/admin/queues" and
-/// "/admin/limits". Times are in milliseconds, sizes in bytes.
+/// "/admin/status", "/admin/hosts", "/admin/upstreams", "/admin/queues",
+/// "/admin/suspects" and "/admin/limits". Times are in milliseconds, sizes in bytes.
 std::optional<boost::json::object> admin_status(const edge_state& state,
                                                 const host_stats& stats,
                                                 std::string_view path, time_point at);
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -113,7 +113,12 @@
     while (again && !current.m_caller_gone)
     {
         const upstream* chosen = select_untried_upstream(current);
-        if (chosen == nullptr || time_left(current) < min_time_for_attempt)
+        const bool quarantined = is_quarantined(current);
+        if (quarantined)
+        {
+            current.m_reason = crashing_prompt_reason;
+        }
+        if (quarantined || chosen == nullptr || time_left(current) < min_time_for_attempt)
         {
             const next_step step =
                 current.m_retry_state.m_stream_begun         ? next_step::cut_off
@@ -127,6 +132,7 @@
         const upstream_id id = chosen->m_entry.m_id;
         const attempt_outcome outcome = co_await run_attempt(current, *chosen);
         record_attempt(current, outcome, began);
+        record_crash_evidence(current, outcome);
         if (current.m_caller_gone)
         {
             co_return;
@@ -158,6 +164,8 @@
     state.m_has_time = time_left(current) >= min_time_for_attempt;
     state.m_has_budget = may_retry(m_state.m_retry_budget, current.m_pool,
                                    count_possible_senders(m_state.m_hosts, now()), now());
+    state.m_may_crash_upstreams =
+        !may_send_again(m_state.m_crash_suspects, current.m_shared_parts, now());
     const next_step step = decide_next_step(outcome, state);
     const bool again = step == next_step::try_other || step == next_step::resume_other ||
                        step == next_step::prepare_again;
@@ -195,8 +203,13 @@
         co_await current.m_exchange.respond(std::move(*current.m_buffered_response));
         co_return;
     case next_step::refuse:
-        co_await refuse(current, declined_retry_after, "no_upstream_ran_it");
+    {
+        const auto quarantine =
+            quarantine_left(m_state.m_crash_suspects, current.m_shared_parts, now());
+        co_await refuse(current, quarantine.value_or(declined_retry_after),
+                        quarantine ? crashing_prompt_reason : "no_upstream_ran_it");
         co_return;
+    }
     case next_step::cut_off:
         log_request(current, "cut_off", 0);
         current.m_exchange.drop();
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -101,8 +101,13 @@
             break;
         }
         record_first_byte(current);
-        const bool forwarded = co_await current.m_exchange.write_part(
-            take_events(current, value_of(std::move(part))));
+        std::string forwarded_bytes = take_events(current, value_of(std::move(part)));
+        if (current.m_progress.m_events >= events_of_sound_stream)
+        {
+            record_sound_stream(current);
+        }
+        const bool forwarded =
+            co_await current.m_exchange.write_part(std::move(forwarded_bytes));
         if (!forwarded)
         {
             current.m_caller_gone = true;
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -8,6 +8,9 @@
 /// Remaining time below which another attempt is not worth starting.
 inline constexpr milliseconds min_time_for_attempt{20};
 
+/// Reason of refusals while a part of the prompt is in quarantine.
+inline constexpr const char* crashing_prompt_reason = "crashing_prompt";
+
 inline milliseconds ms_between(time_point from, time_point to)
 {
     return std::chrono::duration_cast<milliseconds>(to - from);
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -78,6 +78,10 @@
     }
     cancel_stages(current);
     release_results(current, true);
+    if (current.m_is_trial)
+    {
+        end_trial(m_state.m_crash_suspects, current.m_shared_parts);
+    }
     if (current.m_caller_gone)
     {
         handle_caller_gone(current);
@@ -153,6 +157,11 @@
         current.m_workspace = key->second;
     }
     current.m_pool = choose_pool(*current.m_route, current.m_metadata.m_request);
+    const auto pool = current.m_routing->m_pools.find(current.m_pool);
+    if (pool != current.m_routing->m_pools.end() && pool->second.m_engine)
+    {
+        current.m_shared_parts = shared_parts(current.m_metadata.m_prompt);
+    }
     const milliseconds timeout =
         std::min(current.m_metadata.m_caller_timeout.value_or(current.m_route->m_timeout),
                  current.m_route->m_timeout);
@@ -173,6 +182,11 @@
 
 asio::awaitable<void> request_relay::process(request& current)
 {
+    if (const auto wait = quarantine_wait(current))
+    {
+        co_await refuse(current, *wait, crashing_prompt_reason);
+        co_return;
+    }
     const auto excess = co_await announce_and_check_deadline(current);
     if (current.m_caller_gone)
     {
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -7,6 +7,7 @@
 #include <geraniumdoor/net/http_call.hpp>
 #include <geraniumdoor/net/http_server.hpp>
 #include <geraniumdoor/serving/attempt_rules.hpp>
+#include <geraniumdoor/serving/crash_suspects.hpp>
 #include <geraniumdoor/serving/engine_choice.hpp>
 #include <geraniumdoor/serving/event_stream.hpp>
 #include <geraniumdoor/serving/path_estimate.hpp>
@@ -56,6 +57,10 @@
     time_point m_target_time{};
     /// Time at which the caller abandons the request if no byte has arrived.
     time_point m_first_byte_deadline{};
+    /// Parts of the prompt of a request to a model engine.
+    std::vector<serving::shared_part> m_shared_parts;
+    /// The request tries whether a part still crashes upstreams.
+    bool m_is_trial = false;
     bool m_caller_gone = false;
     /// A response was started or sent in full, whether streamed, buffered or an error.
     bool m_any_response_started = false;
@@ -189,6 +194,17 @@
 
     const serving::upstream* select_upstream(const request& current) const;
     const serving::upstream* select_untried_upstream(request& current) const;
+    /// Time until the request may be sent, if parts of its prompt are in quarantine.
+    /// Begins a trial with the request when one is due.
+    std::optional<milliseconds> quarantine_wait(request& current);
+    /// Whether a part was quarantined since the request was admitted.
+    bool is_quarantined(const request& current) const;
+    /// Order in which this host may begin a trial of a part, from zero.
+    std::size_t trial_rank(serving::part_key part) const;
+    /// Records an attempt that may have crashed its upstream, or proved the parts of the
+    /// prompt sound.
+    void record_crash_evidence(request& current, serving::attempt_outcome outcome);
+    void record_sound_stream(request& current);
     boost::asio::awaitable<void> run_attempts(request& current);
     /// Performs the step that follows an attempt. Returns whether another attempt is
     /// made.
--- a/src/serving/attempt_rules.cpp
+++ b/src/serving/attempt_rules.cpp
@@ -57,7 +57,7 @@
         return next_step::deliver;
     }
     const bool can_retry = is_retryable(state.m_retry_safety) && state.m_has_budget &&
-                           state.m_has_time &&
+                           state.m_has_time && !state.m_may_crash_upstreams &&
                            state.m_possible_runs < state.m_max_upstreams;
     if (can_retry)
     {
--- a/tests/serving/attempt_rules_test.cpp
+++ b/tests/serving/attempt_rules_test.cpp
@@ -54,6 +54,18 @@
 // must not be or that look complete when they are not.
 TestSuite(attempt_rules);
 
+Test(attempt_rules, a_request_that_may_have_crashed_its_upstreams_is_not_sent_again)
+{
+    retry_state state = sample_state(retry_safety::stream_resumable);
+    state.m_possible_runs = 1;
+    cr_expect(is_retried(decide_next_step(attempt_outcome::broken, state)));
+    state.m_may_crash_upstreams = true;
+    cr_expect(not is_retried(decide_next_step(attempt_outcome::broken, state)));
+    state.m_stream_begun = true;
+    EXPECT_EQUAL(decide_next_step(attempt_outcome::broken_stream, state),
+                 next_step::cut_off);
+}
+
 Test(attempt_rules,
      an_at_most_once_request_is_not_sent_again_after_its_response_broke_off)
 {
--- a/tests/standins/edge_test.cpp
+++ b/tests/standins/edge_test.cpp
@@ -184,6 +184,7 @@
     const auto queues = get("queues").at("queues").as_array();
     cr_assert(queues.size() == 1);
     EXPECT_EQUAL(queues[0].at("pool").as_string(), "stage");
+    cr_expect(get("suspects").at("suspects").as_array().empty());
     EXPECT_EQUAL(get("limits").at("hosts_that_share_bounds").as_int64(), 2);
     EXPECT_EQUAL(cluster.get_admin(0, "/admin/unknown").m_status, 404U);
 }
