Follow a store that comes back from an older copy

Cause: a page whose version is below the known one was dropped as stale, so that hosts kept rows that no longer existed and were blind to new ones until the counter had passed the old value; a version that was given out again looked like one that was known.

Change: versions have the era in their upper bits (cluster/store_version.hpp; messages keep their layout). serving/table_copy.hpp, apart from input and output, decides what takes effect: in the first read of an era, rows wait until they are written again or the hold time is over (operator 5 s, registry 10 s); unknown rows count as those of the earlier era, so that they replace nothing newer on hosts that knew more; entries that are missing have 2.2 s to be restored; a configuration that is newer by its own version does not wait.

--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumdoor/base/ids.hpp>
+#include <geraniumdoor/cluster/store_version.hpp>
 
 #include <cstdint>
 #include <string>
@@ -490,7 +491,7 @@
     std::string m_key;
     std::string m_value;
     /// Version of the store in which it was written or removed.
-    std::uint64_t m_version = 0;
+    store_version m_version;
     bool m_removed = false;
     /// The value is compressed.
     bool m_packed = false;
@@ -509,8 +510,8 @@
     std::uint64_t m_after = 0;
     /// Versions of the store as of which the asker holds the tables. A host that is asked
     /// for the first time leaves out what is older.
-    std::uint64_t m_intent_version = 0;
-    std::uint64_t m_registry_version = 0;
+    store_version m_intent_version;
+    store_version m_registry_version;
     bool m_wants_hosts = false;
 
     template<class Archive>
@@ -524,7 +525,7 @@
 struct table_changes
 {
     /// Version of the store as of which the host holds the table; zero for not at all.
-    std::uint64_t m_version = 0;
+    store_version m_version;
     std::vector<stored_row> m_rows;
     /// Compressed rows that are older than m_rows, as pack_rows returns them; empty for
     /// none.
--- a/src/edge/store_exchange.cpp
+++ b/src/edge/store_exchange.cpp
@@ -47,7 +47,7 @@
 /// Upper bound of a decompressed value. Messages between hosts have 4 MB at most.
 constexpr std::size_t max_value_bytes = std::size_t{4} * 1024 * 1024;
 
-stored_row to_stored_row(const std::string& key, cached_row& row)
+stored_row to_stored_row(const std::string& key, serving::cached_row& row)
 {
     if (row.m_value.size() < compression_threshold)
     {
@@ -62,11 +62,11 @@
 
 /// Returns the rows that changed after a change number, or after a store version if the
 /// change number is zero.
-table_changes changes_of(cached_table& table, std::uint64_t after, std::uint64_t version)
+table_changes changes_of(cached_table& table, std::uint64_t after, store_version version)
 {
     table_changes changes;
-    changes.m_version = table.m_version;
-    for (auto& [key, row] : table.m_rows)
+    changes.m_version = table.m_copy.m_version;
+    for (auto& [key, row] : table.m_copy.m_rows)
     {
         const bool is_missing =
             after > 0 ? row.m_change_number > after : row.m_changed_version > version;
@@ -115,17 +115,17 @@
 
 table_changes store_watch::whole_registry()
 {
-    if (m_registry.m_rows.size() < min_packed_rows)
+    if (m_registry.m_copy.m_rows.size() < min_packed_rows)
     {
-        return changes_of(m_registry, 0, 0);
+        return changes_of(m_registry, 0, {});
     }
     if (m_packed_registry.empty() || now() - m_registry_packed_at > max_packed_age)
     {
-        m_packed_registry = pack_rows(changes_of(m_registry, 0, 0).m_rows);
+        m_packed_registry = pack_rows(changes_of(m_registry, 0, {}).m_rows);
         m_registry_packed_at = now();
         m_packed_changes = m_changes;
     }
-    table_changes changes = changes_of(m_registry, m_packed_changes, 0);
+    table_changes changes = changes_of(m_registry, m_packed_changes, {});
     changes.m_packed_rows = m_packed_registry;
     return changes;
 }
@@ -133,7 +133,8 @@
 state_push store_watch::push_for(const state_pull& pull, std::size_t backlog_bytes)
 {
     state_push push;
-    const bool wants_all = pull.m_after == 0 && pull.m_registry_version == 0;
+    const bool wants_all =
+        pull.m_after == 0 && pull.m_registry_version == store_version{};
     if (wants_all && backlog_bytes > max_push_backlog)
     {
         push.m_busy = true;
@@ -170,10 +171,9 @@
     {
         progress = {report.m_incarnation, 0};
     }
-    const bool has_no_data = m_operator_table.m_version == 0 || m_registry.m_version == 0;
     const bool reads_store = report.m_store_access == store_access::reading;
     const bool has_new_changes =
-        report.m_changes > progress.m_changes && (reads_store || has_no_data);
+        report.m_changes > progress.m_changes && (reads_store || has_no_data());
     // One pull at a time: all readers return the same tables, which are large for a slow
     // link.
     if ((!has_new_changes && !wants_hosts) || now() < m_pull_deadline ||
@@ -181,12 +181,12 @@
     {
         return std::nullopt;
     }
-    m_pull_deadline = now() + (has_no_data ? whole_pull_timeout : pull_timeout);
+    m_pull_deadline = now() + (has_no_data() ? whole_pull_timeout : pull_timeout);
     m_pulled_host = report.m_node;
     // apply_push records the answer as complete up to the host's change number, so every
     // pull has to request all missing rows, even if only the list of hosts is wanted.
-    return state_pull{progress.m_changes, m_operator_table.m_version,
-                      m_registry.m_version, wants_hosts || has_no_data};
+    return state_pull{progress.m_changes, m_operator_table.m_copy.m_version,
+                      m_registry.m_copy.m_version, wants_hosts || has_no_data()};
 }
 
 void store_watch::on_peer_lost(const node_id& host)
@@ -228,16 +228,25 @@
 
 void store_watch::apply_changes(cached_table& table, const table_changes& changes)
 {
+    auto& copy = table.m_copy;
     for (const stored_row& row : changes.m_rows)
     {
-        // The other host has already waited for entries that may be restored after an
-        // outage.
-        table.m_pending_removals.erase(row.m_key);
-        apply_row(table, row.m_key, row.m_removed ? nullptr : &row.m_value,
-                  row.m_version);
-    }
-    m_changes += table.m_version == 0 && changes.m_version != 0 ? 1 : 0;
-    table.m_version = std::max(table.m_version, changes.m_version);
+        // The other host has already waited for rows that may be written again.
+        copy.m_pending_removals.erase(row.m_key);
+        const auto held = copy.m_held_rows.find(row.m_key);
+        if (held != copy.m_held_rows.end() &&
+            row.m_version >= held->second.m_change.m_version)
+        {
+            copy.m_held_rows.erase(held);
+        }
+        apply_row(table,
+                  {row.m_key, row.m_removed ? std::nullopt : std::optional{row.m_value},
+                   row.m_version});
+    }
+    const bool is_first =
+        copy.m_version == store_version{} && changes.m_version != store_version{};
+    m_changes += is_first ? 1 : 0;
+    serving::record_pushed_version(copy, changes.m_version, now());
 }
 
 } // namespace geraniumdoor::edge
--- a/src/edge/store_rows.cpp
+++ b/src/edge/store_rows.cpp
@@ -2,7 +2,7 @@
 
 #include <geraniumdoor/base/log.hpp>
 
-#include <unordered_set>
+#include <algorithm>
 #include <utility>
 
 #include <platform/rows.hpp>
@@ -15,133 +15,92 @@
 void store_watch::apply_page(cached_table& table, const platform::row_page& page,
                              bool complete)
 {
-    if (page.m_version < table.m_version)
+    const store_version before = table.m_copy.m_version;
+    const serving::merge_result merged = serving::merge_page(
+        table.m_copy, page.m_rows, page.m_version, complete, table.m_rules, now());
+    if (merged.m_is_stale)
     {
         log_event{"store_read_stale"}
             .add("table", table.m_name)
-            .add("version", page.m_version)
-            .add("held", table.m_version);
+            .add("era", era_of(page.m_version))
+            .add("version", transaction_of(page.m_version))
+            .add("held_era", era_of(before))
+            .add("held", transaction_of(before));
         return;
     }
-    const std::uint64_t changes_before = m_changes;
-    const bool is_first_read = table.m_version == 0;
-    if (complete)
+    if (merged.m_is_new_era)
     {
-        remove_missing(table, page);
+        log_event{"store_went_back"}
+            .add("table", table.m_name)
+            .add("era", era_of(page.m_version))
+            .add("version", transaction_of(page.m_version))
+            .add("held_era", era_of(before))
+            .add("held", transaction_of(before))
+            .add("rows_held_back", table.m_copy.m_held_rows.size());
+        m_state.m_metrics.add("store_returns", {{"table", table.m_name}});
     }
-    for (const platform::row& entry : page.m_rows)
+    const std::uint64_t changes_before = m_changes;
+    for (const serving::row_change& change : merged.m_changes)
     {
-        if (entry.m_removed)
-        {
-            remove_row(table, entry.m_key, entry.m_version);
-        }
-        else
-        {
-            table.m_pending_removals.erase(entry.m_key);
-            apply_row(table, entry.m_key, &entry.m_value, entry.m_version);
-        }
+        apply_row(table, change);
     }
-    table.m_version = page.m_version;
-    m_changes += is_first_read ? 1 : 0;
+    m_changes += before == store_version{} ? 1 : 0;
     publish(changes_before);
 }
 
-void store_watch::remove_missing(cached_table& table, const platform::row_page& page)
+bool store_watch::apply_row(cached_table& table, const serving::row_change& change)
 {
-    std::vector<std::string> missing;
-    std::unordered_set<std::string_view> present;
-    for (const platform::row& entry : page.m_rows)
-    {
-        present.insert(entry.m_key);
-    }
-    for (const auto& [key, row] : table.m_rows)
-    {
-        if (!present.contains(key) && !row.m_removed)
-        {
-            missing.push_back(key);
-        }
-    }
-    for (const std::string& key : missing)
-    {
-        remove_row(table, key, page.m_version);
-    }
-}
-
-/// Applies one row; a null value removes it. Returns whether the change is relevant to
-/// other hosts.
-bool store_watch::apply_row(cached_table& table, const std::string& key,
-                            const std::string* value, std::uint64_t version)
-{
-    cached_row& cached = table.m_rows[key];
-    const bool is_new = cached.m_version == 0;
-    if (version <= cached.m_version && !is_new)
+    const bool is_new = !table.m_copy.m_rows.contains(change.m_key);
+    const serving::row_effect effect = serving::apply_row(table.m_copy, change);
+    if (effect == serving::row_effect::none || effect == serving::row_effect::confirmed)
     {
         return false;
     }
-    const bool is_unchanged = !is_new && cached.m_removed == (value == nullptr) &&
-                              (value == nullptr || cached.m_value == *value);
-    cached.m_version = version;
-    cached.m_removed = value == nullptr;
-    cached.m_value = value == nullptr ? std::string{} : *value;
-    cached.m_compressed.clear();
-    if (is_unchanged)
+    bool is_relevant = effect == serving::row_effect::confirmed_in_new_era;
+    if (effect == serving::row_effect::changed)
     {
-        return false;
+        const std::string* value = change.m_value ? &*change.m_value : nullptr;
+        is_relevant = &table == &m_operator_table
+                          ? apply_operator_row(change.m_key, value)
+                          : apply_upstream(change.m_key, value);
     }
-    const bool is_relevant = &table == &m_operator_table ? apply_operator_row(key, value)
-                                                         : apply_upstream(key, value);
     if (is_relevant || is_new)
     {
+        serving::cached_row& cached = table.m_copy.m_rows[change.m_key];
         cached.m_change_number = ++m_changes;
-        cached.m_changed_version = version;
+        // A row that counts as one of the earlier era is news of this one all the same.
+        cached.m_changed_version = std::max(change.m_version, table.m_copy.m_version);
     }
     return is_relevant;
 }
 
+bool store_watch::has_no_data() const
+{
+    return m_operator_table.m_copy.m_version == store_version{} ||
+           m_registry.m_copy.m_version == store_version{};
+}
+
 void store_watch::publish(std::uint64_t changes_before)
 {
     m_state.m_own_report.m_changes = m_changes;
-    m_state.m_registry_loaded = m_registry.m_version != 0;
+    m_state.m_registry_loaded = m_registry.m_copy.m_version != store_version{};
     if (m_changes != changes_before)
     {
         m_on_change();
     }
 }
 
-void store_watch::remove_row(cached_table& table, const std::string& key,
-                             std::uint64_t version)
-{
-    const auto cached = table.m_rows.find(key);
-    const bool known = cached != table.m_rows.end() && !cached->second.m_removed;
-    const bool may_be_restored =
-        known && &table == &m_registry &&
-        (table.m_unavailable || now() - table.m_recovered_at < restore_timeout);
-    if (may_be_restored)
-    {
-        table.m_pending_removals.try_emplace(key, table.m_recovered_at + restore_timeout);
-        return;
-    }
-    table.m_pending_removals.erase(key);
-    apply_row(table, key, nullptr, version);
-}
-
-void store_watch::apply_pending_removals()
+void store_watch::apply_due_changes()
 {
-    const time_point at = now();
-    std::vector<std::string> expired;
-    for (const auto& [key, until] : m_registry.m_pending_removals)
+    const std::uint64_t changes_before = m_changes;
+    for (cached_table* table : {&m_operator_table, &m_registry})
     {
-        if (until <= at && !m_registry.m_unavailable)
+        for (const serving::row_change& change :
+             serving::take_due_changes(table->m_copy, now()))
         {
-            expired.push_back(key);
+            apply_row(*table, change);
         }
     }
-    const std::uint64_t changes_before = m_changes;
-    for (const std::string& key : expired)
-    {
-        m_registry.m_pending_removals.erase(key);
-        apply_row(m_registry, key, nullptr, m_registry.m_version);
-    }
     publish(changes_before);
 }
 
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -52,6 +52,14 @@
 /// Time without a successful read after which the store counts as unavailable.
 constexpr milliseconds outage_threshold{1500};
 
+/// Time for which what the operator had said stays in force after the store has come back
+/// from a copy without it. The operator writes it again.
+constexpr milliseconds operator_hold_time{5000};
+
+/// The same for upstreams, which write their entries about once a second. The store
+/// itself removes entries that are not written for three such periods.
+constexpr milliseconds registry_hold_time{10000};
+
 /// Pause between two reads of the table of host addresses, and after a failed one.
 constexpr milliseconds address_read_pause{4000};
 constexpr milliseconds address_retry_delay{1000};
@@ -62,6 +70,20 @@
 /// Upper bound of the rows in a transaction, set by the store.
 constexpr std::size_t max_rows_per_write = 100;
 
+/// The configuration has a version of its own, which never goes back.
+bool is_newer_configuration(std::string_view key, std::string_view known,
+                            std::string_view read)
+{
+    if (key != platform::configuration_key)
+    {
+        return false;
+    }
+    const auto before = platform::decode_configuration(known);
+    const auto after = platform::decode_configuration(read);
+    return is_ok(after) &&
+           (!is_ok(before) || value_of(after).m_version > value_of(before).m_version);
+}
+
 } // namespace
 
 store_watch::store_watch(edge_state& state, std::function<void()> on_change,
@@ -72,7 +94,9 @@
     , m_store{state.m_executor, to_tcp(state.m_settings.m_store_endpoint)}
 {
     m_operator_table.m_name = platform::operator_table_name;
+    m_operator_table.m_rules = {false, operator_hold_time, &is_newer_configuration};
     m_registry.m_name = platform::registry_table_name;
+    m_registry.m_rules = {true, registry_hold_time, nullptr};
 }
 
 void store_watch::start()
@@ -101,13 +125,12 @@
 
 bool store_watch::is_reader() const
 {
-    const bool has_no_data = m_operator_table.m_version == 0 || m_registry.m_version == 0;
     const duration since_start = now() - m_started;
-    if (has_no_data && since_start < startup_discovery_time)
+    if (has_no_data() && since_start < startup_discovery_time)
     {
         return false;
     }
-    if (has_no_data && since_start > startup_peer_timeout &&
+    if (has_no_data() && since_start > startup_peer_timeout &&
         serving::is_store_read_elsewhere(m_state.m_hosts, now()))
     {
         // The readers are heard, but their data does not arrive.
@@ -146,13 +169,13 @@
         if (!is_reader())
         {
             table.m_is_being_read = false;
-            apply_pending_removals();
+            apply_due_changes();
             co_await sleep_for(reader_check_interval);
             continue;
         }
         table.m_is_being_read = co_await refresh_table(table, wait);
         update_access();
-        apply_pending_removals();
+        apply_due_changes();
         co_await sleep_for(
             table.m_is_being_read
                 ? pause
@@ -163,7 +186,7 @@
 asio::awaitable<bool> store_watch::refresh_table(cached_table& table, milliseconds wait)
 {
     const time_point began = now();
-    if (table.m_version == 0)
+    if (serving::needs_whole_read(table.m_copy))
     {
         auto page = co_await read_table(table.m_name);
         const bool succeeded = is_ok(page);
@@ -175,11 +198,13 @@
         }
         co_return succeeded;
     }
-    auto page = co_await m_store.read_changes(table.m_name, table.m_version, wait,
+    auto page = co_await m_store.read_changes(table.m_name, table.m_copy.m_version, wait,
                                               wait + store_call_timeout);
     if (!is_ok(page) && error_of(page).m_kind == platform::store_error_kind::history_gone)
     {
-        log_event{"store_history_gone"}.add("table", table.m_name);
+        log_event{"store_history_gone"}
+            .add("table", table.m_name)
+            .add("reason", error_of(page).m_detail);
         page = co_await read_table(table.m_name);
         if (is_ok(page))
         {
@@ -211,10 +236,15 @@
         }
         // Rows of a later page may be newer than those of an earlier one. With the lowest
         // version, the feed returns the changes in between again.
-        const std::uint64_t version = value_of(page).m_version;
-        merged.m_version =
-            merged.m_version == 0 ? version : std::min(merged.m_version, version);
-        for (platform::row& entry : value_of(page).m_rows)
+        const store_version version = value_of(page).m_version;
+        const bool is_first = merged.m_version == store_version{};
+        if (!is_first && era_of(version) != era_of(merged.m_version))
+        {
+            co_return platform::store_error{platform::store_error_kind::unavailable,
+                                            "the store went back during the read"};
+        }
+        merged.m_version = is_first ? version : std::min(merged.m_version, version);
+        for (serving::store_row& entry : value_of(page).m_rows)
         {
             merged.m_rows.push_back(std::move(entry));
         }
@@ -237,13 +267,14 @@
     if (succeeded)
     {
         // A new reader that finds the store working again may not have noticed an outage.
-        if (table.m_unavailable || (is_overdue && table.m_version != 0))
+        auto& copy = table.m_copy;
+        if (copy.m_unavailable || (is_overdue && copy.m_version != store_version{}))
         {
-            table.m_unavailable = false;
-            table.m_recovered_at = at;
-            for (auto& [key, until] : table.m_pending_removals)
+            copy.m_unavailable = false;
+            copy.m_recovered_at = at;
+            for (auto& [key, until] : copy.m_pending_removals)
             {
-                until = at + restore_timeout;
+                until = at + serving::restore_timeout;
             }
             log_event{"store_regained"}.add("table", table.m_name);
         }
@@ -251,9 +282,9 @@
         return;
     }
     m_state.m_metrics.add("store_failures", {{"table", table.m_name}});
-    if (!table.m_unavailable && is_overdue)
+    if (!table.m_copy.m_unavailable && is_overdue)
     {
-        table.m_unavailable = true;
+        table.m_copy.m_unavailable = true;
         log_event{"store_lost"}.add("table", table.m_name).add("reason", detail);
     }
 }
@@ -314,7 +345,7 @@
         co_return false;
     }
     m_stored_addresses.clear();
-    for (const platform::row& entry : value_of(page).m_rows)
+    for (const serving::store_row& entry : value_of(page).m_rows)
     {
         m_stored_addresses[entry.m_key] = entry.m_value;
         add_address(entry.m_value);
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -4,6 +4,7 @@
 
 #include <geraniumdoor/cluster/messages.hpp>
 #include <geraniumdoor/serving/store_readers.hpp>
+#include <geraniumdoor/serving/table_copy.hpp>
 
 #include <boost/asio/awaitable.hpp>
 
@@ -16,45 +17,16 @@
 namespace geraniumdoor::edge
 {
 
-/// Registry entries that are still missing this long after an outage count as removed.
-/// The platform guarantees that live entries are restored within two seconds.
-inline constexpr milliseconds restore_timeout{2200};
-
-/// A row of the store, or the record of its removal.
-struct cached_row
-{
-    std::string m_value;
-    /// Version of the store in which the row was written or removed. A row from another
-    /// host is applied only if its version is higher.
-    std::uint64_t m_version = 0;
-    /// Store version and change number of this host for the last change of the row that
-    /// is relevant to other hosts.
-    std::uint64_t m_changed_version = 0;
-    std::uint64_t m_change_number = 0;
-    bool m_removed = false;
-    /// Compressed value of a large row; empty until a host has pulled it.
-    std::string m_compressed;
-};
-
-/// Local copy of one table of the store.
+/// Local copy of one table of the store, and how it is read.
 struct cached_table
 {
     std::string m_name;
-    /// Removed rows are kept so that their removal can be sent to other hosts.
-    std::map<std::string, cached_row> m_rows;
-    /// Version of the store that the copy reflects; zero if nothing was read yet.
-    std::uint64_t m_version = 0;
-    /// Keys whose removal was read during an outage or shortly after, each with the time
-    /// at which the removal takes effect unless the row is restored.
-    std::map<std::string, time_point> m_pending_removals;
+    serving::copy_rules m_rules;
+    serving::table_copy m_copy;
     time_point m_last_success{};
     serving::store_read_history m_history;
     /// The last read succeeded, and this host has been a reader since.
     bool m_is_being_read = false;
-    /// When the last outage ended.
-    time_point m_recovered_at{};
-    /// The table could not be read for some time, here or at any other host.
-    bool m_unavailable = false;
 };
 
 /// Keeps local copies of the operator table, which holds the configuration and the
@@ -113,17 +85,17 @@
 
     void apply_page(cached_table& table, const platform::row_page& page, bool complete);
     void apply_changes(cached_table& table, const table_changes& changes);
-    bool apply_row(cached_table& table, const std::string& key, const std::string* value,
-                   std::uint64_t version);
+    /// Stores a change and lets it take effect. Returns whether it is relevant to other
+    /// hosts.
+    bool apply_row(cached_table& table, const serving::row_change& change);
     bool apply_operator_row(const std::string& key, const std::string* value);
     bool apply_upstream(const std::string& key, const std::string* value);
-    void remove_row(cached_table& table, const std::string& key, std::uint64_t version);
     /// Returns all rows of the registry; a large one is compressed, and kept for the
     /// hosts that ask next.
     table_changes whole_registry();
-    void remove_missing(cached_table& table, const platform::row_page& page);
     void publish(std::uint64_t changes_before);
-    void apply_pending_removals();
+    void apply_due_changes();
+    bool has_no_data() const;
     void record_read_result(cached_table& table, bool succeeded, time_point began,
                             const std::string& detail);
     void add_address(const std::string& address);
--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -105,24 +105,49 @@
     m_tables[table][key] = {"", ++m_version, true};
 }
 
+store_standin::copy store_standin::make_copy() const
+{
+    return {m_tables, m_version};
+}
+
+void store_standin::go_back(const copy& earlier)
+{
+    m_tables = earlier.m_tables;
+    m_version = earlier.m_version;
+    ++m_era;
+}
+
+asio::awaitable<void> store_standin::answer(http_exchange& exchange,
+                                            http_response response)
+{
+    response.m_fields.emplace_back("Store-Era", std::to_string(m_era));
+    co_await exchange.respond(std::move(response));
+}
+
 asio::awaitable<void> store_standin::serve(http_exchange& exchange)
 {
-    const http_request request = exchange.request();
     ++m_reads;
     if (m_down)
     {
         http_response response;
         response.m_status = 503;
-        co_await exchange.respond(std::move(response));
+        co_await answer(exchange, std::move(response));
         co_return;
     }
-    if (request.m_target == "/rows-tx")
+    if (exchange.request().m_target == "/rows-tx")
     {
         json::object done;
         done["ver"] = m_version;
-        co_await exchange.respond(json_body(done));
+        http_response response = json_body(done);
+        co_await answer(exchange, std::move(response));
         co_return;
     }
+    co_await read_rows(exchange);
+}
+
+asio::awaitable<void> store_standin::read_rows(http_exchange& exchange)
+{
+    const http_request request = exchange.request();
     const bool whole = request.m_target.starts_with("/rows-get");
     const std::string table = value_in(request.m_target, "table");
     const std::string after = value_in(request.m_target, "after");
@@ -133,6 +158,13 @@
     json::array rows;
     while (true)
     {
+        if (since > m_version || m_down)
+        {
+            http_response response;
+            response.m_status = m_down ? 503 : 410;
+            co_await answer(exchange, std::move(response));
+            co_return;
+        }
         for (const auto& [key, stored] : m_tables[table])
         {
             if (stored.m_version <= since || (whole && stored.m_removed))
@@ -163,7 +195,8 @@
     page["rows"] = std::move(rows);
     page["hasMore"] = false;
     page["ver"] = m_version;
-    co_await exchange.respond(json_body(page));
+    http_response response = json_body(page);
+    co_await answer(exchange, std::move(response));
 }
 
 const char* const sample_read_route =
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -21,15 +21,31 @@
         bool m_removed = false;
     };
 
+    /// What an earlier copy of the store holds.
+    struct copy
+    {
+        std::map<std::string, std::map<std::string, row>> m_tables;
+        std::uint64_t m_version = 0;
+    };
+
     std::map<std::string, std::map<std::string, row>> m_tables;
     std::uint64_t m_version = 1;
+    /// Number of times that the store came back from a copy, and one.
+    std::uint64_t m_era = 1;
     /// Answers 503 to all calls.
     bool m_down = false;
     int m_reads = 0;
 
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
+    copy make_copy() const;
+    /// Loses what was written since the copy was made.
+    void go_back(const copy& earlier);
     boost::asio::awaitable<void> serve(http_exchange& exchange);
+
+private:
+    boost::asio::awaitable<void> read_rows(http_exchange& exchange);
+    boost::asio::awaitable<void> answer(http_exchange& exchange, http_response response);
 };
 
 enum class worker_mode : std::uint8_t
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -152,8 +152,8 @@
     request.m_pool = pool_id{"stage"};
     request.m_pieces = 2;
     state_push push;
-    push.m_intent.m_rows.push_back({"config", "text", 4, false, false});
-    push.m_registry.m_rows.push_back({"w1", "", 5, true, false});
+    push.m_intent.m_rows.push_back({"config", "text", {4}, false, false});
+    push.m_registry.m_rows.push_back({"w1", "", {5}, true, false});
     return {request,
             pieces_result{3, pieces_outcome::done, {"10.0.0.1:1/a", "10.0.0.1:1/b"}, 0},
             pieces_announce{3, pool_id{"stage"}, 2, 100},
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -188,20 +188,37 @@
     }
     for (std::size_t size = 0; size < rows.size(); ++size)
     {
-        cr_expect(not is_ok(platform::decode_row_page(rows.substr(0, size))));
+        cr_expect(not is_ok(platform::decode_row_page(rows.substr(0, size), {})));
     }
     cr_expect(is_ok(platform::decode_pieces(pieces, 1)));
-    cr_expect(is_ok(platform::decode_row_page(rows)));
+    cr_expect(is_ok(platform::decode_row_page(rows, {})));
+}
+
+Test(adapter, versions_of_a_later_era_are_newer_than_all_of_an_earlier_one)
+{
+    EXPECT_EQUAL(platform::read_store_era({{"Store-Era", "3"}}), store_era{3});
+    for (const char* unusable : {"", "-1", "2x", "99999999999999999999"})
+    {
+        EXPECT_EQUAL(platform::read_store_era({{"Store-Era", unusable}}), store_era{0});
+    }
+    const std::string rows = R"({"rows":[{"key":"k","value":"","ver":7}],"ver":9})";
+    const auto before = platform::decode_row_page(rows, store_era{1});
+    const auto after = platform::decode_row_page(rows, store_era{2});
+    cr_assert(is_ok(before) && is_ok(after));
+    cr_expect(value_of(after).m_rows[0].m_version > value_of(before).m_version);
+    EXPECT_EQUAL(era_of(value_of(after).m_version), store_era{2});
+    EXPECT_EQUAL(transaction_of(value_of(after).m_version), 9U);
 }
 
 Test(adapter, decodes_rows_and_encodes_transactions)
 {
     const auto page = platform::decode_row_page(
         R"({"rows":[{"table":"my","part":"","key":"owner","value":"bm9kZS0x","ver":412},)"
-        R"({"key":"gone","removed":true,"ver":413}],"hasMore":true,"ver":530})");
+        R"({"key":"gone","removed":true,"ver":413}],"hasMore":true,"ver":530})",
+        {});
     cr_assert(is_ok(page));
     EXPECT_EQUAL(value_of(page).m_rows[0].m_value, "node-1");
-    EXPECT_EQUAL(value_of(page).m_rows[0].m_version, 412U);
+    EXPECT_EQUAL(value_of(page).m_rows[0].m_version, store_version{412});
     cr_expect(value_of(page).m_rows[1].m_removed);
     cr_expect(value_of(page).m_has_more);
     const std::string written =
@@ -221,7 +238,8 @@
             {
                 platform::decode_configuration(text);
                 platform::decode_upstream_entry("i", text);
-                platform::decode_row_page(text);
+                platform::decode_row_page(text, {});
+                platform::read_store_era({{"Store-Era", text}});
                 platform::decode_pieces(text, 3);
                 platform::producer_address(text);
                 http_request request = sample_request();
--- a/tests/standins/edge_test.cpp
+++ b/tests/standins/edge_test.cpp
@@ -649,6 +649,61 @@
     cr_expect(wrong.m_calls <= 4, "%d calls to the wrong worker", wrong.m_calls);
 }
 
+// Guards against hosts that are blind after the store has come back from an older copy,
+// or believe its older rows.
+Test(edge, hosts_follow_a_store_that_comes_back_from_an_older_copy)
+{
+    edge_cluster cluster{22640, 2};
+    worker_standin& leaving = cluster.add_worker("w1", "plain");
+    cluster.add_worker("w2", "plain");
+    cluster.set_config(read_route, 5);
+    cluster.start();
+
+    // After the copy was made, a worker leaves and a route is added.
+    const auto copy = cluster.m_store.make_copy();
+    cluster.m_store.put("servers", "w1",
+                        registry_entry(leaving, leaving.m_port, "draining"));
+    cluster.set_config(all_routes, 6);
+    cluster.m_store.put("op", "unrelated", "1");
+    cluster.run_for(1200ms);
+    cluster.m_store.m_down = true;
+    cluster.run_for(300ms);
+    cluster.m_store.go_back(copy);
+    cluster.m_store.m_down = false;
+    cluster.run_for(1200ms);
+
+    // What was known stays in force.
+    const auto seen = leaving.m_seen.size();
+    for (int at = 0; at < 6; ++at)
+    {
+        const std::string id = "id" + std::to_string(at);
+        EXPECT_EQUAL(
+            cluster.send_request(at % 2, sample_post("/pay/1", id, 1000), 2s).m_status,
+            200U);
+    }
+    EXPECT_EQUAL(leaving.m_seen.size(), seen);
+
+    // What is written from now on is seen, under versions that were given out before.
+    worker_standin& added = cluster.add_worker("w3", "plain");
+    cluster.m_store.remove("servers", "w2");
+    cluster.m_store.put("servers", "w1",
+                        registry_entry(leaving, leaving.m_port, "draining"));
+    cluster.set_config(read_route, 7);
+    cluster.run_for(3000ms);
+    for (int host = 0; host < 2; ++host)
+    {
+        const std::string id = "last" + std::to_string(host);
+        EXPECT_EQUAL(
+            cluster.send_request(host, sample_get("/read/1", id, 1000), 2s).m_status,
+            200U);
+        EXPECT_EQUAL(
+            cluster.send_request(host, sample_post("/pay/1", id, 1000), 2s).m_status,
+            404U);
+    }
+    EXPECT_EQUAL(added.m_seen.size(), 2U);
+    EXPECT_EQUAL(leaving.m_seen.size(), seen);
+}
+
 Test(edge, a_removed_worker_gets_no_more_requests)
 {
     edge_cluster cluster{23600, 1};
--- a/tests/standins/store_watch_test.cpp
+++ b/tests/standins/store_watch_test.cpp
@@ -57,9 +57,12 @@
     {
         state_push push;
         push.m_changes = ++m_changes;
-        push.m_registry.m_version = version;
-        push.m_registry.m_rows.push_back({"w1", state.empty() ? "" : registry_row(state),
-                                          version, state.empty(), false});
+        push.m_registry.m_version = store_version{version};
+        push.m_registry.m_rows.push_back({"w1",
+                                          state.empty() ? "" : registry_row(state),
+                                          {version},
+                                          state.empty(),
+                                          false});
         m_watch.apply_push(node_id{reader}, incarnation{1}, push);
     }
 
@@ -67,9 +70,9 @@
     {
         state_push push;
         push.m_changes = ++m_changes;
-        push.m_intent.m_version = row_version;
+        push.m_intent.m_version = store_version{row_version};
         push.m_intent.m_rows.push_back(
-            {"config", configuration_row(version), row_version, false, false});
+            {"config", configuration_row(version), {row_version}, false, false});
         m_watch.apply_push(node_id{reader}, incarnation{1}, push);
     }
 
@@ -182,7 +185,7 @@
     cr_assert(pull.has_value());
     cr_expect(pull->m_wants_hosts);
     EXPECT_EQUAL(pull->m_after, 0U);
-    EXPECT_EQUAL(pull->m_registry_version, 0U);
+    EXPECT_EQUAL(pull->m_registry_version, store_version{});
     // No second pull starts meanwhile, not even one for the list of hosts.
     cr_expect(not fixture.m_watch.next_pull(fixture.report_of("reader-2", 50), true)
                       .has_value());
@@ -208,10 +211,10 @@
     watch_fixture reader;
     state_push read;
     read.m_changes = 1;
-    read.m_intent.m_version = 10;
+    read.m_intent.m_version = store_version{10};
     std::string large = configuration_row(3);
     large.insert(1, R"("comment":")" + std::string(50'000, 'x') + R"(",)");
-    read.m_intent.m_rows.push_back({"config", large, 10, false, false});
+    read.m_intent.m_rows.push_back({"config", large, {10}, false, false});
     reader.m_watch.apply_push(node_id{"store"}, incarnation{1}, read);
     state_push sent = reader.m_watch.push_for({}, 0);
     cr_assert(sent.m_intent.m_rows.size() == 1);
@@ -228,7 +231,7 @@
     const auto pull =
         other.m_watch.next_pull(other.report_of("reader", sent.m_changes), false);
     cr_assert(pull.has_value());
-    EXPECT_EQUAL(pull->m_intent_version, 0U);
+    EXPECT_EQUAL(pull->m_intent_version, store_version{});
 }
 
 Test(store_watch, a_push_contains_the_rows_that_the_puller_lacks)
@@ -236,10 +239,11 @@
     watch_fixture fixture;
     fixture.push_worker("reader-1", 10, "ready");
     fixture.push_config("reader-1", 1, 10);
-    const state_push all = fixture.m_watch.push_for({0, 0, 0, false}, 0);
+    const state_push all = fixture.m_watch.push_for({0, {}, {}, false}, 0);
     EXPECT_EQUAL(all.m_intent.m_rows.size(), 1U);
     EXPECT_EQUAL(all.m_registry.m_rows.size(), 1U);
-    const state_push none = fixture.m_watch.push_for({all.m_changes, 10, 10, false}, 0);
+    const state_push none =
+        fixture.m_watch.push_for({all.m_changes, {10}, {10}, false}, 0);
     cr_expect(none.m_intent.m_rows.empty());
     cr_expect(none.m_registry.m_rows.empty());
 }
@@ -252,11 +256,11 @@
     watch_fixture reader;
     state_push read;
     read.m_changes = 1;
-    read.m_registry.m_version = 10;
+    read.m_registry.m_version = store_version{10};
     for (int at = 0; at < 3000; ++at)
     {
         read.m_registry.m_rows.push_back(
-            {"w" + std::to_string(at), registry_row("ready"), 10, false, false});
+            {"w" + std::to_string(at), registry_row("ready"), {10}, false, false});
     }
     reader.m_watch.apply_push(node_id{"store"}, incarnation{1}, std::move(read));
     const state_push first = reader.m_watch.push_for({}, 0);
@@ -287,7 +291,7 @@
     watch_fixture reader;
     reader.push_worker("store", 10, "ready");
     cr_expect(reader.m_watch.push_for({}, full_link_bytes).m_busy);
-    cr_expect(not reader.m_watch.push_for({1, 0, 9, false}, full_link_bytes).m_busy,
+    cr_expect(not reader.m_watch.push_for({1, {}, {9}, false}, full_link_bytes).m_busy,
               "changes are small");
 
     // The puller does not take it for an answer, and asks another host at once.
