Log the limit that an upstream names

The logs could not tell whether hosts keep to a limit each by itself or do not know of it: nothing said what an upstream names.

Nothing is decided by it yet.

--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -3,6 +3,7 @@
 #include <geraniumdoor/base/table.hpp>
 #include <geraniumdoor/config/daemon_settings.hpp>
 #include <geraniumdoor/serving/routing.hpp>
+#include <geraniumdoor/serving/send_account.hpp>
 
 #include <cstdint>
 #include <string>
@@ -61,6 +62,7 @@
     /// Start of the current one-second window, and requests sent since then.
     time_point m_cold_window_start{};
     std::uint32_t m_cold_window_sends = 0;
+    send_account m_sends;
 };
 
 /// Returns the requests per second that one host may send to a cold upstream.
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -81,6 +81,8 @@
     body["concurrency"] = row.m_entry.m_concurrency;
     body["cold_ms"] = ms_until(row.m_cold_until, at);
     body["ejected_ms"] = ms_until(row.m_ejected_until, at);
+    const auto& limit = row.m_sends.m_statement.m_limit;
+    body["limit_per_s"] = limit ? json::value(limit->m_value) : json::value{};
     body["failure_share"] = row.m_failure_share;
     body["slowness"] = row.m_slowness;
     return body;
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -1,5 +1,6 @@
 #include "relay_util.hpp"
 #include "request_relay.hpp"
+#include "upstream_notices.hpp"
 
 #include <geraniumdoor/base/log.hpp>
 
@@ -448,6 +449,8 @@
     {
         co_return attempt_outcome::wrong_upstream;
     }
+    apply_notice(m_state, current.m_upstream, head.m_status, head.m_fields,
+                 current.m_last_sent_at);
     if (metadata.m_not_run && head.m_status >= 400)
     {
         co_return head.m_status == 409 ? attempt_outcome::input_gone
--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -1,4 +1,5 @@
 #include "stage_scheduler.hpp"
+#include "upstream_notices.hpp"
 
 #include <geraniumdoor/base/log.hpp>
 
@@ -69,6 +70,11 @@
     }
     const time_point at = now();
     const bool wrong_upstream = is_ok(answer) && value_of(answer).m_status == 421;
+    if (is_ok(answer) && !wrong_upstream)
+    {
+        apply_notice(m_state, upstream, value_of(answer).m_status,
+                     value_of(answer).m_fields, upstream_state.m_call_started);
+    }
     // 421 means that another upstream uses the address now; the intended one does not
     // return there. The failure backoff applies, although nothing has run.
     const bool declined = is_ok(answer) && !wrong_upstream &&
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -165,6 +165,32 @@
     cr_expect(metadata.m_not_run and not metadata.m_id_mismatch);
 }
 
+Test(adapter, a_limit_counts_only_if_it_is_a_plain_number)
+{
+    const auto limit_of = [](const std::vector<std::string>& values)
+    {
+        http_fields fields;
+        for (const std::string& value : values)
+        {
+            fields.emplace_back("server-limit", value);
+        }
+        return platform::read_notice(fields);
+    };
+    using serving::requests_per_s;
+    cr_expect(not limit_of({}).m_names_limit);
+    cr_expect(limit_of({"2.5"}).m_limit == requests_per_s{2.5});
+    cr_expect(limit_of({" 0 "}).m_limit == requests_per_s{0});
+    // The lowest of several counts.
+    cr_expect(limit_of({"7", "3"}).m_limit == requests_per_s{3});
+    cr_expect(limit_of({"7", "many"}).m_limit == requests_per_s{7});
+    for (const char* unreadable :
+         {"", "-1", "many", "1e308", "nan", "inf", "1,5", "0x10", "1 2", "1.2.3", "."})
+    {
+        const auto notice = limit_of({unreadable});
+        cr_expect(notice.m_names_limit && !notice.m_limit, "%s", unreadable);
+    }
+}
+
 Test(adapter, decoding_pieces_requires_a_result_for_each_piece)
 {
     const auto two = platform::decode_pieces(
