--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -273,6 +273,7 @@
 asio::awaitable<void> worker_standin::serve(http_exchange& exchange)
 {
     const std::string target = exchange.request().m_target;
+    m_arrivals.push_back(std::chrono::steady_clock::now());
     if (target == "/stage-run")
     {
         co_await make_pieces(exchange);
@@ -283,12 +284,22 @@
         const auto body = json::parse(exchange.request().m_body);
         m_released += static_cast<int>(body.at("handles").as_array().size());
         http_response response;
+        add_notices(response.m_fields);
         co_await exchange.respond(std::move(response));
         co_return;
     }
     co_await run_request(exchange);
 }
 
+void worker_standin::add_notices(http_fields& fields)
+{
+    if (!m_limit.empty())
+    {
+        fields.emplace_back("Server-Limit", m_limit);
+        m_limit_named_at = m_limit_named_at.value_or(std::chrono::steady_clock::now());
+    }
+}
+
 asio::awaitable<void> worker_standin::make_pieces(http_exchange& exchange)
 {
     const auto body = json::parse(exchange.request().m_body);
@@ -299,6 +310,7 @@
     {
         http_response declined;
         declined.m_status = m_pieces_status;
+        add_notices(declined.m_fields);
         co_await exchange.respond(std::move(declined));
         co_return;
     }
@@ -319,7 +331,9 @@
     }
     json::object result;
     result["items"] = std::move(made);
-    co_await exchange.respond(json_body(result));
+    http_response response = json_body(result);
+    add_notices(response.m_fields);
+    co_await exchange.respond(std::move(response));
 }
 
 asio::awaitable<void> worker_standin::run_request(http_exchange& exchange)
@@ -334,6 +348,7 @@
     }
     http_response response;
     response.m_fields = proof_of(*this, request);
+    add_notices(response.m_fields);
     if (mode == worker_mode::decline || mode == worker_mode::input_gone)
     {
         response.m_status = mode == worker_mode::decline ? 503 : 409;
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -5,6 +5,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -109,6 +110,12 @@
     milliseconds m_restart_delay{1000};
     /// When requests that crash the worker arrived.
     std::vector<time_point> m_crash_arrivals;
+    /// Limit of requests per second that all responses name; empty to name none.
+    std::string m_limit;
+    /// When a response with a limit was first given.
+    std::optional<time_point> m_limit_named_at;
+    /// When requests, calls of pieces and releases arrived.
+    std::vector<time_point> m_arrivals;
 
     /// Listens on m_port of the address. Throws boost::system::system_error if it is
     /// taken.
@@ -120,6 +127,9 @@
                                             worker_mode mode);
     boost::asio::awaitable<void> make_pieces(http_exchange& exchange);
 
+    /// Adds what the worker says of itself to the fields of a response.
+    void add_notices(http_fields& fields);
+
     /// Closes all connections and the listener, and starts again after the delay.
     void crash(const boost::asio::any_io_executor& executor);
 };
