Keep the hosts together to the limit that an upstream names

Callers saw nothing; upstreams in need got several times what they take. Cause: no host read the limit that upstreams name in their responses, so that affinity and load went on to choose them. The class of fault: what an upstream says of itself in its responses is relayed and not read.

Change: one account for each upstream and host (serving/send_account.hpp) decides every send: requests of callers with their repeats and resumed streams, calls of pieces and releases; it has the quota of cold upstreams, too. While a limit is in force, one host issues permits to send for that upstream: the one with the highest weight, on which live hosts agree. A host asks when it has a request at hand, so that one without work wastes no turn, and what is denied goes to another upstream at once, or is refused with the time until the next permit. A host that begins to issue has no permits to give, and hosts that are cut off issue only their share. A limited worker of stages is sent a release only when half of its memory would come free; forecasts of its queue count what it takes. New datagrams follow the old ones in the variant: older hosts ignore them.

Ruled out: a share for each host (1 a second over 195 hosts is no share), turns by the clock (a host without work wastes its turn), permits given ahead (the same).

--- a/include/geraniumdoor/base/ids.hpp
+++ b/include/geraniumdoor/base/ids.hpp
@@ -21,6 +21,9 @@
 /// start.
 using incarnation = strong_number<struct incarnation_tag>;
 
+/// Hash that tells a process of an upstream from its predecessors under the same id.
+using upstream_run = strong_number<struct upstream_run_tag>;
+
 /// Version of the configuration. Zero means that no configuration is held.
 using config_version = strong_number<struct config_version_tag>;
 
--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -360,6 +360,82 @@
     }
 };
 
-using datagram = std::variant<ping, ping_req, ack, host_report, crash_report>;
+/// What an upstream has said of the requests per second that it takes from all hosts
+/// together.
+struct limit_notice
+{
+    /// Hash of the upstream's process.
+    std::uint64_t m_upstream = 0;
+    /// False when it names no limit any more.
+    bool m_is_limited = false;
+    double m_per_s = 0;
+    std::uint32_t m_age_ms = 0;
+
+    bool operator==(const limit_notice&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_upstream, m_is_limited, m_per_s, m_age_ms);
+    }
+};
+
+/// Most limits in one report, so that it fits a datagram. Hosts that are not told of one
+/// learn it from the upstream.
+constexpr std::size_t max_reported_limits = 40;
+
+/// What a host has been told by upstreams in their responses. Sent to all others as soon
+/// as a limit changes, and with its host_report while there is something to tell.
+struct upstream_report
+{
+    std::vector<limit_notice> m_limits;
+
+    bool operator==(const upstream_report&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_limits);
+    }
+};
+
+/// Asks the host that issues the permits of an upstream for one.
+struct permit_request
+{
+    std::uint64_t m_number = 0;
+    /// The limit as the asking host knows it.
+    limit_notice m_limit;
+
+    bool operator==(const permit_request&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_number, m_limit);
+    }
+};
+
+/// Longest wait in a permit_reply, in milliseconds.
+constexpr std::uint32_t max_permit_wait_ms = 60'000;
+
+struct permit_reply
+{
+    /// Number of the request.
+    std::uint64_t m_number = 0;
+    bool m_granted = false;
+    /// Time until the next permit, if none is granted.
+    std::uint32_t m_wait_ms = 0;
+
+    bool operator==(const permit_reply&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_number, m_granted, m_wait_ms);
+    }
+};
+
+using datagram = std::variant<ping, ping_req, ack, host_report, crash_report,
+                              upstream_report, permit_request, permit_reply>;
 
 } // namespace geraniumdoor
--- a/include/geraniumdoor/serving/crash_suspects.hpp
+++ b/include/geraniumdoor/serving/crash_suspects.hpp
@@ -17,9 +17,6 @@
 /// Hash of the id of a part of a prompt.
 using part_key = strong_number<struct part_key_tag>;
 
-/// Hash that tells a process of an upstream from its predecessors under the same id.
-using upstream_run = strong_number<struct upstream_run_tag>;
-
 /// A part of a prompt that other prompts may share.
 struct shared_part
 {
@@ -30,8 +27,6 @@
 /// All parts of a prompt but the last, which belongs to the request or its session.
 std::vector<shared_part> shared_parts(const prompt& request_prompt);
 
-upstream_run run_of(const upstream_entry& entry);
-
 /// A stream that has brought this number of events has not crashed its upstream by
 /// beginning to write.
 inline constexpr std::uint32_t events_of_sound_stream = 4;
--- a/include/geraniumdoor/serving/host_table.hpp
+++ b/include/geraniumdoor/serving/host_table.hpp
@@ -106,6 +106,17 @@
 node_id queue_host(const host_table& table, const host_report& own, const pool_id& pool,
                    time_point now);
 
+/// Returns the host that issues the permits to send to an upstream: the live and ready
+/// host with the highest weight, which is not stopping.
+/// @param run process of the upstream
+node_id permit_issuer(const host_table& table, const host_report& own, upstream_run run,
+                      time_point now);
+
+/// Part of an upstream's limit that the host which issues its permits may use: the share
+/// of live hosts among those that may still send. Hosts that are partitioned from each
+/// other keep the limit together.
+double permit_share(const host_table& table, time_point now);
+
 /// Returns the addresses for callers in the order of an address response: hosts of the
 /// caller's data centre first, then other hosts until there are min_count.
 /// @param near data centre of the caller
--- a/include/geraniumdoor/serving/stage_queue.hpp
+++ b/include/geraniumdoor/serving/stage_queue.hpp
@@ -3,6 +3,7 @@
 #include <geraniumdoor/base/ids.hpp>
 #include <geraniumdoor/base/units.hpp>
 #include <geraniumdoor/serving/routing.hpp>
+#include <geraniumdoor/serving/send_account.hpp>
 
 #include <cstdint>
 #include <map>
@@ -83,6 +84,10 @@
     /// Ratio of the measured to the expected time of its calls.
     double m_slowness = 1;
     std::uint32_t m_consecutive_failures = 0;
+    /// Least time between two calls, and the earliest time of the next one, when the
+    /// upstream has named a limit.
+    milliseconds m_call_interval{0};
+    time_point m_next_permit{};
 };
 
 /// A job that has not arrived yet, of a request that was admitted and is at an earlier
@@ -135,6 +140,9 @@
 /// earlier.
 inline constexpr milliseconds priority_step{250};
 
+/// Takes over what an upstream's account says of its limit.
+void apply_limit(stage_upstream& upstream, const send_account& account, time_point now);
+
 /// Returns the expected duration of a call with that many pieces.
 milliseconds expected_call_time(const stage_queue& queue, std::size_t pieces,
                                 double slowness);
@@ -195,6 +203,11 @@
 
 queue_summary summarize(const stage_queue& queue, time_point now);
 
+/// Whether results are worth one of the few requests that a limited upstream takes: they
+/// fill half of its memory for results.
+/// @param bytes size of the results that could be released
+bool is_worth_release(const piece_limits& limits, std::uint64_t bytes);
+
 /// Returns the jobs that can no longer meet their deadline.
 std::vector<job_id> infeasible_jobs(const stage_queue& queue, time_point now);
 
--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -29,6 +29,8 @@
     std::int64_t m_started_unix_ms = 0;
 };
 
+upstream_run run_of(const upstream_entry& entry);
+
 /// Ejection times of the circuit breaker that excludes unreachable upstreams from
 /// selection. An upstream that does not respond costs each request that tries it one
 /// connect timeout; the registry removes it after about 4 s.
@@ -57,12 +59,12 @@
     double m_failure_share = 0;
     /// Moving average of the ratio of the measured to the expected response time.
     double m_slowness = 1;
-    /// Requests that this host may send to the upstream in one second while it is cold.
-    std::uint32_t m_cold_quota = UINT32_MAX;
-    /// Start of the current one-second window, and requests sent since then.
-    time_point m_cold_window_start{};
-    std::uint32_t m_cold_window_sends = 0;
+    /// Tells the process from its predecessors.
+    upstream_run m_run;
+    /// What bounds this host's requests to the upstream.
     send_account m_sends;
+    /// Permits that this host issues to all hosts, if it is the one that does.
+    permit_ledger m_permits;
 };
 
 /// Returns the requests per second that one host may send to a cold upstream.
@@ -75,12 +77,8 @@
 /// @param rank number of hosts with a higher weight for the upstream
 std::uint32_t cold_quota(double rate_limit, std::size_t hosts, std::size_t rank);
 
-/// Whether the upstream is warm, or this host has not used up its quota for the current
-/// window.
-bool is_within_cold_quota(const upstream& row, time_point now);
-
-/// Counts a request sent to the upstream against the cold quota.
-void record_send(upstream& row, time_point now);
+/// Decides whether this host may send a request to the upstream.
+send_decision decide_send(const upstream& row, time_point now);
 
 /// Upstreams by id, and the data centres that the operator has evacuated.
 struct upstream_table
@@ -89,6 +87,18 @@
     std::unordered_set<data_centre_id> m_evacuated_data_centres;
 };
 
+/// Returns the row of a process; null if it is not in the registry.
+upstream* find_run(upstream_table& table, upstream_run run);
+
+/// Time until the first upstream of a pool may be sent a request; empty if one may be
+/// now, or if no upstream accepts work.
+///
+/// Load pattern: all upstreams of a pool name limits that are used up. A request that
+/// would end before the next permit is refused before stages run for it, and is told when
+/// there is one.
+std::optional<milliseconds> permit_wait(const upstream_table& table, const pool_id& pool,
+                                        time_point now);
+
 /// Stores a registry entry. A changed start time, pool or address discards what was
 /// observed of the previous process.
 void apply_entry(upstream_table& table, const upstream_entry& entry, time_point now);
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -3,6 +3,8 @@
 #include <geraniumdoor/base/packed_text.hpp>
 #include <geraniumdoor/cluster/codec.hpp>
 
+#include <algorithm>
+#include <cmath>
 #include <exception>
 #include <ostream>
 #include <streambuf>
@@ -135,6 +137,31 @@
            message.m_quarantines.size() <= max_reported_quarantines;
 }
 
+bool in_range(const limit_notice& notice)
+{
+    return std::isfinite(notice.m_per_s) && notice.m_per_s >= 0;
+}
+
+bool in_range(const upstream_report& message)
+{
+    return message.m_limits.size() <= max_reported_limits &&
+           std::all_of(message.m_limits.begin(), message.m_limits.end(),
+                       [](const limit_notice& notice)
+                       {
+                           return in_range(notice);
+                       });
+}
+
+bool in_range(const permit_request& message)
+{
+    return in_range(message.m_limit);
+}
+
+bool in_range(const permit_reply& message)
+{
+    return message.m_wait_ms <= max_permit_wait_ms;
+}
+
 bool in_range(const pieces_result& message)
 {
     return message.m_outcome <= pieces_outcome::failed;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -1,9 +1,11 @@
 #include "edge_state.hpp"
 #include "host_status.hpp"
 #include "request_relay.hpp"
+#include "send_permits.hpp"
 #include "stage_client.hpp"
 #include "stage_scheduler.hpp"
 #include "store_watch.hpp"
+#include "upstream_notices.hpp"
 
 #include <geraniumdoor/base/log.hpp>
 #include <geraniumdoor/edge/edge_daemon.hpp>
@@ -57,6 +59,10 @@
 /// Minimum interval between two requests for the list of hosts.
 constexpr milliseconds min_host_list_interval{1500};
 
+/// Minimum interval between two reports of changed limits of upstreams. An upstream may
+/// name another one in each response.
+constexpr milliseconds min_limit_report_interval{100};
+
 /// A connection to another host is closed when sent bytes remain unacknowledged for this
 /// time; the work is then sent to another host.
 constexpr milliseconds peer_ack_timeout{1000};
@@ -120,6 +126,9 @@
     void run_timers();
     void update_quarantines();
     void on_crash_report(const crash_report& report);
+    void on_upstream_report(const upstream_report& report);
+    /// Tells all hosts at once when a limit of an upstream has changed.
+    void send_changed_limits();
     /// Updates the list of queues that this host runs. Returns whether it has changed.
     bool update_queues();
     void send_reports();
@@ -141,6 +150,7 @@
     timer_service m_timers;
     edge_state m_state;
     node_transport m_transport;
+    send_permits m_permits;
     stage_scheduler m_scheduler;
     stage_client m_stages;
     store_watch m_store;
@@ -151,6 +161,7 @@
     http_server m_directory;
     asio::steady_timer m_timer_driver;
     time_point m_last_report{};
+    time_point m_last_limit_report{};
     time_point m_last_host_list_request{};
     time_point m_shutdown_started{};
     bool m_accepting_stopped = false;
@@ -167,7 +178,12 @@
                    to_node_address(m_state.m_settings.m_peer_endpoint)},
                   transport_limits(),
                   transport_callbacks()}
-    , m_scheduler{m_state,
+    , m_permits{m_state,
+                [this](const node_address& host, const datagram& message)
+                {
+                    m_transport.send_datagram(host, message);
+                }}
+    , m_scheduler{m_state, m_permits,
                   [this](const node_id& host, pieces_result result)
                   {
                       m_transport.send(host, std::move(result));
@@ -190,7 +206,7 @@
               {
                   send_reports();
               }}
-    , m_relay{m_state, m_stages, m_scheduler}
+    , m_relay{m_state, m_stages, m_scheduler, m_permits}
     , m_callers{io.get_executor(), to_tcp(m_state.m_settings.m_caller_endpoint),
                 caller_http_limits({}, m_state.m_settings.m_max_open_files),
                 [this](http_exchange& exchange)
@@ -244,7 +260,7 @@
         m_stages.on_not_sent(peer, message);
         m_store.on_peer_lost(peer);
     };
-    calls.m_on_datagram = [this](const datagram& message, const node_address&)
+    calls.m_on_datagram = [this](const datagram& message, const node_address& from)
     {
         if (const auto* report = std::get_if<host_report>(&message))
         {
@@ -254,6 +270,18 @@
         {
             on_crash_report(*crashes);
         }
+        else if (const auto* upstreams = std::get_if<upstream_report>(&message))
+        {
+            on_upstream_report(*upstreams);
+        }
+        else if (const auto* request = std::get_if<permit_request>(&message))
+        {
+            m_permits.on_request(*request, from);
+        }
+        else if (const auto* reply = std::get_if<permit_reply>(&message))
+        {
+            m_permits.on_reply(*reply);
+        }
     };
     return calls;
 }
@@ -276,6 +304,7 @@
                        {
                            send_reports();
                        }
+                       send_changed_limits();
                    });
     m_timers.every(queue_check_interval,
                    [this](time_point)
@@ -379,6 +408,7 @@
     }
     const auto crashes =
         serving::make_crash_report(m_state.m_crash_suspects, false, m_last_report);
+    const upstream_report upstreams = make_upstream_report(m_state, false);
     std::vector<node_address> sent;
     for (const auto& [id, host] : m_state.m_hosts.m_hosts)
     {
@@ -388,6 +418,10 @@
         {
             m_transport.send_datagram(host.m_report.m_peer, *crashes);
         }
+        if (!upstreams.m_limits.empty())
+        {
+            m_transport.send_datagram(host.m_report.m_peer, upstreams);
+        }
     }
     for (const node_address& seed : m_state.m_hosts.m_known_addresses)
     {
@@ -433,6 +467,30 @@
     }
 }
 
+void edge_daemon::parts::on_upstream_report(const upstream_report& report)
+{
+    for (const limit_notice& notice : report.m_limits)
+    {
+        apply_limit_notice(m_state, notice);
+    }
+}
+
+void edge_daemon::parts::send_changed_limits()
+{
+    const time_point at = now();
+    if (!m_state.m_limits_changed || at - m_last_limit_report < min_limit_report_interval)
+    {
+        return;
+    }
+    m_state.m_limits_changed = false;
+    m_last_limit_report = at;
+    const upstream_report report = make_upstream_report(m_state, false);
+    for (const auto& [id, host] : m_state.m_hosts.m_hosts)
+    {
+        m_transport.send_datagram(host.m_report.m_peer, report);
+    }
+}
+
 void edge_daemon::parts::update_remote_loads()
 {
     struct remote_load
@@ -458,7 +516,7 @@
     {
         if (row.m_cold_until > at)
         {
-            row.m_cold_quota = cold_quota_for(row);
+            row.m_sends.m_cold_quota = cold_quota_for(row);
         }
         const auto load = loads.find(id_hash(id.m_value));
         row.m_running_elsewhere = load == loads.end() ? 0 : load->second.m_requests;
@@ -518,6 +576,11 @@
         {
             m_transport.send_datagram(report.m_peer, *crashes);
         }
+        const upstream_report upstreams = make_upstream_report(m_state, true);
+        if (!upstreams.m_limits.empty())
+        {
+            m_transport.send_datagram(report.m_peer, upstreams);
+        }
     }
     const bool knows_more_hosts =
         report.m_live_hosts > m_state.m_own_report.m_live_hosts &&
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -5,6 +5,7 @@
 #include <geraniumdoor/base/log.hpp>
 
 #include <boost/algorithm/string/predicate.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -128,9 +129,19 @@
             co_await finish(current, step);
             co_return;
         }
+        const upstream_id id = chosen->m_entry.m_id;
+        const bool may_send = co_await get_permit(current, id);
+        if (current.m_caller_gone)
+        {
+            co_return;
+        }
+        chosen = m_state.m_upstreams.m_rows.find(id);
+        if (!may_send || chosen == nullptr)
+        {
+            continue;
+        }
         const time_point began = now();
         current.m_last_sent_at = began;
-        const upstream_id id = chosen->m_entry.m_id;
         const attempt_outcome outcome = co_await run_attempt(current, *chosen);
         record_attempt(current, outcome, began);
         record_crash_evidence(current, outcome);
@@ -143,6 +154,61 @@
     }
 }
 
+asio::awaitable<bool> request_relay::get_permit(request& current, upstream_id id)
+{
+    auto* row = m_state.m_upstreams.m_rows.find(id);
+    if (row == nullptr || !row->m_sends.m_statement.m_limit)
+    {
+        co_return row != nullptr;
+    }
+    if (take_permit(row->m_sends, now()))
+    {
+        co_return true;
+    }
+    struct answer
+    {
+        std::optional<bool> m_granted;
+        asio::steady_timer* m_wake_timer = nullptr;
+    };
+    const auto reply = std::make_shared<answer>();
+    reply->m_wake_timer = &current.m_wake_timer;
+    m_permits.ask(id,
+                  [this, id, reply](bool granted)
+                  {
+                      reply->m_granted = granted;
+                      if (reply->m_wake_timer != nullptr)
+                      {
+                          reply->m_wake_timer->cancel();
+                      }
+                      else if (granted)
+                      {
+                          keep_permit(id);
+                      }
+                  });
+    while (!reply->m_granted && !current.m_caller_gone)
+    {
+        current.m_wake_timer.expires_at(time_point::max());
+        boost::system::error_code ignored;
+        co_await current.m_wake_timer.async_wait(
+            asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    reply->m_wake_timer = nullptr;
+    const bool granted = reply->m_granted.value_or(false);
+    if (granted && current.m_caller_gone)
+    {
+        keep_permit(id);
+    }
+    co_return granted;
+}
+
+void request_relay::keep_permit(const upstream_id& id)
+{
+    if (auto* row = m_state.m_upstreams.m_rows.find(id))
+    {
+        add_permit(row->m_sends, now());
+    }
+}
+
 const upstream* request_relay::select_untried_upstream(request& current) const
 {
     const upstream* chosen = select_upstream(current);
@@ -207,8 +273,13 @@
     {
         const auto quarantine =
             quarantine_left(m_state.m_crash_suspects, current.m_shared_parts, now());
-        co_await refuse(current, quarantine.value_or(declined_retry_after),
-                        quarantine ? crashing_prompt_reason : "no_upstream_ran_it");
+        const auto permit = permit_wait(m_state.m_upstreams, current.m_pool, now());
+        const milliseconds wait =
+            std::max(declined_retry_after, permit.value_or(declined_retry_after));
+        co_await refuse(current, quarantine.value_or(wait),
+                        quarantine ? crashing_prompt_reason
+                        : permit   ? limits_used_up_reason
+                                   : "no_upstream_ran_it");
         co_return;
     }
     case next_step::cut_off:
@@ -283,7 +354,7 @@
         }
         if (begin)
         {
-            record_send(*row, now());
+            record_send(row->m_sends, now());
             ++row->m_running;
             row->m_running_tokens += tokens;
         }
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -11,6 +11,9 @@
 /// Reason of refusals while a part of the prompt is in quarantine.
 inline constexpr const char* crashing_prompt_reason = "crashing_prompt";
 
+/// Reason of refusals while the limits that all upstreams have named are used up.
+inline constexpr const char* limits_used_up_reason = "limits_used_up";
+
 inline milliseconds ms_between(time_point from, time_point to)
 {
     return std::chrono::duration_cast<milliseconds>(to - from);
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -42,8 +42,12 @@
 } // namespace
 
 request_relay::request_relay(edge_state& state, stage_client& stages,
-                             const stage_scheduler& scheduler)
-    : m_state{state}, m_stage_client{stages}, m_scheduler{scheduler}, m_started{now()}
+                             const stage_scheduler& scheduler, send_permits& permits)
+    : m_state{state}
+    , m_stage_client{stages}
+    , m_scheduler{scheduler}
+    , m_permits{permits}
+    , m_started{now()}
 {
 }
 
@@ -187,6 +191,12 @@
         co_await refuse(current, *wait, crashing_prompt_reason);
         co_return;
     }
+    const auto permit = permit_wait(m_state.m_upstreams, current.m_pool, now());
+    if (permit && now() + *permit > current.m_first_byte_deadline)
+    {
+        co_await refuse(current, *permit, limits_used_up_reason);
+        co_return;
+    }
     const auto excess = co_await announce_and_check_deadline(current);
     if (current.m_caller_gone)
     {
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge_state.hpp"
+#include "send_permits.hpp"
 #include "stage_client.hpp"
 #include "stage_scheduler.hpp"
 
@@ -119,7 +120,7 @@
 {
 public:
     request_relay(edge_state& state, stage_client& stages,
-                  const stage_scheduler& scheduler);
+                  const stage_scheduler& scheduler, send_permits& permits);
 
     boost::asio::awaitable<void> serve(http_exchange& exchange);
 
@@ -210,6 +211,13 @@
     /// made.
     boost::asio::awaitable<bool> handle_outcome(request& current,
                                                 serving::attempt_outcome outcome);
+
+    /// Returns whether a request may be sent to an upstream, which may take a question to
+    /// another host.
+    boost::asio::awaitable<bool> get_permit(request& current, upstream_id id);
+
+    /// Keeps a permit that a request has got and does not use.
+    void keep_permit(const upstream_id& id);
     boost::asio::awaitable<void> finish(request& current, serving::next_step step);
     boost::asio::awaitable<serving::attempt_outcome>
     run_attempt(request& current, const serving::upstream& chosen);
@@ -257,6 +265,7 @@
     edge_state& m_state;
     stage_client& m_stage_client;
     const stage_scheduler& m_scheduler;
+    send_permits& m_permits;
     time_point m_started;
     std::size_t m_active = 0;
     /// Moving average of the time to the first byte in each pool, in milliseconds.
--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -41,6 +41,8 @@
 /// results for 4 s.
 constexpr milliseconds result_ttl{4500};
 
+constexpr unsigned wrong_upstream_status = 421;
+
 /// Accounts for a call that ended without a result for the piece. The piece waits again
 /// unless another call carries it.
 void requeue_piece(piece& part)
@@ -69,7 +71,8 @@
             std::min(upstream_state.m_result_memory_used, bytes);
     }
     const time_point at = now();
-    const bool wrong_upstream = is_ok(answer) && value_of(answer).m_status == 421;
+    const bool wrong_upstream =
+        is_ok(answer) && value_of(answer).m_status == wrong_upstream_status;
     if (is_ok(answer) && !wrong_upstream)
     {
         apply_notice(m_state, upstream, value_of(answer).m_status,
@@ -284,10 +287,55 @@
     }
 }
 
+bool stage_scheduler::may_release(const pool_state& state, const upstream_id& upstream,
+                                  const std::vector<std::string>& handles)
+{
+    auto* row = m_state.m_upstreams.m_rows.find(upstream);
+    if (row == nullptr || !row->m_sends.m_statement.m_limit)
+    {
+        return true;
+    }
+    std::uint64_t bytes = 0;
+    for (const std::string& handle : handles)
+    {
+        const auto retained = state.m_results.find(handle);
+        bytes += retained == state.m_results.end() ? 0 : retained->second.m_bytes;
+    }
+    if (!is_worth_release(state.m_queue.m_limits, bytes))
+    {
+        return false;
+    }
+    if (take_permit(row->m_sends, now()))
+    {
+        return true;
+    }
+    if (row->m_sends.m_next_ask <= now())
+    {
+        // The next check finds the permit, unless a call has used it.
+        m_permits.ask_ahead(upstream, [] {});
+    }
+    return false;
+}
+
 void stage_scheduler::flush_releases(pool_state& state)
 {
+    decltype(state.m_pending_releases) kept;
     for (auto& [upstream, handles] : state.m_pending_releases)
     {
+        if (!may_release(state, upstream, handles))
+        {
+            // Results that expire in the meantime need no release.
+            std::erase_if(handles,
+                          [&state](const std::string& handle)
+                          {
+                              return !state.m_results.contains(handle);
+                          });
+            if (!handles.empty())
+            {
+                kept.emplace(upstream, std::move(handles));
+            }
+            continue;
+        }
         const auto upstream_state = state.m_queue.m_upstreams.find(upstream);
         for (const std::string& handle : handles)
         {
@@ -304,26 +352,35 @@
             }
             state.m_results.erase(retained);
         }
-        const auto* row = m_state.m_upstreams.m_rows.find(upstream);
+        auto* row = m_state.m_upstreams.m_rows.find(upstream);
         if (row != nullptr)
         {
-            asio::co_spawn(m_state.m_executor,
-                           send_release(row->m_entry.m_address, std::move(handles)),
-                           asio::detached);
+            record_send(row->m_sends, now());
+            asio::co_spawn(
+                m_state.m_executor,
+                send_release(upstream, row->m_entry.m_address, std::move(handles)),
+                asio::detached);
         }
     }
-    state.m_pending_releases.clear();
+    state.m_pending_releases = std::move(kept);
 }
 
-asio::awaitable<void> stage_scheduler::send_release(ip_endpoint address,
+asio::awaitable<void> stage_scheduler::send_release(upstream_id upstream,
+                                                    ip_endpoint address,
                                                     std::vector<std::string> handles)
 {
     constexpr milliseconds limit{1000};
     http_call_options options;
     options.m_timeout = limit;
+    const time_point began = now();
     const auto answer =
         co_await m_http.send(to_tcp(address), platform::encode_release(handles), options);
-    if (!is_ok(answer))
+    if (is_ok(answer) && value_of(answer).m_status != wrong_upstream_status)
+    {
+        apply_notice(m_state, upstream, value_of(answer).m_status,
+                     value_of(answer).m_fields, began);
+    }
+    else if (!is_ok(answer))
     {
         // The results occupy the memory of the upstream until they expire.
         log_event{"release_failed"}
--- a/src/edge/stage_scheduler.cpp
+++ b/src/edge/stage_scheduler.cpp
@@ -42,9 +42,10 @@
 
 } // namespace
 
-stage_scheduler::stage_scheduler(edge_state& state, result_sender send_result,
-                                 forecast_sender send_forecast)
+stage_scheduler::stage_scheduler(edge_state& state, send_permits& permits,
+                                 result_sender send_result, forecast_sender send_forecast)
     : m_state{state}
+    , m_permits{permits}
     , m_send_result{std::move(send_result)}
     , m_send_forecast{std::move(send_forecast)}
     , m_http{state.m_executor, client_limits()}
@@ -225,9 +226,10 @@
 {
     const time_point at = now();
     std::vector<upstream_id> idle;
-    for (const auto& [id, upstream_state] : state.m_queue.m_upstreams)
+    for (auto& [id, upstream_state] : state.m_queue.m_upstreams)
     {
         const auto* row = m_state.m_upstreams.m_rows.find(id);
+        apply_limit(upstream_state, row == nullptr ? send_account{} : row->m_sends, at);
         const bool usable = !upstream_state.m_busy_until && row != nullptr &&
                             accepts_work(m_state.m_upstreams, *row);
         if (usable)
@@ -238,13 +240,32 @@
     for (const upstream_id& id : idle)
     {
         auto pieces = next_call(state.m_queue, id, at);
-        if (!pieces.empty())
+        if (!pieces.empty() && may_call(pool, id))
         {
             start_call(pool, state, id, std::move(pieces));
         }
     }
 }
 
+bool stage_scheduler::may_call(const pool_id& pool, const upstream_id& id)
+{
+    upstream* row = m_state.m_upstreams.m_rows.find(id);
+    if (!row->m_sends.m_statement.m_limit || take_permit(row->m_sends, now()))
+    {
+        return true;
+    }
+    m_permits.ask_ahead(id,
+                        [this, pool]
+                        {
+                            const auto queue = m_pools.find(pool);
+                            if (queue != m_pools.end())
+                            {
+                                dispatch_calls(pool, queue->second);
+                            }
+                        });
+    return false;
+}
+
 void stage_scheduler::start_call(const pool_id& pool, pool_state& state,
                                  const upstream_id& upstream,
                                  std::vector<piece_ref> pieces)
@@ -272,7 +293,8 @@
     auto request = platform::encode_pieces(items, upstream);
     state.m_calls[upstream] =
         call{upstream, std::move(pieces), std::move(result_bytes), false};
-    const auto* row = m_state.m_upstreams.m_rows.find(upstream);
+    auto* row = m_state.m_upstreams.m_rows.find(upstream);
+    record_send(row->m_sends, at);
     asio::co_spawn(
         m_state.m_executor,
         run_call(pool, upstream, row->m_entry.m_address, std::move(request), expected),
--- a/src/edge/stage_scheduler.hpp
+++ b/src/edge/stage_scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "edge_state.hpp"
 #include "host_status.hpp"
+#include "send_permits.hpp"
 
 #include <geraniumdoor/cluster/messages.hpp>
 #include <geraniumdoor/net/http_client.hpp>
@@ -32,7 +33,7 @@
     using forecast_sender =
         std::function<void(const node_id& host, pieces_forecast forecast)>;
 
-    stage_scheduler(edge_state& state, result_sender send_result,
+    stage_scheduler(edge_state& state, send_permits& permits, result_sender send_result,
                     forecast_sender send_forecast);
 
     /// Starts the periodic checks of the queues.
@@ -97,6 +98,10 @@
     void refresh_upstreams(const pool_id& pool, pool_state& state);
     pool_state* find_or_add_pool(const pool_id& pool);
     void dispatch_calls(const pool_id& pool, pool_state& state);
+
+    /// Whether a call may be started at an idle upstream. Asks for a permit if one is
+    /// needed.
+    bool may_call(const pool_id& pool, const upstream_id& id);
     void start_call(const pool_id& pool, pool_state& state, const upstream_id& upstream,
                     std::vector<serving::piece_ref> pieces);
     boost::asio::awaitable<void> run_call(pool_id pool, upstream_id upstream,
@@ -113,7 +118,11 @@
     void remove_job(pool_state& state, const serving::job_id& id);
     void release_result(pool_state& state, const std::string& handle);
     void flush_releases(pool_state& state);
-    boost::asio::awaitable<void> send_release(ip_endpoint address,
+    /// Whether results may be released at an upstream now. One that has named a limit is
+    /// sent a release only when its memory needs it; results expire by themselves.
+    bool may_release(const pool_state& state, const upstream_id& upstream,
+                     const std::vector<std::string>& handles);
+    boost::asio::awaitable<void> send_release(upstream_id upstream, ip_endpoint address,
                                               std::vector<std::string> handles);
     void run_checks(const pool_id& pool, pool_state& state);
     void log_queue(const pool_id& pool, pool_state& state);
@@ -122,6 +131,7 @@
     void expire_results(pool_state& state);
 
     edge_state& m_state;
+    send_permits& m_permits;
     result_sender m_send_result;
     forecast_sender m_send_forecast;
     http_client m_http;
--- a/src/edge/upstream_notices.cpp
+++ b/src/edge/upstream_notices.cpp
@@ -2,11 +2,34 @@
 
 #include <geraniumdoor/base/log.hpp>
 
+#include <algorithm>
+
 #include <platform/exchange.hpp>
 
 namespace geraniumdoor::edge
 {
 
+using namespace geraniumdoor::serving;
+
+namespace
+{
+
+/// A statement is repeated in this number of reports, since datagrams may be lost.
+constexpr int reports_of_statement = 3;
+
+void log_limit(const upstream_id& upstream, const std::optional<requests_per_s>& limit,
+               const char* source)
+{
+    log_event line{"upstream_limit"};
+    line.add("upstream", upstream).add("from", source).add("limited", limit.has_value());
+    if (limit)
+    {
+        line.add("per_s", limit->m_value);
+    }
+}
+
+} // namespace
+
 void apply_notice(edge_state& state, const upstream_id& upstream, unsigned status,
                   const http_fields& fields, time_point sent_at)
 {
@@ -18,15 +41,10 @@
     const platform::upstream_notice notice = platform::read_notice(fields);
     constexpr unsigned first_error_status = 400;
     const bool may_end_limit = !notice.m_names_limit && status < first_error_status;
-    if (serving::record_statement(row->m_sends, notice.m_limit, may_end_limit, sent_at,
-                                  now()))
+    if (record_statement(row->m_sends, notice.m_limit, may_end_limit, sent_at, now()))
     {
-        log_event line{"upstream_limit"};
-        line.add("upstream", upstream).add("limited", notice.m_limit.has_value());
-        if (notice.m_limit)
-        {
-            line.add("per_s", notice.m_limit->m_value);
-        }
+        log_limit(upstream, notice.m_limit, "response");
+        state.m_limits_changed = true;
     }
     else if (notice.m_names_limit && !notice.m_limit)
     {
@@ -34,4 +52,54 @@
     }
 }
 
+void apply_limit_notice(edge_state& state, const limit_notice& notice)
+{
+    auto* row = find_run(state.m_upstreams, upstream_run{notice.m_upstream});
+    if (row == nullptr)
+    {
+        return;
+    }
+    limit_statement statement;
+    statement.m_stated_at = now() - milliseconds{notice.m_age_ms};
+    if (notice.m_is_limited)
+    {
+        statement.m_limit = requests_per_s{notice.m_per_s};
+    }
+    if (apply_statement(row->m_sends, statement))
+    {
+        log_limit(row->m_entry.m_id, statement.m_limit, "host");
+    }
+}
+
+limit_notice to_notice(upstream_run run, const limit_statement& statement, time_point now)
+{
+    limit_notice notice;
+    notice.m_upstream = run.m_value;
+    notice.m_is_limited = statement.m_limit.has_value();
+    notice.m_per_s = statement.m_limit ? statement.m_limit->m_value : 0;
+    notice.m_age_ms = static_cast<std::uint32_t>(
+        std::chrono::ceil<milliseconds>(now - statement.m_stated_at).count());
+    return notice;
+}
+
+upstream_report make_upstream_report(const edge_state& state, bool to_newcomer)
+{
+    const time_point at = now();
+    const milliseconds repeated_for =
+        reports_of_statement * milliseconds{state.m_own_report.m_interval_ms};
+    upstream_report report;
+    for (const auto& [id, row] : state.m_upstreams.m_rows)
+    {
+        const limit_statement& statement = row.m_sends.m_statement;
+        const bool is_recent =
+            statement.m_heard_here && at - statement.m_stated_at <= repeated_for;
+        const bool is_told = to_newcomer ? statement.m_limit.has_value() : is_recent;
+        if (is_told && report.m_limits.size() < max_reported_limits)
+        {
+            report.m_limits.push_back(to_notice(row.m_run, statement, at));
+        }
+    }
+    return report;
+}
+
 } // namespace geraniumdoor::edge
--- a/src/edge/upstream_notices.hpp
+++ b/src/edge/upstream_notices.hpp
@@ -12,4 +12,16 @@
 void apply_notice(edge_state& state, const upstream_id& upstream, unsigned status,
                   const http_fields& fields, time_point sent_at);
 
+/// Records what another host has heard from an upstream.
+void apply_limit_notice(edge_state& state, const limit_notice& notice);
+
+/// Returns the notice that tells another host of a statement.
+limit_notice to_notice(upstream_run run, const serving::limit_statement& statement,
+                       time_point now);
+
+/// Returns what this host tells others of the limits of upstreams.
+/// @param to_newcomer whether to name all limits in force, rather than the statements
+/// that this host has heard in the time of a few reports
+upstream_report make_upstream_report(const edge_state& state, bool to_newcomer);
+
 } // namespace geraniumdoor::edge
--- a/src/serving/crash_suspects.cpp
+++ b/src/serving/crash_suspects.cpp
@@ -258,12 +258,6 @@
     return parts;
 }
 
-upstream_run run_of(const upstream_entry& entry)
-{
-    return upstream_run{
-        stable_hash(entry.m_id.m_value + '/' + std::to_string(entry.m_started_unix_ms))};
-}
-
 void record_crash(crash_suspects& suspects, const std::vector<shared_part>& parts,
                   upstream_run upstream, std::uint32_t weight, time_point now)
 {
--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -136,7 +136,7 @@
     {
         const bool is_candidate =
             row.m_entry.m_pool == pool && accepts_work(table, row) &&
-            is_within_cold_quota(row, now) &&
+            decide_send(row, now) != send_decision::denied &&
             std::find(tried.begin(), tried.end(), id) == tried.end();
         if (!is_candidate)
         {
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -143,6 +143,42 @@
     return best;
 }
 
+node_id permit_issuer(const host_table& table, const host_report& own, upstream_run run,
+                      time_point now)
+{
+    const std::string role = "permits/" + std::to_string(run.m_value);
+    const auto weight_of = [&role](const host_report& host)
+    {
+        return host.m_ready && !host.m_stopping ? role_weight(role, host) : 0;
+    };
+    node_id best = own.m_node;
+    double best_weight = weight_of(own);
+    for (const auto& [id, host] : table.m_hosts)
+    {
+        const double weight = is_live(host, now) ? weight_of(host.m_report) : 0;
+        if (weight > best_weight)
+        {
+            best = id;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
+double permit_share(const host_table& table, time_point now)
+{
+    std::size_t possible = 1;
+    for (const auto& [id, host] : table.m_hosts)
+    {
+        const bool has_stopped = host.m_report.m_stopping && !is_live(host, now);
+        const bool may_send =
+            !has_stopped && now - host.m_last_heard <= limit_sharing_window;
+        possible += may_send ? 1 : 0;
+    }
+    return static_cast<double>(count_live_hosts(table, now)) /
+           static_cast<double>(possible);
+}
+
 std::vector<std::string> caller_addresses(const host_table& table, const host_report& own,
                                           const data_centre_id& near,
                                           std::size_t min_count, time_point now)
--- a/src/serving/stage_queue.cpp
+++ b/src/serving/stage_queue.cpp
@@ -60,9 +60,15 @@
                       }));
 }
 
+/// Returns the time from which calls may be sent to an upstream that is idle.
+time_point usable_from(const stage_upstream& upstream)
+{
+    return std::max(upstream.m_blocked_until, upstream.m_next_permit);
+}
+
 bool is_usable(const stage_upstream& upstream, time_point now)
 {
-    return upstream.m_blocked_until <= now;
+    return usable_from(upstream) <= now;
 }
 
 /// Whether the job should wait for an upstream in its preferred data centre: upstreams
@@ -91,7 +97,7 @@
             continue;
         }
         const time_point idle_at =
-            std::max({now, other.m_busy_until.value_or(now), other.m_blocked_until});
+            std::max({now, other.m_busy_until.value_or(now), usable_from(other)});
         const time_point expected_end =
             idle_at + expected_call_time(queue, call_size, other.m_slowness);
         if (expected_end + locality_margin <= job.m_due)
@@ -142,8 +148,10 @@
     {
         if (is_usable(upstream, now))
         {
-            const auto full = expected_call_time(queue, queue.m_limits.m_batch_size,
-                                                 upstream.m_slowness);
+            const auto full =
+                std::max(upstream.m_call_interval,
+                         expected_call_time(queue, queue.m_limits.m_batch_size,
+                                            upstream.m_slowness));
             pieces_per_s += queue.m_limits.m_batch_size / std::max(0.001, to_s(full));
         }
     }
@@ -177,8 +185,8 @@
     std::optional<time_point> first;
     for (const auto& [id, upstream] : queue.m_upstreams)
     {
-        const time_point idle = std::max(
-            {now, upstream.m_busy_until.value_or(now), upstream.m_blocked_until});
+        const time_point idle =
+            std::max({now, upstream.m_busy_until.value_or(now), usable_from(upstream)});
         first = first ? std::min(*first, idle) : idle;
     }
     constexpr seconds no_upstream_wait{60};
@@ -231,6 +239,15 @@
 
 } // namespace
 
+void apply_limit(stage_upstream& upstream, const send_account& account, time_point now)
+{
+    const auto& limit = account.m_statement.m_limit;
+    upstream.m_call_interval = limit ? call_interval(*limit) : milliseconds{0};
+    const bool is_denied =
+        limit && decide_send(account, false, now) == send_decision::denied;
+    upstream.m_next_permit = is_denied ? account.m_next_ask : time_point{};
+}
+
 milliseconds expected_call_time(const stage_queue& queue, std::size_t pieces,
                                 double slowness)
 {
@@ -436,6 +453,11 @@
     return summary;
 }
 
+bool is_worth_release(const piece_limits& limits, std::uint64_t bytes)
+{
+    return limits.m_result_memory_bytes > 0 && bytes >= limits.m_result_memory_bytes / 2;
+}
+
 std::vector<job_id> infeasible_jobs(const stage_queue& queue, time_point now)
 {
     std::vector<job_id> infeasible;
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -1,3 +1,4 @@
+#include <geraniumdoor/base/hash.hpp>
 #include <geraniumdoor/serving/upstreams.hpp>
 
 #include <algorithm>
@@ -17,10 +18,6 @@
 /// Relative cost of a failed response: the request has to run again at another upstream.
 constexpr double failure_penalty = 4;
 
-/// Window of the rate limit for cold upstreams: one second, with a margin for differences
-/// in network delay.
-constexpr milliseconds cold_window{1200};
-
 double selection_cost(const upstream& row, const data_centre_id& own_data_centre,
                       time_point now)
 {
@@ -39,6 +36,12 @@
 
 } // namespace
 
+upstream_run run_of(const upstream_entry& entry)
+{
+    return upstream_run{
+        stable_hash(entry.m_id.m_value + '/' + std::to_string(entry.m_started_unix_ms))};
+}
+
 void apply_entry(upstream_table& table, const upstream_entry& entry, time_point now)
 {
     upstream* known = table.m_rows.find(entry.m_id);
@@ -51,6 +54,7 @@
         known = &table.m_rows.put(entry.m_id, upstream{});
     }
     known->m_entry = entry;
+    known->m_run = run_of(entry);
     known->m_cold_until = now + entry.m_cold_remaining;
 }
 
@@ -65,22 +69,47 @@
     return rank < whole_requests ? 1 : 0;
 }
 
-bool is_within_cold_quota(const upstream& row, time_point now)
+send_decision decide_send(const upstream& row, time_point now)
 {
-    const bool cold = row.m_cold_until > now;
-    const bool same_window = now - row.m_cold_window_start < cold_window;
-    const std::uint32_t sent = same_window ? row.m_cold_window_sends : 0;
-    return !cold || sent < row.m_cold_quota;
+    return decide_send(row.m_sends, row.m_cold_until > now, now);
 }
 
-void record_send(upstream& row, time_point now)
+upstream* find_run(upstream_table& table, upstream_run run)
 {
-    if (now - row.m_cold_window_start >= cold_window)
+    for (auto& [id, row] : table.m_rows)
+    {
+        if (row.m_run == run)
+        {
+            return &row;
+        }
+    }
+    return nullptr;
+}
+
+std::optional<milliseconds> permit_wait(const upstream_table& table, const pool_id& pool,
+                                        time_point now)
+{
+    std::optional<time_point> first;
+    for (const auto& [id, row] : table.m_rows)
+    {
+        if (row.m_entry.m_pool != pool || !accepts_work(table, row))
+        {
+            continue;
+        }
+        const bool waits = row.m_sends.m_statement.m_limit.has_value() &&
+                           decide_send(row, now) == send_decision::denied;
+        if (!waits)
+        {
+            return std::nullopt;
+        }
+        const time_point next = row.m_sends.m_next_ask;
+        first = first ? std::min(*first, next) : next;
+    }
+    if (!first)
     {
-        row.m_cold_window_start = now;
-        row.m_cold_window_sends = 0;
+        return std::nullopt;
     }
-    ++row.m_cold_window_sends;
+    return std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(*first - now));
 }
 
 bool has_routing_change(const upstream_entry& before, const upstream_entry& after)
@@ -138,7 +167,7 @@
     {
         const bool is_candidate =
             row.m_entry.m_pool == pool && accepts_work(table, row) &&
-            is_within_cold_quota(row, now) &&
+            decide_send(row, now) != send_decision::denied &&
             std::find(tried.begin(), tried.end(), id) == tried.end();
         if (!is_candidate)
         {
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -180,7 +180,10 @@
         }
     }
     for (const datagram& report :
-         {datagram{sample_report()}, datagram{sample_crash_report()}})
+         {datagram{sample_report()}, datagram{sample_crash_report()},
+          datagram{upstream_report{{{21, true, 0.5, 30}, {22, false, 0, 7}}}},
+          datagram{permit_request{23, {21, true, 0.5, 30}}},
+          datagram{permit_reply{23, false, 900}}})
     {
         const std::string bytes = value_of(encode_datagram(report));
         const auto received = decode_datagram(bytes);
--- a/tests/serving/choice_test.cpp
+++ b/tests/serving/choice_test.cpp
@@ -148,12 +148,12 @@
     upstream_table table = sample_table(2);
     upstream& row = *table.m_rows.find(upstream_id{"e0"});
     row.m_cold_until = now + 3s;
-    row.m_cold_quota = 2;
-    record_send(row, now);
-    cr_expect(is_within_cold_quota(row, now));
-    record_send(row, now);
-    cr_expect(not is_within_cold_quota(row, now + 900ms));
-    cr_expect(is_within_cold_quota(row, now + 1300ms));
+    row.m_sends.m_cold_quota = 2;
+    record_send(row.m_sends, now);
+    cr_expect(decide_send(row, now) == send_decision::allowed);
+    record_send(row.m_sends, now);
+    cr_expect(decide_send(row, now + 900ms) == send_decision::denied);
+    cr_expect(decide_send(row, now + 1300ms) == send_decision::allowed);
     const auto* other =
         choose_upstream(table, pool_id{"engines"}, data_centre_id{"z0"}, {}, now);
     EXPECT_EQUAL(other->m_entry.m_id.m_value, "e1");
--- a/tests/serving/stage_queue_test.cpp
+++ b/tests/serving/stage_queue_test.cpp
@@ -29,6 +29,36 @@
     EXPECT_EQUAL(call.size(), 7U);
 }
 
+// Guards against jobs that are taken on although the limits of the upstreams leave no
+// time for them.
+Test(stage_queue, a_forecast_counts_what_upstreams_that_name_a_limit_take)
+{
+    stage_queue queue = sample_queue(2);
+    for (const char* host : {"a", "b", "c", "d"})
+    {
+        add_job(queue, host, 8);
+    }
+    const stage_job next = sample_job(8);
+    cr_expect(predicted_end(queue, next, sample_now) < sample_now + 1s);
+    send_account account;
+    record_statement(account, requests_per_s{0.5}, false, sample_now, sample_now);
+    record_denial(account, 1500ms, sample_now);
+    for (auto& [id, upstream] : queue.m_upstreams)
+    {
+        apply_limit(upstream, account, sample_now);
+    }
+    // Four calls wait for two upstreams, each of which takes one in two seconds.
+    cr_expect(predicted_end(queue, next, sample_now) > sample_now + 4s);
+    cr_expect(next_call(queue, upstream_id{"w0"}, sample_now).empty());
+    // The limit is over.
+    record_statement(account, std::nullopt, true, sample_now + 1ms, sample_now + 2ms);
+    for (auto& [id, upstream] : queue.m_upstreams)
+    {
+        apply_limit(upstream, account, sample_now + 2ms);
+    }
+    cr_expect(not next_call(queue, upstream_id{"w0"}, sample_now + 2ms).empty());
+}
+
 Test(stage_queue, a_job_is_split_only_when_more_than_two_calls_wait)
 {
     stage_queue queue = sample_queue(1);
--- a/tests/standins/limited_upstream_test.cpp
+++ b/tests/standins/limited_upstream_test.cpp
@@ -179,3 +179,42 @@
     limit_story story{24120, work::staged_streams};
     story.expect_limit_kept(1);
 }
+
+// Guards against requests that wait for an upstream in need, or are refused without the
+// time at which it takes one.
+Test(limited_upstream, what_no_upstream_takes_is_refused_at_once_with_the_time_to_return)
+{
+    limit_story story{24200, work::reads};
+    for (const auto& worker : story.m_cluster.m_workers)
+    {
+        worker->m_limit = "2";
+    }
+    story.run(contact_time);
+    const std::size_t first = story.m_sent.size();
+    const time_point begin = std::chrono::steady_clock::now();
+    story.run(bound_window);
+    // A response that is not there after this time was not given at once.
+    story.m_cluster.run_for(300ms);
+    std::size_t served = 0;
+    for (std::size_t at = first; at < story.m_sent.size(); ++at)
+    {
+        const auto& answer = *story.m_sent[at];
+        cr_assert(answer.has_value(), "request %zu waits", at);
+        if (answer->m_status == 200)
+        {
+            ++served;
+            continue;
+        }
+        EXPECT_EQUAL(answer->m_status, 503U);
+        EXPECT_EQUAL(answer->m_body, "limits_used_up");
+        const double wait_s =
+            std::stod(std::string{find_field(answer->m_fields, "Retry-After")});
+        cr_expect(wait_s > 0 && wait_s <= 0.7, "%.3f s", wait_s);
+    }
+    // Four upstreams take 32 requests in that time.
+    cr_expect(served >= 16 && served <= 36, "%zu served", served);
+    for (const auto& worker : story.m_cluster.m_workers)
+    {
+        cr_expect(most_arrivals(*worker, bound_window, begin) <= bound_of(2));
+    }
+}
