Send nothing to upstreams that say that they leave or decline requests

Upstreams say in their responses that they leave, or for how long they want no request from the host; nobody read it. The class of fault is that of the ignored limit.

Change: the adapter reads both. That an upstream leaves holds for its process and is told to all hosts with the limits; a time for which it declines requests is in the host's account of the upstream, which every send passes. Both are looked at before each choice and once more after a connection is open, also for pieces in queues and repeats. Neither ejects an upstream. If all upstreams of a pool decline or have used up their limits, callers are refused at once with the shortest time (reason no_upstream_takes_it).

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -384,18 +384,23 @@
 /// learn it from the upstream.
 constexpr std::size_t max_reported_limits = 40;
 
+/// Most leaving upstreams in one report; the registry tells of them, too.
+constexpr std::size_t max_reported_leaving = 40;
+
 /// What a host has been told by upstreams in their responses. Sent to all others as soon
-/// as a limit changes, and with its host_report while there is something to tell.
+/// as there is something new, and with its host_report for some time.
 struct upstream_report
 {
     std::vector<limit_notice> m_limits;
+    /// Hashes of the processes of upstreams that have said that they leave.
+    std::vector<std::uint64_t> m_leaving;
 
     bool operator==(const upstream_report&) const = default;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_limits);
+        archive(m_limits, m_leaving);
     }
 };
 
--- a/include/geraniumdoor/serving/send_account.hpp
+++ b/include/geraniumdoor/serving/send_account.hpp
@@ -44,6 +44,8 @@
     time_point m_permit_expires{};
     /// No permit is asked for before this time.
     time_point m_next_ask{};
+    /// The upstream wants no request from this host before this time.
+    time_point m_declines_until{};
 };
 
 enum class send_decision : std::uint8_t
@@ -58,6 +60,10 @@
 /// @param cold whether the upstream is cold
 send_decision decide_send(const send_account& account, bool cold, time_point now);
 
+/// Returns the time from which a request may be sent, or a permit asked for; `now` if
+/// that is so already. Quotas of cold upstreams are left out: they last a second.
+time_point next_send(const send_account& account, time_point now);
+
 /// Counts a request that is sent.
 void record_send(send_account& account, time_point now);
 
@@ -75,6 +81,16 @@
 /// @return whether the limit in force has changed
 bool apply_statement(send_account& account, const limit_statement& statement);
 
+/// Longest time for which an upstream may decline requests at once. One that names a
+/// longer time is asked again after this.
+inline constexpr seconds max_decline_time{600};
+
+/// Records that the upstream wants no request from this host for a time.
+void record_decline(send_account& account, milliseconds length, time_point now);
+
+/// Whether the upstream wants no request from this host at the moment.
+bool is_declining(const send_account& account, time_point now);
+
 /// Time for which a permit may be used.
 inline constexpr milliseconds permit_lifetime{500};
 
--- a/include/geraniumdoor/serving/stage_queue.hpp
+++ b/include/geraniumdoor/serving/stage_queue.hpp
@@ -84,10 +84,10 @@
     /// Ratio of the measured to the expected time of its calls.
     double m_slowness = 1;
     std::uint32_t m_consecutive_failures = 0;
-    /// Least time between two calls, and the earliest time of the next one, when the
-    /// upstream has named a limit.
+    /// Least time between two calls, when the upstream has named a limit.
     milliseconds m_call_interval{0};
-    time_point m_next_permit{};
+    /// Earliest time of the next call, when its limit is used up or it declines calls.
+    time_point m_next_send{};
 };
 
 /// A job that has not arrived yet, of a request that was admitted and is at an earlier
@@ -140,8 +140,8 @@
 /// earlier.
 inline constexpr milliseconds priority_step{250};
 
-/// Takes over what an upstream's account says of its limit.
-void apply_limit(stage_upstream& upstream, const send_account& account, time_point now);
+/// Takes over from an upstream's account when it may be sent calls.
+void apply_account(stage_upstream& upstream, const send_account& account, time_point now);
 
 /// Returns the expected duration of a call with that many pieces.
 milliseconds expected_call_time(const stage_queue& queue, std::size_t pieces,
--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -6,6 +6,7 @@
 #include <geraniumdoor/serving/send_account.hpp>
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <unordered_set>
@@ -59,6 +60,10 @@
     double m_failure_share = 0;
     /// Moving average of the ratio of the measured to the expected response time.
     double m_slowness = 1;
+    /// The upstream has said that it leaves, which may be before its registry entry does.
+    bool m_says_leaving = false;
+    /// When it last said so to this host.
+    std::optional<time_point> m_said_leaving_at;
     /// Tells the process from its predecessors.
     upstream_run m_run;
     /// What bounds this host's requests to the upstream.
@@ -93,11 +98,11 @@
 /// Time until the first upstream of a pool may be sent a request; empty if one may be
 /// now, or if no upstream accepts work.
 ///
-/// Load pattern: all upstreams of a pool name limits that are used up. A request that
-/// would end before the next permit is refused before stages run for it, and is told when
-/// there is one.
-std::optional<milliseconds> permit_wait(const upstream_table& table, const pool_id& pool,
-                                        time_point now);
+/// Load pattern: all upstreams of a pool name limits that are used up, or are full and
+/// decline requests. A request that would end before one takes it is refused before
+/// stages run for it, and is told when to return.
+std::optional<milliseconds> send_wait(const upstream_table& table, const pool_id& pool,
+                                      time_point now);
 
 /// Stores a registry entry. A changed start time, pool or address discards what was
 /// observed of the previous process.
@@ -108,11 +113,11 @@
 /// irrelevant to other hosts.
 bool has_routing_change(const upstream_entry& before, const upstream_entry& after);
 
-/// Whether new work may be sent to the upstream: it is not leaving and its data centre is
-/// not evacuated.
+/// Whether new work may be sent to the upstream: it is not leaving, as its entry or the
+/// upstream itself says, and its data centre is not evacuated.
 bool accepts_work(const upstream_table& table, const upstream& candidate);
 
-/// Whether the upstream accepts work and is not ejected by this host.
+/// Whether the upstream accepts work, from this host too, and is not ejected by it.
 bool is_available(const upstream_table& table, const upstream& candidate, time_point now);
 
 /// Records a response and resets the circuit breaker.
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -145,6 +145,7 @@
 bool in_range(const upstream_report& message)
 {
     return message.m_limits.size() <= max_reported_limits &&
+           message.m_leaving.size() <= max_reported_leaving &&
            std::all_of(message.m_limits.begin(), message.m_limits.end(),
                        [](const limit_notice& notice)
                        {
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -59,9 +59,9 @@
 /// Minimum interval between two requests for the list of hosts.
 constexpr milliseconds min_host_list_interval{1500};
 
-/// Minimum interval between two reports of changed limits of upstreams. An upstream may
-/// name another one in each response.
-constexpr milliseconds min_limit_report_interval{100};
+/// Minimum interval between two reports of what upstreams have said anew. An upstream may
+/// name another limit in each response.
+constexpr milliseconds min_notice_report_interval{100};
 
 /// A connection to another host is closed when sent bytes remain unacknowledged for this
 /// time; the work is then sent to another host.
@@ -127,8 +127,8 @@
     void update_quarantines();
     void on_crash_report(const crash_report& report);
     void on_upstream_report(const upstream_report& report);
-    /// Tells all hosts at once when a limit of an upstream has changed.
-    void send_changed_limits();
+    /// Tells all hosts at once what an upstream has said anew.
+    void send_changed_notices();
     /// Updates the list of queues that this host runs. Returns whether it has changed.
     bool update_queues();
     void send_reports();
@@ -161,7 +161,7 @@
     http_server m_directory;
     asio::steady_timer m_timer_driver;
     time_point m_last_report{};
-    time_point m_last_limit_report{};
+    time_point m_last_notice_report{};
     time_point m_last_host_list_request{};
     time_point m_shutdown_started{};
     bool m_accepting_stopped = false;
@@ -304,7 +304,7 @@
                        {
                            send_reports();
                        }
-                       send_changed_limits();
+                       send_changed_notices();
                    });
     m_timers.every(queue_check_interval,
                    [this](time_point)
@@ -418,7 +418,7 @@
         {
             m_transport.send_datagram(host.m_report.m_peer, *crashes);
         }
-        if (!upstreams.m_limits.empty())
+        if (!is_empty(upstreams))
         {
             m_transport.send_datagram(host.m_report.m_peer, upstreams);
         }
@@ -473,17 +473,22 @@
     {
         apply_limit_notice(m_state, notice);
     }
+    for (const std::uint64_t run : report.m_leaving)
+    {
+        apply_leaving_notice(m_state, upstream_run{run});
+    }
 }
 
-void edge_daemon::parts::send_changed_limits()
+void edge_daemon::parts::send_changed_notices()
 {
     const time_point at = now();
-    if (!m_state.m_limits_changed || at - m_last_limit_report < min_limit_report_interval)
+    if (!m_state.m_notices_changed ||
+        at - m_last_notice_report < min_notice_report_interval)
     {
         return;
     }
-    m_state.m_limits_changed = false;
-    m_last_limit_report = at;
+    m_state.m_notices_changed = false;
+    m_last_notice_report = at;
     const upstream_report report = make_upstream_report(m_state, false);
     for (const auto& [id, host] : m_state.m_hosts.m_hosts)
     {
@@ -577,7 +582,7 @@
             m_transport.send_datagram(report.m_peer, *crashes);
         }
         const upstream_report upstreams = make_upstream_report(m_state, true);
-        if (!upstreams.m_limits.empty())
+        if (!is_empty(upstreams))
         {
             m_transport.send_datagram(report.m_peer, upstreams);
         }
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -45,9 +45,9 @@
     host_report m_own_report;
     serving::retry_budget m_retry_budget;
     serving::crash_suspects m_crash_suspects;
-    /// A response has changed what is known of an upstream's limit, and other hosts have
-    /// not been told yet.
-    bool m_limits_changed = false;
+    /// A response has changed what is known of an upstream, and other hosts have not been
+    /// told yet.
+    bool m_notices_changed = false;
 };
 
 /// Current time of the steady clock. The time of the timer service does not advance while
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -73,7 +73,8 @@
     body["data_centre"] = row.m_entry.m_data_centre.m_value;
     body["address"] = to_text(row.m_entry.m_address);
     body["available"] = serving::is_available(table, row, at);
-    body["leaving"] = row.m_entry.m_leaving;
+    body["leaving"] = row.m_entry.m_leaving || row.m_says_leaving;
+    body["declines_ms"] = ms_until(row.m_sends.m_declines_until, at);
     body["evacuated"] =
         table.m_evacuated_data_centres.contains(row.m_entry.m_data_centre);
     body["running"] = row.m_running;
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -273,12 +273,12 @@
     {
         const auto quarantine =
             quarantine_left(m_state.m_crash_suspects, current.m_shared_parts, now());
-        const auto permit = permit_wait(m_state.m_upstreams, current.m_pool, now());
+        const auto next = send_wait(m_state.m_upstreams, current.m_pool, now());
         const milliseconds wait =
-            std::max(declined_retry_after, permit.value_or(declined_retry_after));
+            std::max(declined_retry_after, next.value_or(declined_retry_after));
         co_await refuse(current, quarantine.value_or(wait),
                         quarantine ? crashing_prompt_reason
-                        : permit   ? limits_used_up_reason
+                        : next     ? no_upstream_takes_it_reason
                                    : "no_upstream_ran_it");
         co_return;
     }
@@ -370,7 +370,8 @@
     current.m_progress = {};
     const auto connected = co_await call->connect(
         to_tcp(address), std::min(connect_timeout, time_left(current)));
-    if (!is_ok(connected) || current.m_caller_gone)
+    // The upstream may have said that it leaves while the connection was opened.
+    if (!is_ok(connected) || current.m_caller_gone || !takes_requests(id))
     {
         update_running(false);
         current.m_upstream_call.reset();
@@ -426,6 +427,13 @@
     co_return outcome;
 }
 
+bool request_relay::takes_requests(const upstream_id& id) const
+{
+    const upstream* row = m_state.m_upstreams.m_rows.find(id);
+    return row != nullptr && accepts_work(m_state.m_upstreams, *row) &&
+           !is_declining(row->m_sends, now());
+}
+
 std::optional<milliseconds>
 request_relay::input_release_delay(const request& current,
                                    const upstream_id& engine) const
@@ -481,6 +489,11 @@
     switch (outcome)
     {
     case attempt_outcome::not_sent:
+        if (takes_requests(current.m_upstream))
+        {
+            record_unreachable(*row, at);
+        }
+        break;
     case attempt_outcome::wrong_upstream:
     case attempt_outcome::broken:
     case attempt_outcome::broken_stream:
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -11,8 +11,9 @@
 /// Reason of refusals while a part of the prompt is in quarantine.
 inline constexpr const char* crashing_prompt_reason = "crashing_prompt";
 
-/// Reason of refusals while the limits that all upstreams have named are used up.
-inline constexpr const char* limits_used_up_reason = "limits_used_up";
+/// Reason of refusals while all upstreams have used up the limits that they have named,
+/// or decline requests.
+inline constexpr const char* no_upstream_takes_it_reason = "no_upstream_takes_it";
 
 inline milliseconds ms_between(time_point from, time_point to)
 {
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -191,10 +191,10 @@
         co_await refuse(current, *wait, crashing_prompt_reason);
         co_return;
     }
-    const auto permit = permit_wait(m_state.m_upstreams, current.m_pool, now());
-    if (permit && now() + *permit > current.m_first_byte_deadline)
+    const auto next_send = send_wait(m_state.m_upstreams, current.m_pool, now());
+    if (next_send && now() + *next_send > current.m_first_byte_deadline)
     {
-        co_await refuse(current, *permit, limits_used_up_reason);
+        co_await refuse(current, *next_send, no_upstream_takes_it_reason);
         co_return;
     }
     const auto excess = co_await announce_and_check_deadline(current);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -252,6 +252,9 @@
     void record_attempt(request& current, serving::attempt_outcome outcome,
                         time_point began);
 
+    /// Whether an upstream still takes requests from this host.
+    bool takes_requests(const upstream_id& id) const;
+
     /// Time after sending at which the inputs of a request may be released; empty to
     /// release them at the first byte of the response.
     std::optional<milliseconds> input_release_delay(const request& current,
--- a/src/edge/stage_scheduler.cpp
+++ b/src/edge/stage_scheduler.cpp
@@ -229,7 +229,7 @@
     for (auto& [id, upstream_state] : state.m_queue.m_upstreams)
     {
         const auto* row = m_state.m_upstreams.m_rows.find(id);
-        apply_limit(upstream_state, row == nullptr ? send_account{} : row->m_sends, at);
+        apply_account(upstream_state, row == nullptr ? send_account{} : row->m_sends, at);
         const bool usable = !upstream_state.m_busy_until && row != nullptr &&
                             accepts_work(m_state.m_upstreams, *row);
         if (usable)
--- a/src/edge/upstream_notices.cpp
+++ b/src/edge/upstream_notices.cpp
@@ -28,6 +28,17 @@
     }
 }
 
+void set_leaving(upstream& row, const char* source)
+{
+    if (!row.m_says_leaving)
+    {
+        row.m_says_leaving = true;
+        log_event{"upstream_leaves"}
+            .add("upstream", row.m_entry.m_id)
+            .add("from", source);
+    }
+}
+
 } // namespace
 
 void apply_notice(edge_state& state, const upstream_id& upstream, unsigned status,
@@ -38,13 +49,26 @@
     {
         return;
     }
-    const platform::upstream_notice notice = platform::read_notice(fields);
+    const platform::upstream_notice notice = platform::read_notice(status, fields);
+    if (notice.m_decline_time)
+    {
+        record_decline(row->m_sends, *notice.m_decline_time, now());
+        log_event{"upstream_declines"}
+            .add("upstream", upstream)
+            .add("for_ms", notice.m_decline_time->count());
+    }
+    if (notice.m_leaves)
+    {
+        set_leaving(*row, "response");
+        state.m_notices_changed |= !row->m_said_leaving_at;
+        row->m_said_leaving_at = now();
+    }
     constexpr unsigned first_error_status = 400;
     const bool may_end_limit = !notice.m_names_limit && status < first_error_status;
     if (record_statement(row->m_sends, notice.m_limit, may_end_limit, sent_at, now()))
     {
         log_limit(upstream, notice.m_limit, "response");
-        state.m_limits_changed = true;
+        state.m_notices_changed = true;
     }
     else if (notice.m_names_limit && !notice.m_limit)
     {
@@ -71,6 +95,14 @@
     }
 }
 
+void apply_leaving_notice(edge_state& state, upstream_run run)
+{
+    if (auto* row = find_run(state.m_upstreams, run))
+    {
+        set_leaving(*row, "host");
+    }
+}
+
 limit_notice to_notice(upstream_run run, const limit_statement& statement, time_point now)
 {
     limit_notice notice;
@@ -98,8 +130,20 @@
         {
             report.m_limits.push_back(to_notice(row.m_run, statement, at));
         }
+        const bool said_recently =
+            row.m_said_leaving_at && at - *row.m_said_leaving_at <= repeated_for;
+        if ((to_newcomer ? row.m_says_leaving : said_recently) &&
+            report.m_leaving.size() < max_reported_leaving)
+        {
+            report.m_leaving.push_back(row.m_run.m_value);
+        }
     }
     return report;
 }
 
+bool is_empty(const upstream_report& report)
+{
+    return report.m_limits.empty() && report.m_leaving.empty();
+}
+
 } // namespace geraniumdoor::edge
--- a/src/edge/upstream_notices.hpp
+++ b/src/edge/upstream_notices.hpp
@@ -15,13 +15,19 @@
 /// Records what another host has heard from an upstream.
 void apply_limit_notice(edge_state& state, const limit_notice& notice);
 
+/// Records that another host has heard from an upstream that it leaves.
+void apply_leaving_notice(edge_state& state, upstream_run run);
+
 /// Returns the notice that tells another host of a statement.
 limit_notice to_notice(upstream_run run, const serving::limit_statement& statement,
                        time_point now);
 
-/// Returns what this host tells others of the limits of upstreams.
-/// @param to_newcomer whether to name all limits in force, rather than the statements
-/// that this host has heard in the time of a few reports
+/// Returns what this host tells others of upstreams.
+/// @param to_newcomer whether to tell all that holds, rather than what this host has
+/// heard itself in the time of a few reports
 upstream_report make_upstream_report(const edge_state& state, bool to_newcomer);
 
+/// Whether there is nothing to tell.
+bool is_empty(const upstream_report& report);
+
 } // namespace geraniumdoor::edge
--- a/src/serving/send_account.cpp
+++ b/src/serving/send_account.cpp
@@ -41,7 +41,7 @@
 
 send_decision decide_send(const send_account& account, bool cold, time_point now)
 {
-    if (!is_within_cold_quota(account, cold, now))
+    if (is_declining(account, now) || !is_within_cold_quota(account, cold, now))
     {
         return send_decision::denied;
     }
@@ -54,6 +54,14 @@
                                      : send_decision::denied;
 }
 
+time_point next_send(const send_account& account, time_point now)
+{
+    const bool needs_permit =
+        account.m_statement.m_limit && account.m_permit_expires <= now;
+    return std::max(
+        {now, account.m_declines_until, needs_permit ? account.m_next_ask : now});
+}
+
 void record_send(send_account& account, time_point now)
 {
     if (now - account.m_window_start >= cold_window)
@@ -89,6 +97,17 @@
     return changed;
 }
 
+void record_decline(send_account& account, milliseconds length, time_point now)
+{
+    const auto bounded = std::min<milliseconds>(length, max_decline_time);
+    account.m_declines_until = std::max(account.m_declines_until, now + bounded);
+}
+
+bool is_declining(const send_account& account, time_point now)
+{
+    return account.m_declines_until > now;
+}
+
 void add_permit(send_account& account, time_point now)
 {
     account.m_permit_expires = now + permit_lifetime;
--- a/src/serving/stage_queue.cpp
+++ b/src/serving/stage_queue.cpp
@@ -63,7 +63,7 @@
 /// Returns the time from which calls may be sent to an upstream that is idle.
 time_point usable_from(const stage_upstream& upstream)
 {
-    return std::max(upstream.m_blocked_until, upstream.m_next_permit);
+    return std::max(upstream.m_blocked_until, upstream.m_next_send);
 }
 
 bool is_usable(const stage_upstream& upstream, time_point now)
@@ -239,13 +239,11 @@
 
 } // namespace
 
-void apply_limit(stage_upstream& upstream, const send_account& account, time_point now)
+void apply_account(stage_upstream& upstream, const send_account& account, time_point now)
 {
     const auto& limit = account.m_statement.m_limit;
     upstream.m_call_interval = limit ? call_interval(*limit) : milliseconds{0};
-    const bool is_denied =
-        limit && decide_send(account, false, now) == send_decision::denied;
-    upstream.m_next_permit = is_denied ? account.m_next_ask : time_point{};
+    upstream.m_next_send = next_send(account, now);
 }
 
 milliseconds expected_call_time(const stage_queue& queue, std::size_t pieces,
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -86,8 +86,8 @@
     return nullptr;
 }
 
-std::optional<milliseconds> permit_wait(const upstream_table& table, const pool_id& pool,
-                                        time_point now)
+std::optional<milliseconds> send_wait(const upstream_table& table, const pool_id& pool,
+                                      time_point now)
 {
     std::optional<time_point> first;
     for (const auto& [id, row] : table.m_rows)
@@ -96,20 +96,14 @@
         {
             continue;
         }
-        const bool waits = row.m_sends.m_statement.m_limit.has_value() &&
-                           decide_send(row, now) == send_decision::denied;
-        if (!waits)
-        {
-            return std::nullopt;
-        }
-        const time_point next = row.m_sends.m_next_ask;
+        const time_point next = next_send(row.m_sends, now);
         first = first ? std::min(*first, next) : next;
     }
-    if (!first)
+    if (!first || *first <= now)
     {
         return std::nullopt;
     }
-    return std::max(milliseconds{0}, std::chrono::ceil<milliseconds>(*first - now));
+    return std::chrono::ceil<milliseconds>(*first - now);
 }
 
 bool has_routing_change(const upstream_entry& before, const upstream_entry& after)
@@ -124,13 +118,14 @@
 
 bool accepts_work(const upstream_table& table, const upstream& candidate)
 {
-    return !candidate.m_entry.m_leaving &&
+    return !candidate.m_entry.m_leaving && !candidate.m_says_leaving &&
            !table.m_evacuated_data_centres.contains(candidate.m_entry.m_data_centre);
 }
 
 bool is_available(const upstream_table& table, const upstream& candidate, time_point now)
 {
-    return accepts_work(table, candidate) && candidate.m_ejected_until <= now;
+    return accepts_work(table, candidate) && !is_declining(candidate.m_sends, now) &&
+           candidate.m_ejected_until <= now;
 }
 
 void record_response(upstream& row, bool succeeded, double slowness)
