--- a/standins/gd_standin_edge_main.cpp
+++ b/standins/gd_standin_edge_main.cpp
@@ -147,6 +147,25 @@
     }
 
     /// Throws if the change cannot be read.
+    /// Changes what a worker says of itself.
+    static void apply_notices(worker_standin& worker, const json::object& change)
+    {
+        if (change.contains("limit"))
+        {
+            worker.m_limit = text_of(change, "limit");
+        }
+        if (change.contains("retry_after"))
+        {
+            worker.m_retry_after = text_of(change, "retry_after");
+        }
+        if (change.contains("process"))
+        {
+            const std::string process = text_of(change, "process");
+            worker.m_says_leaving = process == "leaves";
+            worker.m_born += process == "new" ? 1 : 0;
+        }
+    }
+
     void apply(const json::object& change)
     {
         if (const auto* down = change.if_contains("store_down"))
@@ -172,6 +191,7 @@
             entry.m_worker.m_delay =
                 milliseconds{json::value_to<std::int64_t>(change.at("delay_ms"))};
         }
+        apply_notices(entry.m_worker, change);
         if (change.contains("state"))
         {
             list_worker(entry, text_of(change, "state"));
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -58,6 +58,9 @@
 /// Longest time for which a fault lasts. The registry drops a silent worker after 4 s.
 constexpr int longest_fault_ms = 3000;
 
+/// Faults of a run in which workers say something of themselves.
+constexpr int notice_faults = 2;
+
 struct worker_form
 {
     const char* m_id;
@@ -135,6 +138,7 @@
     explicit soak_driver(const soak_options& options)
         : m_options{options}
         , m_random{options.m_seed}
+        , m_notice_random{options.m_seed + 1}
         , m_client{m_io.get_executor(), {}}
         , m_hosts(static_cast<std::size_t>(options.m_hosts))
         , m_store_proxy{m_io.get_executor(), place(0, store_proxy_port),
@@ -213,6 +217,7 @@
     asio::awaitable<void> control(json::object change);
 
     asio::awaitable<void> begin_fault(int number);
+    asio::awaitable<void> begin_notice_fault();
     asio::awaitable<void> disturb_host(std::size_t host, std::uint32_t kind,
                                        milliseconds length);
     asio::awaitable<void> disturb_link(fault_proxy& proxy, std::uint32_t kind,
@@ -230,6 +235,8 @@
 
     soak_options m_options;
     random_source m_random;
+    /// Source of its own, so that seeds give the same series of the other faults.
+    random_source m_notice_random;
     asio::io_context m_io{1};
     http_client m_client;
     test::child_process m_standin;
@@ -657,6 +664,49 @@
     --m_active_faults;
 }
 
+/// A worker says that it takes few requests, declines them for a time, or leaves.
+asio::awaitable<void> soak_driver::begin_notice_fault()
+{
+    const milliseconds begin{uniform_below(
+        m_notice_random, static_cast<std::uint32_t>(m_options.m_length.count()))};
+    const milliseconds length{200 +
+                              uniform_below(m_notice_random, longest_fault_ms - 200)};
+    const std::string id =
+        worker_forms[uniform_below(m_notice_random, worker_forms.size())].m_id;
+    const std::uint32_t kind = uniform_below(m_notice_random, 3);
+    ++m_active_faults;
+    co_await pause_for(begin);
+    say(id +
+        (kind == 0   ? " names a limit"
+         : kind == 1 ? " declines requests"
+                     : " says that it leaves") +
+        " for " + std::to_string(length.count()) + " ms");
+    if (kind == 0)
+    {
+        co_await control(worker_change(id, "limit", "2"));
+        co_await pause_for(length);
+        co_await control(worker_change(id, "limit", ""));
+    }
+    else if (kind == 1)
+    {
+        co_await control(worker_change(id, "retry_after", "0.7"));
+        co_await control(worker_change(id, "mode", "decline"));
+        co_await pause_for(length);
+        co_await control(worker_change(id, "mode", "normal"));
+        co_await control(worker_change(id, "retry_after", ""));
+    }
+    else
+    {
+        co_await control(worker_change(id, "process", "leaves"));
+        co_await pause_for(length);
+        co_await control(worker_change(id, "state", "gone"));
+        co_await control(worker_change(id, "process", "new"));
+        co_await pause_for(length);
+        co_await control(worker_change(id, "state", "ready"));
+    }
+    --m_active_faults;
+}
+
 /// Asks each host for each kind of request until all are served.
 asio::awaitable<void> soak_driver::recover()
 {
@@ -718,6 +768,10 @@
     {
         spawn(begin_fault(number));
     }
+    for (int number = 0; number < notice_faults; ++number)
+    {
+        spawn(begin_notice_fault());
+    }
     co_await pause_for(m_options.m_length);
     while (m_active_faults > 0)
     {
