Choose the host of a role in one place, and name what it issues

The hosts of a queue and of an upstream's permits were chosen by the same loop written twice (duplicates). heaviest_host has it once. The ledger of issued permits is m_issued, since m_permits names the part that asks.

The tests of leaving and limited services made the noticed upstream the fastest: one of six runs of leaving_upstream/an_upstream_that_declines_* had failed because no request had reached it in 1.5 s, so that it never declined (m_notice_given_at was empty). The checks are unchanged.

--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -69,7 +69,7 @@
     /// What bounds this host's requests to the upstream.
     send_account m_sends;
     /// Permits that this host issues to all hosts, if it is the one that does.
-    permit_ledger m_permits;
+    permit_ledger m_issued;
 };
 
 /// Returns the requests per second that one host may send to a cold upstream.
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -165,9 +165,11 @@
     {
         co_return true;
     }
+    // Shared with the completion, which may be called after the request has ended.
     struct answer
     {
         std::optional<bool> m_granted;
+        /// Null once the request does not wait any more.
         asio::steady_timer* m_wake_timer = nullptr;
     };
     const auto reply = std::make_shared<answer>();
--- a/src/edge/send_permits.cpp
+++ b/src/edge/send_permits.cpp
@@ -89,7 +89,7 @@
         return {true, milliseconds{0}};
     }
     const time_point at = now();
-    return issue_permit(row.m_permits, *limit, permit_share(m_state.m_hosts, at), at);
+    return issue_permit(row.m_issued, *limit, permit_share(m_state.m_hosts, at), at);
 }
 
 void send_permits::on_request(const permit_request& request, const node_address& from)
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -20,6 +20,30 @@
     return address.m_ip + ':' + std::to_string(address.m_port);
 }
 
+/// Returns the live host, ready and not stopping, with the highest weight; this host if
+/// there is none.
+template<class WeightOf>
+node_id heaviest_host(const host_table& table, const host_report& own, time_point now,
+                      const WeightOf& weight_of)
+{
+    const auto weight_of_candidate = [&weight_of](const host_report& host)
+    {
+        return host.m_ready && !host.m_stopping ? weight_of(host) : 0;
+    };
+    node_id best = own.m_node;
+    double best_weight = weight_of_candidate(own);
+    for (const auto& [id, host] : table.m_hosts)
+    {
+        const double weight = is_live(host, now) ? weight_of_candidate(host.m_report) : 0;
+        if (weight > best_weight)
+        {
+            best = id;
+            best_weight = weight;
+        }
+    }
+    return best;
+}
+
 } // namespace
 
 milliseconds report_interval(std::size_t hosts, bool has_role)
@@ -123,46 +147,24 @@
 node_id queue_host(const host_table& table, const host_report& own, const pool_id& pool,
                    time_point now)
 {
-    const auto weight_of = [&](const host_report& host)
-    {
-        const bool is_candidate = host.m_ready && !host.m_stopping;
-        const double factor = runs_queue(host, pool) ? holder_weight_factor : 1;
-        return is_candidate ? factor * role_weight(pool.m_value, host) : 0;
-    };
-    node_id best = own.m_node;
-    double best_weight = weight_of(own);
-    for (const auto& [id, host] : table.m_hosts)
-    {
-        const double weight = is_live(host, now) ? weight_of(host.m_report) : 0;
-        if (weight > best_weight)
-        {
-            best = id;
-            best_weight = weight;
-        }
-    }
-    return best;
+    return heaviest_host(table, own, now,
+                         [&pool](const host_report& host)
+                         {
+                             const double factor =
+                                 runs_queue(host, pool) ? holder_weight_factor : 1;
+                             return factor * role_weight(pool.m_value, host);
+                         });
 }
 
 node_id permit_issuer(const host_table& table, const host_report& own, upstream_run run,
                       time_point now)
 {
     const std::string role = "permits/" + std::to_string(run.m_value);
-    const auto weight_of = [&role](const host_report& host)
-    {
-        return host.m_ready && !host.m_stopping ? role_weight(role, host) : 0;
-    };
-    node_id best = own.m_node;
-    double best_weight = weight_of(own);
-    for (const auto& [id, host] : table.m_hosts)
-    {
-        const double weight = is_live(host, now) ? weight_of(host.m_report) : 0;
-        if (weight > best_weight)
-        {
-            best = id;
-            best_weight = weight;
-        }
-    }
-    return best;
+    return heaviest_host(table, own, now,
+                         [&role](const host_report& host)
+                         {
+                             return role_weight(role, host);
+                         });
 }
 
 double permit_share(const host_table& table, time_point now)
--- a/tests/serving/send_account_test.cpp
+++ b/tests/serving/send_account_test.cpp
@@ -42,6 +42,22 @@
     return report;
 }
 
+const pool_id sample_pool{"pool"};
+
+/// Upstreams "a" and "b" of the pool.
+upstream_table table_of_two()
+{
+    upstream_table table;
+    for (const char* id : {"a", "b"})
+    {
+        upstream_entry entry;
+        entry.m_id.m_value = id;
+        entry.m_pool = sample_pool;
+        apply_entry(table, entry, start);
+    }
+    return table;
+}
+
 } // namespace
 
 TestSuite(send_account, .timeout = 60);
@@ -139,26 +155,18 @@
 
 Test(send_account, a_limit_that_is_used_up_everywhere_tells_when_to_return)
 {
-    upstream_table table;
-    for (const char* id : {"a", "b"})
-    {
-        upstream_entry entry;
-        entry.m_id.m_value = id;
-        entry.m_pool.m_value = "pool";
-        apply_entry(table, entry, start);
-    }
-    const pool_id pool{"pool"};
+    upstream_table table = table_of_two();
     upstream& first = *table.m_rows.find(upstream_id{"a"});
     upstream& second = *table.m_rows.find(upstream_id{"b"});
     first.m_sends = limited_account();
     record_denial(first.m_sends, 900ms, start);
-    cr_expect(not send_wait(table, pool, start).has_value());
+    cr_expect(not send_wait(table, sample_pool, start).has_value());
     second.m_sends = limited_account();
     record_denial(second.m_sends, 400ms, start);
-    cr_expect(send_wait(table, pool, start) == 400ms);
+    cr_expect(send_wait(table, sample_pool, start) == 400ms);
     // One that leaves takes nothing.
     second.m_entry.m_leaving = true;
-    cr_expect(send_wait(table, pool, start) == 900ms);
+    cr_expect(send_wait(table, sample_pool, start) == 900ms);
 }
 
 Test(send_account, an_upstream_that_declines_requests_is_sent_none_for_its_time)
@@ -180,25 +188,17 @@
 
 Test(send_account, a_pool_that_declines_as_a_whole_tells_the_first_time_to_return)
 {
-    upstream_table table;
-    for (const char* id : {"a", "b"})
-    {
-        upstream_entry entry;
-        entry.m_id.m_value = id;
-        entry.m_pool.m_value = "pool";
-        apply_entry(table, entry, start);
-    }
-    const pool_id pool{"pool"};
+    upstream_table table = table_of_two();
     upstream& first = *table.m_rows.find(upstream_id{"a"});
     upstream& second = *table.m_rows.find(upstream_id{"b"});
     record_decline(first.m_sends, 3s, start);
-    cr_expect(not send_wait(table, pool, start).has_value());
+    cr_expect(not send_wait(table, sample_pool, start).has_value());
     record_decline(second.m_sends, 1s, start);
-    cr_expect(send_wait(table, pool, start) == 1000ms);
+    cr_expect(send_wait(table, sample_pool, start) == 1000ms);
     // One that says that it leaves takes nothing, whatever its entry says.
     second.m_says_leaving = true;
     cr_expect(not accepts_work(table, second));
-    cr_expect(send_wait(table, pool, start) == 3000ms);
+    cr_expect(send_wait(table, sample_pool, start) == 3000ms);
     // A new process under the same id has not said so.
     upstream_entry restarted = second.m_entry;
     restarted.m_started_unix_ms = 2;
--- a/tests/standins/leaving_upstream_test.cpp
+++ b/tests/standins/leaving_upstream_test.cpp
@@ -41,6 +41,14 @@
         {
             m_cluster.add_worker("e0", "engine");
         }
+        else
+        {
+            // The first upstream is the fastest, so that requests go there.
+            for (std::size_t at = 1; at < m_cluster.m_workers.size(); ++at)
+            {
+                m_cluster.m_workers[at]->m_delay = 100ms;
+            }
+        }
         m_cluster.set_config(sample_routes(), 1);
         m_cluster.start();
     }
--- a/tests/standins/limited_upstream_test.cpp
+++ b/tests/standins/limited_upstream_test.cpp
@@ -67,7 +67,10 @@
                                                                  : "stage";
         for (int at = 0; at < upstreams; ++at)
         {
-            m_cluster.add_worker("w" + std::to_string(at), limited_pool);
+            auto& worker = m_cluster.add_worker("w" + std::to_string(at), limited_pool);
+            // The limited service is the fastest, so that requests go there.
+            const bool is_slower = kind == work::reads && at > 0;
+            worker.m_delay = is_slower ? 100ms : 0ms;
         }
         if (kind == work::staged_streams)
         {
