Show by a test that releases reach a worker that declines everything

Callers see nothing; a worker that has asked a host for nothing for a time still gets releases of results from it. Cause: may_release asks the account for a permit and not whether the upstream declines. No product code changes.

--- a/tests/standins/leaving_upstream_test.cpp
+++ b/tests/standins/leaving_upstream_test.cpp
@@ -209,3 +209,28 @@
     const std::size_t asked = story.first().m_seen.size();
     EXPECT_EQUAL(asked, 1U);
 }
+
+// Guards against releases of results at a worker in the time for which it has declined
+// everything.
+Test(leaving_upstream, a_worker_of_stages_that_declines_calls_gets_no_releases_either)
+{
+    edge_cluster cluster{24440, 1};
+    worker_standin& stage = cluster.add_worker("s0", "stage");
+    // Requests hold their results until the engine answers.
+    cluster.add_worker("e0", "engine").m_delay = 1000ms;
+    cluster.set_config(sample_routes(), 1);
+    cluster.start();
+    for (int at = 0; at < 10; ++at)
+    {
+        const std::string id = "r" + std::to_string(at);
+        cluster.start_request(0, sample_stream("/stream/" + id, id, 3000), 3s);
+    }
+    cluster.run_for(300ms);
+    stage.m_pieces_status = 503;
+    stage.m_retry_after = "2";
+    cluster.start_request(0, sample_stream("/stream/last", "last", 3000), 3s);
+    cluster.run_for(2s);
+    cr_assert(stage.m_notice_given_at.has_value());
+    const time_point said = *stage.m_notice_given_at;
+    EXPECT_EQUAL(arrivals_between(stage, said + underway_time, said + 2s), 0U);
+}
