Give the clusters of tests a loopback network of their own

Cause: test programs run at the same time, and the ports of the clusters overlapped those of other programs on 127.0.0.1. That cluster had 24320 to 24343, and http_endless listens on 24321 and 24341. limited_upstream (24080, 24200), leaving_upstream (24280, 24360) and edge (24000, 24040) overlapped tests of net and programs as well.

Change: clusters listen on 127.20.0.1 and following. Checks and ports are unchanged.

--- a/tests/standins/edge_cluster.cpp
+++ b/tests/standins/edge_cluster.cpp
@@ -16,6 +16,15 @@
 
 constexpr int first_worker_port = 20;
 
+/// First address of the clusters, on a loopback network that no other test program uses:
+/// several programs run at the same time.
+constexpr asio::ip::address_v4::uint_type first_address = 0x7f140001;
+
+asio::ip::address_v4 platform_address()
+{
+    return asio::ip::address_v4{first_address};
+}
+
 } // namespace
 
 edge_cluster::edge_cluster(std::uint16_t first_port, int hosts)
@@ -28,7 +37,6 @@
 
 tcp::endpoint edge_cluster::endpoint_of(int host, int port_offset) const
 {
-    constexpr std::uint32_t first_address = 0x7f000001;
     return {asio::ip::address_v4{first_address + static_cast<std::uint32_t>(host)},
             static_cast<std::uint16_t>(m_first_port + 1 + port_offset)};
 }
@@ -64,7 +72,7 @@
     settings.m_metrics_endpoint = endpoint(4);
     settings.m_directory_endpoint = endpoint(2);
     settings.m_peer_endpoint = endpoint(3);
-    settings.m_store_endpoint = {asio::ip::make_address("127.0.0.1"), m_first_port};
+    settings.m_store_endpoint = {platform_address(), m_first_port};
     settings.m_max_open_files = 300;
     return settings;
 }
@@ -74,6 +82,7 @@
     auto worker = std::make_unique<worker_standin>();
     worker->m_id = id;
     worker->m_service = pool;
+    worker->m_address = platform_address().to_string();
     worker->m_port = static_cast<std::uint16_t>(m_first_port + first_worker_port +
                                                 static_cast<int>(m_workers.size()));
     worker->start(m_io.get_executor());
@@ -90,8 +99,8 @@
 void edge_cluster::start_store()
 {
     m_store_server = std::make_unique<http_server>(
-        m_io.get_executor(),
-        tcp::endpoint{asio::ip::make_address("127.0.0.1"), m_first_port}, http_limits{},
+        m_io.get_executor(), tcp::endpoint{platform_address(), m_first_port},
+        http_limits{},
         [this](http_exchange& exchange)
         {
             return m_store.serve(exchange);
