Send no releases to upstreams that leave or decline requests

Cause: releases pass the account of the limit, but may_release looked at the limit alone. Whether an upstream wants requests was decided in the relay, for requests of callers, and in the stage queue, for calls.

Change: takes_requests tells it in one place, for the relay, the selection and releases. An upstream that leaves gets none, as it is sent no further calls that would need the memory.

--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -117,7 +117,11 @@
 /// upstream itself says, and its data centre is not evacuated.
 bool accepts_work(const upstream_table& table, const upstream& candidate);
 
-/// Whether the upstream accepts work, from this host too, and is not ejected by it.
+/// Whether the upstream accepts work, and wants requests from this host at the moment.
+bool takes_requests(const upstream_table& table, const upstream& candidate,
+                    time_point now);
+
+/// Whether the upstream takes requests from this host and is not ejected by it.
 bool is_available(const upstream_table& table, const upstream& candidate, time_point now);
 
 /// Records a response and resets the circuit breaker.
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -432,8 +432,7 @@
 bool request_relay::takes_requests(const upstream_id& id) const
 {
     const upstream* row = m_state.m_upstreams.m_rows.find(id);
-    return row != nullptr && accepts_work(m_state.m_upstreams, *row) &&
-           !is_declining(row->m_sends, now());
+    return row != nullptr && serving::takes_requests(m_state.m_upstreams, *row, now());
 }
 
 std::optional<milliseconds>
--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -291,7 +291,15 @@
                                   const std::vector<std::string>& handles)
 {
     auto* row = m_state.m_upstreams.m_rows.find(upstream);
-    if (row == nullptr || !row->m_sends.m_statement.m_limit)
+    if (row == nullptr)
+    {
+        return true;
+    }
+    if (!takes_requests(m_state.m_upstreams, *row, now()))
+    {
+        return false;
+    }
+    if (!row->m_sends.m_statement.m_limit)
     {
         return true;
     }
--- a/src/edge/stage_scheduler.hpp
+++ b/src/edge/stage_scheduler.hpp
@@ -118,8 +118,9 @@
     void remove_job(pool_state& state, const serving::job_id& id);
     void release_result(pool_state& state, const std::string& handle);
     void flush_releases(pool_state& state);
-    /// Whether results may be released at an upstream now. One that has named a limit is
-    /// sent a release only when its memory needs it; results expire by themselves.
+    /// Whether results may be released at an upstream now. One that leaves or declines
+    /// requests is sent no release, and one that has named a limit only when its memory
+    /// needs it; results expire by themselves.
     bool may_release(const pool_state& state, const upstream_id& upstream,
                      const std::vector<std::string>& handles);
     boost::asio::awaitable<void> send_release(upstream_id upstream, ip_endpoint address,
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -122,10 +122,15 @@
            !table.m_evacuated_data_centres.contains(candidate.m_entry.m_data_centre);
 }
 
+bool takes_requests(const upstream_table& table, const upstream& candidate,
+                    time_point now)
+{
+    return accepts_work(table, candidate) && !is_declining(candidate.m_sends, now);
+}
+
 bool is_available(const upstream_table& table, const upstream& candidate, time_point now)
 {
-    return accepts_work(table, candidate) && !is_declining(candidate.m_sends, now) &&
-           candidate.m_ejected_until <= now;
+    return takes_requests(table, candidate, now) && candidate.m_ejected_until <= now;
 }
 
 void record_response(upstream& row, bool succeeded, double slowness)
