Hold signals back again once a planned stop has ended

A second SIGTERM arrived in the few milliseconds between the end of the planned stop and the end of the process. All requests had been answered, but the platform sees a process that was killed.

Cause: the signal handlers go with the event loop, before the process. geraniumdoord had the same fault, and the one at the start that geraniumdoor_edge had mended.

Change: both programs hold SIGHUP, SIGTERM and SIGINT back until their handlers are in place and again when the event loop has ended.

Evidence: edge_process::a_repeated_sigterm_does_not_kill_a_host_that_has_stopped ended with -15 on the code before, and passes three times of three. On the code before, daemon_process::a_signal_never_kills_* fails since a daemon started with SIGTERM held never lets it through; that a signal kills it after its stop was not shown apart from that.

--- a/programs/edge/geraniumdoor_edge_main.cpp
+++ b/programs/edge/geraniumdoor_edge_main.cpp
@@ -172,6 +172,7 @@
     release_signals();
     daemon.start();
     io.run();
+    hold_signals();
     return exit_ok;
 }
 
--- a/programs/geraniumdoord_main.cpp
+++ b/programs/geraniumdoord_main.cpp
@@ -55,8 +55,10 @@
                     });
             }
         });
+    release_signals();
     daemon.start();
     io.run();
+    hold_signals();
     return exit_ok;
 }
 
@@ -100,5 +102,6 @@
 
 int main(int count, char** values)
 {
+    hold_signals();
     return run_program("geraniumdoord", count, values, make_options, run);
 }
--- a/programs/program_support.hpp
+++ b/programs/program_support.hpp
@@ -39,8 +39,9 @@
                 const std::function<cxxopts::Options()>& make_options,
                 const std::function<int(const cxxopts::ParseResult&)>& run);
 
-/// Holds SIGHUP, SIGTERM and SIGINT back until their handlers are in place. Without it, a
-/// signal in the first milliseconds ends the process.
+/// Holds SIGHUP, SIGTERM and SIGINT back while their handlers are not in place: in the
+/// first milliseconds of a process, and after its planned stop. A signal would end it by
+/// its default action.
 void hold_signals();
 
 /// Delivers what was held back, and all signals from now on.
--- a/tests/programs/daemon_test.cpp
+++ b/tests/programs/daemon_test.cpp
@@ -1,3 +1,4 @@
+#include "child_process.hpp"
 #include "run_program.hpp"
 
 #include <geraniumdoor/net/http_client.hpp>
@@ -210,3 +211,26 @@
     EXPECT_EQUAL(end.m_code, 0);
     cr_expect(end.says("outcome: declared gone"), "%s", end.m_text.c_str());
 }
+
+// Guards against a signal that ends a daemon by its default action while its handlers are
+// not in place, before it has started or after its planned stop.
+Test(daemon_process, a_signal_never_kills_a_daemon_that_starts_or_has_stopped)
+{
+    const char* directory = std::getenv("GD_PROGRAMS");
+    const std::string programs = directory != nullptr ? directory : "build/check";
+    const scratch_file file{"stopped-daemon.json", settings(24230)};
+    const scratch_file log{"stopped-daemon.log", ""};
+    test::child_process daemon;
+    cr_assert(daemon.start({programs + "/geraniumdoord", "--settings", file.path()},
+                           log.path(), {SIGTERM}));
+    std::optional<int> code;
+    const auto last = std::chrono::steady_clock::now() + 20s;
+    while (not code && std::chrono::steady_clock::now() < last)
+    {
+        daemon.send(SIGTERM);
+        std::this_thread::sleep_for(100us);
+        code = daemon.take_end();
+    }
+    cr_assert(code.has_value());
+    cr_expect(*code == 0, "the daemon ended with %d", *code);
+}
--- a/tests/programs/edge_process_test.cpp
+++ b/tests/programs/edge_process_test.cpp
@@ -19,14 +19,23 @@
 namespace
 {
 
-const std::string settings = R"({
-  "host": "host-1", "data_centre": "z1", "region": "r1",
-  "callers": "127.0.0.1:24410", "readiness": "127.0.0.1:24411",
-  "metrics": "127.0.0.1:24412", "directory": "127.0.0.1:24413",
-  "peers": "127.0.0.1:24414", "store": "127.0.0.1:24415", "seeds": [],
+/// Settings of a host whose ports follow the given one. Tests run at the same time, so
+/// each has ports of its own.
+std::string settings(int port)
+{
+    const auto address = [port](int offset)
+    {
+        return "\"127.0.0.1:" + std::to_string(port + offset) + '"';
+    };
+    return R"({"host": "host-1", "data_centre": "z1", "region": "r1", "seeds": [],
+  "callers": )" +
+           address(0) + R"(, "readiness": )" + address(1) + R"(, "metrics": )" +
+           address(2) + R"(, "directory": )" + address(3) + R"(, "peers": )" +
+           address(4) + R"(, "store": )" + address(5) + R"(,
   "processor_share": 1, "open_files": 300, "retry_ratio": 0.2, "retry_slack": 50,
   "retry_window_s": 10, "cold_factor": 1.5, "cold_extra": 5, "stop_time_s": 8,
   "address_life_s": 5})";
+}
 
 std::string read_file(const std::string& path)
 {
@@ -55,7 +64,7 @@
 {
     const char* directory = std::getenv("GD_PROGRAMS");
     const std::string programs = directory != nullptr ? directory : "build/check";
-    const scratch_file file{"edge.json", settings};
+    const scratch_file file{"edge.json", settings(24410)};
     const scratch_file log{"edge.log", ""};
     test::child_process host;
     // The signals are blocked from the first instruction on, so that a signal sent right
@@ -68,3 +77,27 @@
     cr_expect(wait_for_text(log.path(), "event=stopping"));
     host.send(SIGKILL);
 }
+
+// Guards against a signal that ends a host by its default action after the planned stop,
+// when the handlers are gone and the process is not.
+Test(edge_process, a_repeated_sigterm_does_not_kill_a_host_that_has_stopped)
+{
+    const char* directory = std::getenv("GD_PROGRAMS");
+    const std::string programs = directory != nullptr ? directory : "build/check";
+    const scratch_file file{"stopped.json", settings(24430)};
+    const scratch_file log{"stopped.log", ""};
+    test::child_process host;
+    cr_assert(host.start({programs + "/geraniumdoor_edge", "--settings", file.path()},
+                         log.path()));
+    cr_expect(wait_for_text(log.path(), "event=started"));
+    std::optional<int> code;
+    const auto last = std::chrono::steady_clock::now() + 15s;
+    while (not code && std::chrono::steady_clock::now() < last)
+    {
+        host.send(SIGTERM);
+        std::this_thread::sleep_for(100us);
+        code = host.take_end();
+    }
+    cr_assert(code.has_value());
+    cr_expect(*code == 0, "the host ended with %d", *code);
+}
