Let streams go on only at upstreams of the version that began them

Upstreams of several software versions may serve side by side in one service, what two versions write does not fit together, and upstreams do not check it. No code read the version in the registry or the field with which a caller names the attempt that began its stream, so that a broken stream went on at whichever engine was best.

Change: - A stream keeps the version that wrote its first event. It goes on at upstreams of that version, within an answer and when a caller takes it up; otherwise it is cut off, or refused at once. - Which version that was is kept by the host that relays the stream. While a pool has, or lately had, several versions, three more hosts of different data centres are told before the first event is forwarded, and of all streams underway when a second version appears. A host that takes up a stream asks them. Ways weighed: telling all hosts with the reports (too late for a host that is killed, and all to all); asking all hosts on demand (the one that knew may be gone); event ids or attempt ids (the caller's and the upstream's own). With one version there is nothing to send but the question. - A stream whose version nobody can tell is refused with the truth. If the registry has one version and nobody has observed the pool for long, as after a loss of all hosts, that version is taken. - New streams avoid the only engine of a version while another version has more. A stream that is taken up stays in the pool in which it began.

--- a/include/geraniumdoor/base/ids.hpp
+++ b/include/geraniumdoor/base/ids.hpp
@@ -21,6 +21,12 @@
 /// start.
 using incarnation = strong_number<struct incarnation_tag>;
 
+/// Version of the software of an upstream, as its registry entry names it.
+using software_version = string_id<struct software_version_tag>;
+
+/// Hash of the attempt that brought a caller the first event of a stream.
+using stream_key = strong_number<struct stream_key_tag>;
+
 /// Hash that tells a process of an upstream from its predecessors under the same id.
 using upstream_run = strong_number<struct upstream_run_tag>;
 
--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -440,7 +440,90 @@
     }
 };
 
+/// Longest name of a software version, in bytes.
+constexpr std::size_t max_version_bytes = 64;
+
+/// Software version that began a stream.
+struct stream_origin
+{
+    /// Hash of the attempt that brought the first event.
+    std::uint64_t m_stream = 0;
+    std::string m_version;
+    /// Time since the first event.
+    std::uint32_t m_age_ms = 0;
+
+    bool operator==(const stream_origin&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_stream, short_text{m_version}, m_age_ms);
+    }
+};
+
+/// Most origins in one report, so that it fits a datagram.
+constexpr std::size_t max_reported_origins = 12;
+
+/// Tells a host which software versions began streams, so that it can be asked for them
+/// when the host that relays the streams is gone.
+struct origin_report
+{
+    std::vector<stream_origin> m_streams;
+
+    bool operator==(const origin_report&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_streams);
+    }
+};
+
+/// Asks a host which software version began a stream.
+struct origin_request
+{
+    std::uint64_t m_number = 0;
+    std::uint64_t m_stream = 0;
+    std::string m_pool;
+
+    bool operator==(const origin_request&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_number, m_stream, short_text{m_pool});
+    }
+};
+
+enum class origin_finding : std::uint8_t
+{
+    unknown,
+    /// The host has a record of the stream.
+    recorded,
+    /// The host has seen no other version of the pool while the stream can have begun.
+    only_version,
+    /// The host has no record, and has seen several versions of the pool.
+    several_versions,
+};
+
+struct origin_reply
+{
+    /// Number of the request.
+    std::uint64_t m_number = 0;
+    origin_finding m_finding = origin_finding::unknown;
+    std::string m_version;
+
+    bool operator==(const origin_reply&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_number, m_finding, short_text{m_version});
+    }
+};
+
 using datagram = std::variant<ping, ping_req, ack, host_report, crash_report,
-                              upstream_report, permit_request, permit_reply>;
+                              upstream_report, permit_request, permit_reply,
+                              origin_report, origin_request, origin_reply>;
 
 } // namespace geraniumdoor
--- a/include/geraniumdoor/serving/engine_choice.hpp
+++ b/include/geraniumdoor/serving/engine_choice.hpp
@@ -59,10 +59,15 @@
 /// in each data centre. A request goes to another engine when the expected wait at its
 /// home engine exceeds the time to prefill the shared prefix again.
 /// @param tried engines that the request was already sent to
-const upstream* choose_engine(const upstream_table& table, const pool_id& pool,
-                              const prompt& request_prompt, const engine_limits& limits,
-                              const std::vector<upstream_id>& tried,
-                              const input_location& inputs, time_point now);
+/// @param version software version that the engine must have; empty for any. New streams
+/// avoid a version that only one engine has while another has more, since nobody could
+/// take them up if that engine broke them off.
+const upstream*
+choose_engine(const upstream_table& table, const pool_id& pool,
+              const prompt& request_prompt, const engine_limits& limits,
+              const std::vector<upstream_id>& tried, const input_location& inputs,
+              time_point now,
+              const std::optional<software_version>& version = std::nullopt);
 
 /// Admission priority of a prompt at an engine, from 0, the highest, to 9.
 ///
--- /dev/null
+++ b/include/geraniumdoor/serving/stream_origins.hpp
@@ -0,0 +1,122 @@
+#pragma once
+
+#include <geraniumdoor/base/ids.hpp>
+#include <geraniumdoor/base/units.hpp>
+#include <geraniumdoor/cluster/datagrams.hpp>
+#include <geraniumdoor/serving/host_table.hpp>
+#include <geraniumdoor/serving/upstreams.hpp>
+
+#include <cstddef>
+#include <optional>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+namespace geraniumdoor::serving
+{
+
+/// Returns the key of the stream whose first event this attempt of a caller has brought.
+stream_key key_of_stream(const attempt_id& first_attempt);
+
+/// Longest time after its first event in which a caller may take up a stream again.
+inline constexpr seconds stream_lifetime{30};
+
+/// Most streams whose origin a host keeps. The oldest are forgotten first.
+inline constexpr std::size_t max_stream_origins = 4096;
+
+/// Number of hosts that keep the origin of a stream besides the one that relays it.
+inline constexpr std::size_t origin_holders = 3;
+
+/// Software version that began a stream.
+struct known_origin
+{
+    software_version m_version;
+    time_point m_began_at{};
+    /// This host relayed the first event.
+    bool m_began_here = false;
+    pool_id m_pool;
+};
+
+/// When this host last saw each version of a pool in the registry.
+struct version_history
+{
+    time_point m_observed_since{};
+    std::unordered_map<software_version, time_point> m_last_seen;
+};
+
+/// What a host knows of the software versions that have begun streams.
+struct stream_origins
+{
+    std::unordered_map<stream_key, known_origin> m_streams;
+    std::unordered_map<pool_id, version_history> m_pools;
+};
+
+/// Records the versions that upstreams have at the moment. Versions that were not seen
+/// for stream_lifetime are forgotten, with the streams that they began.
+/// @return pools in which a second version has appeared
+std::vector<pool_id> observe_versions(stream_origins& origins,
+                                      const upstream_table& upstreams, time_point now);
+
+/// Whether more than one version can have begun streams that may still be taken up.
+bool has_several_versions(const stream_origins& origins, const pool_id& pool);
+
+/// Returns the version that began every stream of the pool that may still be taken up, if
+/// this host has observed the pool for long enough to tell.
+std::optional<software_version> only_version(const stream_origins& origins,
+                                             const pool_id& pool, time_point now);
+
+/// Records which version began a stream, unless that is known.
+void record_origin(stream_origins& origins, stream_key stream,
+                   const known_origin& origin);
+
+/// Returns the hosts that keep the origin of a stream, in order of preference: live hosts
+/// with the highest weights, from as many data centres as there are.
+///
+/// Load pattern: a host is killed, or its data centre loses power, and the callers of its
+/// streams return at other hosts within milliseconds.
+std::vector<node_address> origin_hosts(const host_table& table, stream_key stream,
+                                       time_point now);
+
+/// Returns what this host tells another one that is asked to take up a stream.
+origin_reply answer_origin_request(const stream_origins& origins,
+                                   const origin_request& request, time_point now);
+
+/// How the version that began a stream is known.
+enum class origin_source : std::uint8_t
+{
+    /// This host relayed or was told of its first event.
+    own_record,
+    /// Another host has a record.
+    other_host,
+    /// No other version can have begun it.
+    only_version,
+    /// The registry has one version. Nobody has observed the pool for long enough to
+    /// tell, as when all hosts have restarted.
+    only_listed,
+    unknown,
+};
+
+const char* to_text(origin_source source);
+
+struct origin_decision
+{
+    /// Empty if it is not known.
+    std::optional<software_version> m_version;
+    origin_source m_source = origin_source::unknown;
+};
+
+/// Decides which version began a stream that a caller takes up.
+///
+/// Load pattern: upstreams of two software versions serve during a release, what they
+/// write does not fit together, and hosts are killed meanwhile. A stream whose version
+/// nobody can tell is refused.
+/// @param replies what other hosts have answered
+origin_decision decide_origin(const stream_origins& origins, stream_key stream,
+                              const pool_id& pool,
+                              const std::vector<origin_reply>& replies, time_point now);
+
+/// Whether an upstream of the version accepts work. Without a version, whether any does.
+bool has_upstream_of(const upstream_table& table, const pool_id& pool,
+                     const std::optional<software_version>& version);
+
+} // namespace geraniumdoor::serving
--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -28,6 +28,7 @@
     milliseconds m_cold_remaining{0};
     /// Start of the process in Unix milliseconds; a restart under the same id changes it.
     std::int64_t m_started_unix_ms = 0;
+    software_version m_version;
 };
 
 upstream_run run_of(const upstream_entry& entry);
@@ -101,8 +102,10 @@
 /// Load pattern: all upstreams of a pool name limits that are used up, or are full and
 /// decline requests. A request that would end before one takes it is refused before
 /// stages run for it, and is told when to return.
-std::optional<milliseconds> send_wait(const upstream_table& table, const pool_id& pool,
-                                      time_point now);
+/// @param version software version that the upstream must have; empty for any
+std::optional<milliseconds>
+send_wait(const upstream_table& table, const pool_id& pool, time_point now,
+          const std::optional<software_version>& version = std::nullopt);
 
 /// Stores a registry entry. A changed start time, pool or address discards what was
 /// observed of the previous process.
@@ -121,6 +124,11 @@
 bool takes_requests(const upstream_table& table, const upstream& candidate,
                     time_point now);
 
+/// Whether an upstream's software version is the one that a stream needs.
+/// @param version empty for any
+bool has_version(const upstream& candidate,
+                 const std::optional<software_version>& version);
+
 /// Whether the upstream takes requests from this host and is not ejected by it.
 bool is_available(const upstream_table& table, const upstream& candidate, time_point now);
 
@@ -143,8 +151,11 @@
 /// of retries after failures. Prefers this host's data centre on a tie.
 /// @param own_data_centre data centre of this host
 /// @param tried upstreams that the request was already sent to
-const upstream* choose_upstream(const upstream_table& table, const pool_id& pool,
-                                const data_centre_id& own_data_centre,
-                                const std::vector<upstream_id>& tried, time_point now);
+/// @param version software version that the upstream must have; empty for any
+const upstream*
+choose_upstream(const upstream_table& table, const pool_id& pool,
+                const data_centre_id& own_data_centre,
+                const std::vector<upstream_id>& tried, time_point now,
+                const std::optional<software_version>& version = std::nullopt);
 
 } // namespace geraniumdoor::serving
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -163,6 +163,22 @@
     return message.m_wait_ms <= max_permit_wait_ms;
 }
 
+bool in_range(const origin_report& message)
+{
+    return message.m_streams.size() <= max_reported_origins &&
+           std::all_of(message.m_streams.begin(), message.m_streams.end(),
+                       [](const stream_origin& origin)
+                       {
+                           return origin.m_version.size() <= max_version_bytes;
+                       });
+}
+
+bool in_range(const origin_reply& message)
+{
+    return message.m_finding <= origin_finding::several_versions &&
+           message.m_version.size() <= max_version_bytes;
+}
+
 bool in_range(const pieces_result& message)
 {
     return message.m_outcome <= pieces_outcome::failed;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -1,5 +1,6 @@
 #include "edge_state.hpp"
 #include "host_status.hpp"
+#include "origin_exchange.hpp"
 #include "request_relay.hpp"
 #include "send_permits.hpp"
 #include "stage_client.hpp"
@@ -50,6 +51,10 @@
 /// Interval at which a host checks whether it should run a queue.
 constexpr milliseconds queue_check_interval{100};
 
+/// Interval at which a host records the versions of upstreams whose entries do not
+/// change.
+constexpr milliseconds version_check_interval{1000};
+
 /// Time that reports spend on their way between two hosts, and in their queues.
 constexpr milliseconds exchange_margin{200};
 
@@ -151,6 +156,7 @@
     edge_state m_state;
     node_transport m_transport;
     send_permits m_permits;
+    origin_exchange m_origins;
     stage_scheduler m_scheduler;
     stage_client m_stages;
     store_watch m_store;
@@ -183,6 +189,11 @@
                 {
                     m_transport.send_datagram(host, message);
                 }}
+    , m_origins{m_state,
+                [this](const node_address& host, const datagram& message)
+                {
+                    m_transport.send_datagram(host, message);
+                }}
     , m_scheduler{m_state, m_permits,
                   [this](const node_id& host, pieces_result result)
                   {
@@ -206,7 +217,7 @@
               {
                   send_reports();
               }}
-    , m_relay{m_state, m_stages, m_scheduler, m_permits}
+    , m_relay{m_state, m_stages, m_scheduler, m_permits, m_origins}
     , m_callers{io.get_executor(), to_tcp(m_state.m_settings.m_caller_endpoint),
                 caller_http_limits({}, m_state.m_settings.m_max_open_files),
                 [this](http_exchange& exchange)
@@ -282,6 +293,18 @@
         {
             m_permits.on_reply(*reply);
         }
+        else if (const auto* told = std::get_if<origin_report>(&message))
+        {
+            m_origins.on_report(*told);
+        }
+        else if (const auto* asked = std::get_if<origin_request>(&message))
+        {
+            m_origins.on_request(*asked, from);
+        }
+        else if (const auto* found = std::get_if<origin_reply>(&message))
+        {
+            m_origins.on_reply(*found);
+        }
     };
     return calls;
 }
@@ -315,6 +338,11 @@
                        }
                        update_quarantines();
                    });
+    m_timers.every(version_check_interval,
+                   [this](time_point)
+                   {
+                       m_origins.observe_upstreams();
+                   });
     run_timers();
     log_event{"started"}
         .add("host", m_state.m_own_report.m_node)
@@ -658,6 +686,7 @@
     m_state.m_own_report.m_ready = m_state.m_routing && m_state.m_registry_loaded &&
                                    !m_state.m_own_report.m_stopping;
     update_remote_loads();
+    m_origins.observe_upstreams();
     m_scheduler.refresh();
     const bool became_ready = m_state.m_own_report.m_ready && !was_ready;
     if (m_store.is_reader() || became_ready)
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -9,6 +9,7 @@
 #include <geraniumdoor/serving/retry_budget.hpp>
 #include <geraniumdoor/serving/routing.hpp>
 #include <geraniumdoor/serving/stage_queue.hpp>
+#include <geraniumdoor/serving/stream_origins.hpp>
 #include <geraniumdoor/serving/upstreams.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -45,6 +46,7 @@
     host_report m_own_report;
     serving::retry_budget m_retry_budget;
     serving::crash_suspects m_crash_suspects;
+    serving::stream_origins m_stream_origins;
     /// A response has changed what is known of an upstream, and other hosts have not been
     /// told yet.
     bool m_notices_changed = false;
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -70,6 +70,7 @@
     json::object body;
     body["id"] = row.m_entry.m_id.m_value;
     body["pool"] = row.m_entry.m_pool.m_value;
+    body["version"] = row.m_entry.m_version.m_value;
     body["data_centre"] = row.m_entry.m_data_centre.m_value;
     body["address"] = to_text(row.m_entry.m_address);
     body["available"] = serving::is_available(table, row, at);
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -101,11 +101,12 @@
     {
         return choose_engine(m_state.m_upstreams, current.m_pool,
                              current.m_metadata.m_prompt, *pool->second.m_engine,
-                             current.m_tried_upstreams, current.m_input_location, now());
+                             current.m_tried_upstreams, current.m_input_location, now(),
+                             current.m_stream_version);
     }
     return choose_upstream(m_state.m_upstreams, current.m_pool,
                            m_state.m_settings.m_data_centre, current.m_tried_upstreams,
-                           now());
+                           now(), current.m_stream_version);
 }
 
 asio::awaitable<void> request_relay::run_attempts(request& current)
@@ -120,6 +121,10 @@
         {
             current.m_reason = crashing_prompt_reason;
         }
+        else if (chosen == nullptr && lacks_stream_version(current))
+        {
+            current.m_reason = no_upstream_of_version_reason;
+        }
         if (quarantined || chosen == nullptr || time_left(current) < min_time_for_attempt)
         {
             const next_step step =
@@ -189,10 +194,7 @@
                   });
     while (!reply->m_granted && !current.m_caller_gone)
     {
-        current.m_wake_timer.expires_at(time_point::max());
-        boost::system::error_code ignored;
-        co_await current.m_wake_timer.async_wait(
-            asio::redirect_error(asio::use_awaitable, ignored));
+        co_await wait_for_wake(current);
     }
     reply->m_wake_timer = nullptr;
     const bool granted = reply->m_granted.value_or(false);
@@ -203,6 +205,14 @@
     co_return granted;
 }
 
+asio::awaitable<void> request_relay::wait_for_wake(request& current)
+{
+    current.m_wake_timer.expires_at(time_point::max());
+    boost::system::error_code ignored;
+    co_await current.m_wake_timer.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+}
+
 void request_relay::keep_permit(const upstream_id& id)
 {
     if (auto* row = m_state.m_upstreams.m_rows.find(id))
@@ -275,13 +285,15 @@
     {
         const auto quarantine =
             quarantine_left(m_state.m_crash_suspects, current.m_shared_parts, now());
-        const auto next = send_wait(m_state.m_upstreams, current.m_pool, now());
+        const auto next = send_wait(m_state.m_upstreams, current.m_pool, now(),
+                                    current.m_stream_version);
         const milliseconds wait =
             std::max(declined_retry_after, next.value_or(declined_retry_after));
         co_await refuse(current, quarantine.value_or(wait),
-                        quarantine ? crashing_prompt_reason
-                        : next     ? no_upstream_takes_it_reason
-                                   : "no_upstream_ran_it");
+                        quarantine                      ? crashing_prompt_reason
+                        : next                          ? no_upstream_takes_it_reason
+                        : lacks_stream_version(current) ? no_upstream_of_version_reason
+                                                        : "no_upstream_ran_it");
         co_return;
     }
     case next_step::cut_off:
@@ -345,6 +357,7 @@
         std::make_shared<http_call>(m_state.m_executor, upstream_http_limits());
     current.m_upstream_call = call;
     current.m_upstream = id;
+    current.m_upstream_version = chosen.m_entry.m_version;
     const auto tokens = current.m_metadata.m_prompt.m_prompt_tokens +
                         current.m_metadata.m_prompt.m_output_tokens;
     const auto update_running = [&](bool begin)
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -106,6 +106,10 @@
         {
             record_sound_stream(current);
         }
+        if (!forwarded_bytes.empty())
+        {
+            record_stream_origin(current);
+        }
         const bool forwarded =
             co_await current.m_exchange.write_part(std::move(forwarded_bytes));
         if (!forwarded)
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -15,6 +15,13 @@
 /// or decline requests.
 inline constexpr const char* no_upstream_takes_it_reason = "no_upstream_takes_it";
 
+/// Reason of refusals of callers who take up a stream of which nobody can tell which
+/// software version began it.
+inline constexpr const char* unknown_version_reason = "unknown_stream_version";
+
+/// Reason of refusals while no upstream has the version that began the stream.
+inline constexpr const char* no_upstream_of_version_reason = "no_upstream_of_its_version";
+
 inline milliseconds ms_between(time_point from, time_point to)
 {
     return std::chrono::duration_cast<milliseconds>(to - from);
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -42,11 +42,13 @@
 } // namespace
 
 request_relay::request_relay(edge_state& state, stage_client& stages,
-                             const stage_scheduler& scheduler, send_permits& permits)
+                             const stage_scheduler& scheduler, send_permits& permits,
+                             origin_exchange& origins)
     : m_state{state}
     , m_stage_client{stages}
     , m_scheduler{scheduler}
     , m_permits{permits}
+    , m_origins{origins}
     , m_started{now()}
 {
 }
@@ -160,7 +162,11 @@
         }
         current.m_workspace = key->second;
     }
-    current.m_pool = choose_pool(*current.m_route, current.m_metadata.m_request);
+    // A stream that is taken up stays in the pool in which it began.
+    const attempt_id& first_attempt = current.m_metadata.m_first_attempt;
+    current.m_pool = choose_pool(*current.m_route, first_attempt.m_value.empty()
+                                                       ? current.m_metadata.m_request
+                                                       : first_attempt);
     const auto pool = current.m_routing->m_pools.find(current.m_pool);
     if (pool != current.m_routing->m_pools.end() && pool->second.m_engine)
     {
@@ -191,7 +197,13 @@
         co_await refuse(current, *wait, crashing_prompt_reason);
         co_return;
     }
-    const auto next_send = send_wait(m_state.m_upstreams, current.m_pool, now());
+    const bool has_version = co_await find_stream_version(current);
+    if (!has_version)
+    {
+        co_return;
+    }
+    const auto next_send =
+        send_wait(m_state.m_upstreams, current.m_pool, now(), current.m_stream_version);
     if (next_send && now() + *next_send > current.m_first_byte_deadline)
     {
         co_await refuse(current, *next_send, no_upstream_takes_it_reason);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "edge_state.hpp"
+#include "origin_exchange.hpp"
 #include "send_permits.hpp"
 #include "stage_client.hpp"
 #include "stage_scheduler.hpp"
@@ -94,6 +95,11 @@
     std::vector<upstream_id> m_tried_upstreams;
     std::shared_ptr<http_call> m_upstream_call;
     upstream_id m_upstream;
+    /// Software version of that upstream.
+    software_version m_upstream_version;
+    /// Version that began the stream; empty before its first event.
+    std::optional<software_version> m_stream_version;
+    bool m_origin_recorded = false;
     /// Complete response of an upstream, not yet sent to the caller.
     std::optional<http_response> m_buffered_response;
     /// Id of the last event forwarded to the caller, and the bytes received so far of an
@@ -120,7 +126,8 @@
 {
 public:
     request_relay(edge_state& state, stage_client& stages,
-                  const stage_scheduler& scheduler, send_permits& permits);
+                  const stage_scheduler& scheduler, send_permits& permits,
+                  origin_exchange& origins);
 
     boost::asio::awaitable<void> serve(http_exchange& exchange);
 
@@ -212,6 +219,20 @@
     boost::asio::awaitable<bool> handle_outcome(request& current,
                                                 serving::attempt_outcome outcome);
 
+    /// Finds the software version that began a stream which the caller takes up. Returns
+    /// false if the request was refused or its caller has disconnected.
+    boost::asio::awaitable<bool> find_stream_version(request& current);
+    boost::asio::awaitable<serving::origin_decision> ask_for_origin(request& current);
+
+    /// Records which version began the stream, before its first event is forwarded.
+    void record_stream_origin(request& current);
+
+    /// Whether upstreams of the pool accept work, but none of the stream's version.
+    bool lacks_stream_version(const request& current) const;
+
+    /// Waits until something wakes the request.
+    boost::asio::awaitable<void> wait_for_wake(request& current);
+
     /// Returns whether a request may be sent to an upstream, which may take a question to
     /// another host.
     boost::asio::awaitable<bool> get_permit(request& current, upstream_id id);
@@ -269,6 +290,7 @@
     stage_client& m_stage_client;
     const stage_scheduler& m_scheduler;
     send_permits& m_permits;
+    origin_exchange& m_origins;
     time_point m_started;
     std::size_t m_active = 0;
     /// Moving average of the time to the first byte in each pool, in milliseconds.
--- a/src/edge/store_rows.cpp
+++ b/src/edge/store_rows.cpp
@@ -172,6 +172,7 @@
         log_event{"upstream_known"}
             .add("upstream", id)
             .add("pool", value_of(entry).m_pool)
+            .add("version", value_of(entry).m_version)
             .add("data_centre", value_of(entry).m_data_centre)
             .add("leaving", value_of(entry).m_leaving)
             .add("cold_ms", value_of(entry).m_cold_remaining.count());
--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -4,6 +4,7 @@
 #include <algorithm>
 #include <cmath>
 #include <unordered_map>
+#include <utility>
 
 namespace geraniumdoor::serving
 {
@@ -25,6 +26,10 @@
 constexpr double full_penalty_ms = 5000;
 constexpr double failure_penalty_ms = 1500;
 
+/// Cost of the only engine of a version for a new stream: the time to prefill a long
+/// shared prefix again at another engine.
+constexpr double lone_version_penalty_ms = 300;
+
 /// Returns the key that selects the home engine of a prompt: the last shared part, so
 /// that sessions that have only a short general prefix in common are distributed over
 /// the engines.
@@ -55,6 +60,35 @@
     return load_ratio(engine) >= 1 || memory_load(engine, limits) >= 1;
 }
 
+/// Number of engines of each version.
+using version_counts = std::vector<std::pair<const software_version*, std::size_t>>;
+
+void count_version(version_counts& counts, const software_version& version)
+{
+    for (auto& [counted, count] : counts)
+    {
+        if (*counted == version)
+        {
+            ++count;
+            return;
+        }
+    }
+    counts.emplace_back(&version, 1);
+}
+
+/// Whether a version has one engine, and another version has more.
+bool is_lone(const version_counts& counts, const software_version& version)
+{
+    bool has_one = false;
+    bool other_has_more = false;
+    for (const auto& [counted, count] : counts)
+    {
+        has_one |= *counted == version && count == 1;
+        other_has_more |= *counted != version && count > 1;
+    }
+    return has_one && other_has_more;
+}
+
 double engine_cost(const upstream& engine, const prompt& request_prompt,
                    const engine_limits& limits, bool cached, const input_location& inputs,
                    time_point now)
@@ -120,7 +154,8 @@
 const upstream* choose_engine(const upstream_table& table, const pool_id& pool,
                               const prompt& request_prompt, const engine_limits& limits,
                               const std::vector<upstream_id>& tried,
-                              const input_location& inputs, time_point now)
+                              const input_location& inputs, time_point now,
+                              const std::optional<software_version>& version)
 {
     struct home
     {
@@ -132,11 +167,16 @@
         shared_prefix_tokens(request_prompt) >= min_shared_tokens_for_single_home;
     std::unordered_map<data_centre_id, home> homes;
     std::vector<const upstream*> candidates;
+    version_counts engines_of_version;
     for (const auto& [id, row] : table.m_rows)
     {
+        if (row.m_entry.m_pool != pool || !accepts_work(table, row))
+        {
+            continue;
+        }
+        count_version(engines_of_version, row.m_entry.m_version);
         const bool is_candidate =
-            row.m_entry.m_pool == pool && accepts_work(table, row) &&
-            decide_send(row, now) != send_decision::denied &&
+            has_version(row, version) && decide_send(row, now) != send_decision::denied &&
             std::find(tried.begin(), tried.end(), id) == tried.end();
         if (!is_candidate)
         {
@@ -159,7 +199,10 @@
         const auto& best_home =
             homes[has_single_home ? data_centre_id{} : candidate->m_entry.m_data_centre];
         const double cost = engine_cost(*candidate, request_prompt, limits,
-                                        candidate == best_home.m_engine, inputs, now);
+                                        candidate == best_home.m_engine, inputs, now) +
+                            (is_lone(engines_of_version, candidate->m_entry.m_version)
+                                 ? lone_version_penalty_ms
+                                 : 0);
         if (selected == nullptr || cost < selected_cost)
         {
             selected = candidate;
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -87,12 +87,14 @@
 }
 
 std::optional<milliseconds> send_wait(const upstream_table& table, const pool_id& pool,
-                                      time_point now)
+                                      time_point now,
+                                      const std::optional<software_version>& version)
 {
     std::optional<time_point> first;
     for (const auto& [id, row] : table.m_rows)
     {
-        if (row.m_entry.m_pool != pool || !accepts_work(table, row))
+        if (row.m_entry.m_pool != pool || !accepts_work(table, row) ||
+            !has_version(row, version))
         {
             continue;
         }
@@ -112,6 +114,7 @@
            before.m_data_centre != after.m_data_centre ||
            before.m_leaving != after.m_leaving ||
            before.m_concurrency != after.m_concurrency ||
+           before.m_version != after.m_version ||
            before.m_started_unix_ms != after.m_started_unix_ms ||
            after.m_cold_remaining > before.m_cold_remaining;
 }
@@ -128,6 +131,12 @@
     return accepts_work(table, candidate) && !is_declining(candidate.m_sends, now);
 }
 
+bool has_version(const upstream& candidate,
+                 const std::optional<software_version>& version)
+{
+    return !version || candidate.m_entry.m_version == *version;
+}
+
 bool is_available(const upstream_table& table, const upstream& candidate, time_point now)
 {
     return takes_requests(table, candidate, now) && candidate.m_ejected_until <= now;
@@ -159,7 +168,8 @@
 
 const upstream* choose_upstream(const upstream_table& table, const pool_id& pool,
                                 const data_centre_id& own_data_centre,
-                                const std::vector<upstream_id>& tried, time_point now)
+                                const std::vector<upstream_id>& tried, time_point now,
+                                const std::optional<software_version>& version)
 {
     const upstream* selected = nullptr;
     double selected_cost = 0;
@@ -167,7 +177,7 @@
     {
         const bool is_candidate =
             row.m_entry.m_pool == pool && accepts_work(table, row) &&
-            decide_send(row, now) != send_decision::denied &&
+            has_version(row, version) && decide_send(row, now) != send_decision::denied &&
             std::find(tried.begin(), tried.end(), id) == tried.end();
         if (!is_candidate)
         {
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -105,6 +105,8 @@
     std::string m_address = "127.0.0.1";
     /// Start of its process in Unix milliseconds.
     std::int64_t m_born = 1;
+    /// Version of its software in the registry.
+    std::string m_version = "v1";
     std::unique_ptr<http_server> m_server;
     /// A request whose prompt has this part crashes the worker when it begins to write.
     std::string m_crash_part;
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -183,7 +183,10 @@
          {datagram{sample_report()}, datagram{sample_crash_report()},
           datagram{upstream_report{{{21, true, 0.5, 30}, {22, false, 0, 7}}, {24}}},
           datagram{permit_request{23, {21, true, 0.5, 30}}},
-          datagram{permit_reply{23, false, 900}}})
+          datagram{permit_reply{23, false, 900}},
+          datagram{origin_report{{{25, "v1", 40}, {26, "", 0}}}},
+          datagram{origin_request{27, 25, "engines"}},
+          datagram{origin_reply{27, origin_finding::recorded, "v1"}}})
     {
         const std::string bytes = value_of(encode_datagram(report));
         const auto received = decode_datagram(bytes);
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -1,3 +1,5 @@
+#include <geraniumdoor/cluster/datagrams.hpp>
+
 #include <rapidcheck.h>
 
 #include <platform/exchange.hpp>
@@ -149,6 +151,49 @@
     cr_expect(not is_ok(platform::parse_request_metadata(negative_deadline)));
 }
 
+Test(adapter, a_request_that_takes_up_a_stream_names_the_attempt_that_began_it)
+{
+    cr_expect(not value_of(platform::parse_request_metadata(sample_request()))
+                      .m_takes_up_stream);
+    http_request resumed = sample_request();
+    resumed.m_fields.emplace_back("Last-Event-Id", "4");
+    auto metadata = value_of(platform::parse_request_metadata(resumed));
+    cr_expect(metadata.m_takes_up_stream);
+    EXPECT_EQUAL(metadata.m_first_attempt.m_value, "");
+    resumed.m_fields.emplace_back("resumes", "8b30");
+    metadata = value_of(platform::parse_request_metadata(resumed));
+    EXPECT_EQUAL(metadata.m_first_attempt.m_value, "8b30");
+    const auto forwarded = platform::make_upstream_request(resumed, {});
+    EXPECT_EQUAL(find_field(forwarded.m_fields, "Resumes"), "8b30");
+    // Of two, it is not known which one counts.
+    http_request ambiguous = resumed;
+    ambiguous.m_fields.emplace_back("Resumes", "8b31");
+    cr_expect(not is_ok(platform::parse_request_metadata(ambiguous)));
+    ambiguous = resumed;
+    ambiguous.m_fields.emplace_back("Last-Event-Id", "5");
+    cr_expect(not is_ok(platform::parse_request_metadata(ambiguous)));
+}
+
+Test(adapter, an_entry_names_the_version_of_the_software)
+{
+    const auto version_of = [](const std::string& field)
+    {
+        const std::string text =
+            R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)"
+            R"("maxConcurrency":1)" +
+            field + '}';
+        return value_of(platform::decode_upstream_entry("i", text)).m_version.m_value;
+    };
+    EXPECT_EQUAL(version_of(R"(,"version":"v1")"), "v1");
+    EXPECT_EQUAL(version_of(R"(,"version":2)"), "2");
+    EXPECT_EQUAL(version_of(""), "");
+    // A long name is told from others, and fits a datagram.
+    const std::string longest =
+        version_of(R"(,"version":")" + std::string(65, 'a') + '"');
+    cr_expect(longest.size() <= max_version_bytes);
+    cr_expect(longest != version_of(R"(,"version":")" + std::string(66, 'a') + '"'));
+}
+
 Test(adapter, detects_a_response_to_another_request)
 {
     http_answer_head answer;
--- a/tests/serving/choice_test.cpp
+++ b/tests/serving/choice_test.cpp
@@ -123,6 +123,55 @@
     }
 }
 
+Test(choice, a_stream_that_goes_on_stays_with_its_version)
+{
+    upstream_table table = sample_table(12);
+    for (int index = 0; index < 12; ++index)
+    {
+        const std::string id = "e" + std::to_string(index);
+        table.m_rows.find(upstream_id{id})->m_entry.m_version.m_value =
+            index < 4 ? "v1" : "v2";
+    }
+    for (int index = 0; index < 40; ++index)
+    {
+        for (const char* version : {"v1", "v2"})
+        {
+            const auto* chosen = choose_engine(
+                table, pool_id{"engines"}, sample_prompt("p" + std::to_string(index)),
+                {64, 499'130}, {}, {}, now, software_version{version});
+            cr_assert(chosen != nullptr);
+            EXPECT_EQUAL(chosen->m_entry.m_version.m_value, version);
+        }
+    }
+    cr_expect(choose_engine(table, pool_id{"engines"}, sample_prompt("p"), {64, 499'130},
+                            {}, {}, now, software_version{"v3"}) == nullptr);
+}
+
+// Guards against streams that nobody can take up when the last engine of a version breaks
+// them off, in the middle of a release.
+Test(choice, new_streams_avoid_the_only_engine_of_a_version)
+{
+    upstream_table table = sample_table(6);
+    table.m_rows.find(upstream_id{"e0"})->m_entry.m_version.m_value = "v1";
+    for (int index = 1; index < 6; ++index)
+    {
+        table.m_rows.find(upstream_id{"e" + std::to_string(index)})
+            ->m_entry.m_version.m_value = "v2";
+    }
+    for (int index = 0; index < 40; ++index)
+    {
+        const auto* chosen =
+            engine_for(table, sample_prompt("p" + std::to_string(index)));
+        EXPECT_EQUAL(chosen->m_entry.m_version.m_value, "v2");
+    }
+    // It is used when the others are full.
+    for (int index = 1; index < 6; ++index)
+    {
+        table.m_rows.find(upstream_id{"e" + std::to_string(index)})->m_running = 64;
+    }
+    EXPECT_EQUAL(engine_for(table, sample_prompt("p"))->m_entry.m_id.m_value, "e0");
+}
+
 Test(choice, an_unreachable_upstream_is_ejected_for_a_growing_time)
 {
     upstream_table table = sample_table(2);
--- a/tests/standins/edge_cluster.cpp
+++ b/tests/standins/edge_cluster.cpp
@@ -77,10 +77,12 @@
     return settings;
 }
 
-worker_standin& edge_cluster::add_worker(const std::string& id, const std::string& pool)
+worker_standin& edge_cluster::add_worker(const std::string& id, const std::string& pool,
+                                         const std::string& version)
 {
     auto worker = std::make_unique<worker_standin>();
     worker->m_id = id;
+    worker->m_version = version;
     worker->m_service = pool;
     worker->m_address = platform_address().to_string();
     worker->m_port = static_cast<std::uint16_t>(m_first_port + first_worker_port +
@@ -91,6 +93,12 @@
     return *m_workers.back();
 }
 
+void edge_cluster::set_worker_state(const worker_standin& worker,
+                                    const std::string& state)
+{
+    m_store.put("servers", worker.m_id, registry_entry(worker, worker.m_port, state));
+}
+
 void edge_cluster::set_config(const std::string& routes, std::uint64_t version)
 {
     m_store.put("op", "config", sample_configuration(routes, version));
--- a/tests/standins/edge_cluster.hpp
+++ b/tests/standins/edge_cluster.hpp
@@ -26,7 +26,11 @@
     edge_cluster(std::uint16_t first_port, int hosts);
     ~edge_cluster();
 
-    worker_standin& add_worker(const std::string& id, const std::string& pool);
+    /// @param version version of the worker's software
+    worker_standin& add_worker(const std::string& id, const std::string& pool,
+                               const std::string& version = "v1");
+    /// Writes the worker's registry entry again.
+    void set_worker_state(const worker_standin& worker, const std::string& state);
     void set_config(const std::string& routes, std::uint64_t version);
 
     /// Starts the store and all hosts, and waits until the hosts have their data.
