Let the soak play versions, returns of the store and limits that last

It had workers that name limits for less time than any rule needs, and nobody counted what reached them; no store that goes back, no second version.

Change: the workers of the stand-in keep a ledger of what no caller can see: streams that went on at a worker of another version, and what arrived while a limit was named. The soak has two engines of another version, callers who take up streams at any host, workers that start again with another version, and a store that loses a confirmed change and comes back from an older copy; the operator and the workers then write again. New promises: joined_streams and exceeded_limits, the latter with the factor and the slack of the platform's rule.

--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -271,6 +271,37 @@
         asio::detached);
 }
 
+void worker_ledger::add_stream_request(const http_request& request,
+                                       const std::string& version)
+{
+    const std::string id{find_field(request.m_fields, "Attempt-Id")};
+    const std::string first{find_field(request.m_fields, "Resumes")};
+    std::string& last = m_stream_versions[first.empty() ? id : first];
+    const bool goes_on = !find_field(request.m_fields, "Last-Event-Id").empty();
+    if (goes_on && !last.empty() && last != version)
+    {
+        m_joined_streams.push_back(id);
+    }
+    last = version;
+}
+
+void worker_standin::set_limit(const std::string& limit)
+{
+    const auto now = std::chrono::steady_clock::now();
+    constexpr milliseconds time_to_tell{1000};
+    if (m_limit_named_at && now - *m_limit_named_at > time_to_tell)
+    {
+        const auto begin = *m_limit_named_at + time_to_tell;
+        const auto first = std::lower_bound(m_arrivals.begin(), m_arrivals.end(), begin);
+        m_ledger->m_limited_times.push_back(
+            {m_id, std::stod(m_limit),
+             std::chrono::duration_cast<milliseconds>(now - begin),
+             static_cast<std::size_t>(m_arrivals.end() - first)});
+    }
+    m_limit = limit;
+    m_limit_named_at.reset();
+}
+
 asio::awaitable<void> worker_standin::serve(http_exchange& exchange)
 {
     const std::string target = exchange.request().m_target;
@@ -301,6 +332,7 @@
     }
     if (!m_limit.empty())
     {
+        m_limit_named_at = m_limit_named_at.value_or(std::chrono::steady_clock::now());
         fields.emplace_back("Server-Limit", m_limit);
     }
     constexpr unsigned unavailable = 503;
@@ -354,6 +386,10 @@
 {
     const http_request request = exchange.request();
     m_seen.push_back(request);
+    if (request.m_target.starts_with("/resume"))
+    {
+        m_ledger->add_stream_request(request, m_version);
+    }
     worker_mode mode = m_mode;
     if (!m_script.empty())
     {
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -82,6 +82,28 @@
     unframed_empty,
 };
 
+/// Time in which a worker named a limit.
+struct limited_time
+{
+    std::string m_worker;
+    double m_per_s = 0;
+    milliseconds m_length{0};
+    std::size_t m_arrivals = 0;
+};
+
+/// What the workers of a deployment have seen together.
+struct worker_ledger
+{
+    /// Version of the worker that got the last request of each stream.
+    std::map<std::string, std::string> m_stream_versions;
+    /// Streams that went on at a worker of another version.
+    std::vector<std::string> m_joined_streams;
+    std::vector<limited_time> m_limited_times;
+
+    /// Records a request of a stream that may be resumed.
+    void add_stream_request(const http_request& request, const std::string& version);
+};
+
 /// An upstream that answers "NAME:TARGET", as two events on routes that stream, and makes
 /// pieces.
 struct worker_standin
@@ -124,6 +146,9 @@
     std::optional<time_point> m_notice_given_at;
     /// When requests, calls of pieces and releases arrived.
     std::vector<time_point> m_arrivals;
+    /// When a response first named the present limit.
+    std::optional<time_point> m_limit_named_at;
+    std::shared_ptr<worker_ledger> m_ledger = std::make_shared<worker_ledger>();
 
     /// Listens on m_port of the address. Throws boost::system::system_error if it is
     /// taken.
@@ -138,6 +163,10 @@
     /// Adds what the worker says of itself to the fields of a response.
     void add_notices(http_fields& fields, unsigned status = 200);
 
+    /// Names another limit. Records what arrived while the present one was named, from a
+    /// second after the first response that named it.
+    void set_limit(const std::string& limit);
+
     /// Closes all connections and the listener, and starts again after the delay.
     void crash(const boost::asio::any_io_executor& executor);
 };
--- a/standins/gd_standin_edge_main.cpp
+++ b/standins/gd_standin_edge_main.cpp
@@ -34,7 +34,8 @@
 }
 
 /// The platform's store and the workers of a small deployment in one process. POST
-/// /control changes what they do, GET /runs tells how often each request has run.
+/// /control changes what they do, GET /runs tells how often each request has run, and GET
+/// /ledger what the workers have seen together.
 class edge_standin
 {
 public:
@@ -68,6 +69,8 @@
         worker_standin m_worker;
         /// Port in the registry; that of a proxy, if there is one.
         std::uint16_t m_listed_port = 0;
+        /// State that it last wrote to the registry; empty before.
+        std::string m_state;
     };
 
     asio::ip::tcp::endpoint endpoint_of(std::uint16_t port) const
@@ -81,6 +84,11 @@
         added.m_worker.m_id = text_of(settings, "id");
         added.m_worker.m_service = text_of(settings, "service");
         added.m_worker.m_address = m_address;
+        added.m_worker.m_ledger = m_ledger;
+        if (settings.contains("version"))
+        {
+            added.m_worker.m_version = text_of(settings, "version");
+        }
         added.m_worker.m_port = port_of(settings, "port");
         added.m_listed_port = settings.contains("listed_port")
                                   ? port_of(settings, "listed_port")
@@ -90,8 +98,9 @@
     }
 
     /// @param state "ready", "draining", or "gone" to remove the entry
-    void list_worker(const listed_worker& entry, const std::string& state)
+    void list_worker(listed_worker& entry, const std::string& state)
     {
+        entry.m_state = state;
         if (state == "gone")
         {
             m_store.remove("servers", entry.m_worker.m_id);
@@ -110,6 +119,12 @@
             co_await exchange.respond(std::move(counts));
             co_return;
         }
+        if (target == "/ledger")
+        {
+            http_response seen = json_response(ledger());
+            co_await exchange.respond(std::move(seen));
+            co_return;
+        }
         // Named: GCC 12 destroys a temporary argument of a coroutine twice.
         http_response answer = take_change(exchange);
         co_await exchange.respond(std::move(answer));
@@ -146,13 +161,45 @@
         return body;
     }
 
-    /// Throws if the change cannot be read.
-    /// Changes what a worker says of itself.
+    json::object ledger() const
+    {
+        json::array joined;
+        for (const std::string& stream : m_ledger->m_joined_streams)
+        {
+            joined.push_back(json::value(stream));
+        }
+        json::array limited;
+        for (const limited_time& time : m_ledger->m_limited_times)
+        {
+            limited.push_back(json::object{{"worker", time.m_worker},
+                                           {"per_s", time.m_per_s},
+                                           {"ms", time.m_length.count()},
+                                           {"arrivals", time.m_arrivals}});
+        }
+        json::object body;
+        body["joined"] = std::move(joined);
+        body["limited"] = std::move(limited);
+        return body;
+    }
+
+    /// Comes back as of the last copy. The operator and the workers write again what they
+    /// have written since.
+    void go_back()
+    {
+        m_store.go_back(m_copy);
+        m_store.put("op", "config", sample_configuration(sample_routes(), m_version));
+        for (auto& [id, entry] : m_workers)
+        {
+            list_worker(entry, entry.m_state);
+        }
+    }
+
+    /// Changes what a worker says of itself. Throws if the change cannot be read.
     static void apply_notices(worker_standin& worker, const json::object& change)
     {
         if (change.contains("limit"))
         {
-            worker.m_limit = text_of(change, "limit");
+            worker.set_limit(text_of(change, "limit"));
         }
         if (change.contains("retry_after"))
         {
@@ -164,10 +211,23 @@
             worker.m_says_leaving = process == "leaves";
             worker.m_born += process == "new" ? 1 : 0;
         }
+        if (change.contains("version"))
+        {
+            worker.m_version = text_of(change, "version");
+        }
     }
 
+    /// Throws if the change cannot be read.
     void apply(const json::object& change)
     {
+        if (change.contains("store_copy"))
+        {
+            m_copy = m_store.make_copy();
+        }
+        if (change.contains("store_back"))
+        {
+            go_back();
+        }
         if (const auto* down = change.if_contains("store_down"))
         {
             m_store.m_down = down->as_bool();
@@ -200,6 +260,8 @@
 
     std::string m_address;
     store_standin m_store;
+    store_standin::copy m_copy;
+    std::shared_ptr<worker_ledger> m_ledger = std::make_shared<worker_ledger>();
     std::map<std::string, listed_worker> m_workers;
     std::uint64_t m_version = 1;
     http_server m_store_server;
--- a/tests/soak/promises.cpp
+++ b/tests/soak/promises.cpp
@@ -9,8 +9,8 @@
 namespace
 {
 
-const std::string whole_stream =
-    "id: 1\ndata: 1\n\nid: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n";
+const std::string first_event = "id: 1\ndata: 1\n\n";
+const std::string other_events = "id: 2\ndata: 2\n\nid: 3\ndata: 3\n\nid: 4\ndata: 4\n\n";
 
 int runs_of(const run_record& run, const std::string& id)
 {
@@ -40,7 +40,9 @@
         return call.m_body.find(":/pay/" + call.m_id + ":body") != std::string::npos;
     case request_kind::stream:
     case request_kind::resume:
-        return call.m_body == whole_stream;
+        return call.m_body == first_event + other_events;
+    case request_kind::take_up:
+        return call.m_body == other_events;
     }
     return false;
 }
@@ -117,7 +119,7 @@
     {
         // A stream that may not be resumed ends where its engine fails.
         const bool may_break =
-            call.m_kind == request_kind::stream || call.m_kind == request_kind::resume;
+            call.m_kind != request_kind::read && call.m_kind != request_kind::pay;
         if (call.m_cut && !may_break && !was_absent(run, call))
         {
             lines.push_back(line(call, "was cut off"));
@@ -173,12 +175,40 @@
     return lines;
 }
 
+std::vector<std::string> joined_streams(const run_record& run)
+{
+    std::vector<std::string> lines;
+    for (const std::string& stream : run.m_joined_streams)
+    {
+        lines.push_back(stream + " went on at a worker of another version");
+    }
+    return lines;
+}
+
+std::vector<std::string> exceeded_limits(const run_record& run)
+{
+    constexpr double factor = 1.5;
+    constexpr double extra = 5;
+    std::vector<std::string> lines;
+    for (const limit_record& limit : run.m_limits)
+    {
+        const double allowed = factor * limit.m_per_s * to_s(limit.m_length) + extra;
+        if (static_cast<double>(limit.m_arrivals) > allowed)
+        {
+            lines.push_back(limit.m_worker + " got " + std::to_string(limit.m_arrivals) +
+                            " requests in " + std::to_string(limit.m_length.count()) +
+                            " ms at a limit of " + std::to_string(limit.m_per_s));
+        }
+    }
+    return lines;
+}
+
 std::vector<std::string> broken_promises(const run_record& run)
 {
     std::vector<std::string> all;
-    for (const auto check :
-         {payments_run_twice, false_refusals, wrong_answers, late_answers,
-          cut_by_living_hosts, versions_that_went_back, wrong_exits})
+    for (const auto check : {payments_run_twice, false_refusals, wrong_answers,
+                             late_answers, cut_by_living_hosts, versions_that_went_back,
+                             wrong_exits, joined_streams, exceeded_limits})
     {
         const auto lines = check(run);
         all.insert(all.end(), lines.begin(), lines.end());
--- a/tests/soak/promises.hpp
+++ b/tests/soak/promises.hpp
@@ -16,8 +16,11 @@
     pay,
     stream,
     resume,
+    /// Takes up a stream after its first event.
+    take_up,
 };
 
+/// Kinds with which callers begin.
 inline constexpr int request_kinds = 4;
 
 /// What a caller saw of one request.
@@ -70,6 +73,15 @@
     milliseconds m_stop_took{0};
 };
 
+/// Time in which a worker named a limit, and the requests that it got.
+struct limit_record
+{
+    std::string m_worker;
+    double m_per_s = 0;
+    milliseconds m_length{0};
+    std::size_t m_arrivals = 0;
+};
+
 /// All that callers, back ends and the driver saw in one run.
 struct run_record
 {
@@ -79,6 +91,9 @@
     std::vector<exit_record> m_exits;
     /// How often each request ran, from the workers.
     std::map<std::string, int> m_runs;
+    /// Streams that went on at a worker of another software version.
+    std::vector<std::string> m_joined_streams;
+    std::vector<limit_record> m_limits;
     /// The highest version of the configuration that was written.
     std::uint64_t m_last_version = 0;
 };
@@ -99,6 +114,11 @@
 std::vector<std::string> versions_that_went_back(const run_record& run);
 std::vector<std::string> wrong_exits(const run_record& run);
 
+std::vector<std::string> joined_streams(const run_record& run);
+
+/// As the platform's rule on limits: one and a half times what a limit allows, and 5.
+std::vector<std::string> exceeded_limits(const run_record& run);
+
 /// All of them.
 std::vector<std::string> broken_promises(const run_record& run);
 
--- a/tests/soak/promises_test.cpp
+++ b/tests/soak/promises_test.cpp
@@ -114,3 +114,19 @@
     run.m_exits = {{0, true, false, false, -9, 0ms}, {0, false, true, false, 0, 5s}};
     cr_expect(wrong_exits(run).empty());
 }
+
+Test(promises, a_stream_of_two_versions_is_found)
+{
+    run_record run = run_of(sound_call(request_kind::pay), 1);
+    run.m_joined_streams.push_back("r7");
+    EXPECT_EQUAL(joined_streams(run).size(), 1U);
+}
+
+Test(promises, requests_beyond_a_limit_are_found)
+{
+    run_record run;
+    run.m_limits.push_back({"plain-1", 2, 3000ms, 14});
+    cr_expect(exceeded_limits(run).empty());
+    run.m_limits.push_back({"plain-1", 2, 3000ms, 15});
+    EXPECT_EQUAL(exceeded_limits(run).size(), 1U);
+}
--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -58,8 +58,12 @@
 /// Longest time for which a fault lasts. The registry drops a silent worker after 4 s.
 constexpr int longest_fault_ms = 3000;
 
-/// Faults of a run in which workers say something of themselves.
-constexpr int notice_faults = 2;
+/// Faults of a run in which workers say something of themselves, a worker starts again
+/// with another version, or the store comes back from an older copy.
+constexpr int notice_faults = 3;
+
+/// Time for which a limit is named in addition, so that hosts have to keep to it.
+constexpr milliseconds limit_time{2000};
 
 struct worker_form
 {
@@ -74,6 +78,9 @@
                                                    {"stage-1", "stage"},
                                                    {"stage-2", "stage"}}};
 
+/// Engines of another software version, on which no faults are drawn.
+constexpr std::array<const char*, 2> next_version_engines{"engine-3", "engine-4"};
+
 constexpr std::array<const char*, 6> worker_faults{"lose_answer", "decline", "fail",
                                                    "tear",        "foreign", "hang"};
 
@@ -100,7 +107,16 @@
 
 bool is_stream(request_kind kind)
 {
-    return kind == request_kind::stream || kind == request_kind::resume;
+    return kind != request_kind::read && kind != request_kind::pay;
+}
+
+/// The request with which a caller takes up a stream after its first event.
+http_request take_up_of(const std::string& stream, const std::string& id, int deadline_ms)
+{
+    http_request request = sample_stream("/resume/" + id, id, deadline_ms);
+    request.m_fields.emplace_back("Resumes", stream);
+    request.m_fields.emplace_back("Last-Event-Id", "1");
+    return request;
 }
 
 http_request request_of(request_kind kind, const std::string& id, milliseconds deadline)
@@ -116,6 +132,8 @@
         return sample_stream("/stream/" + id, id, deadline_ms);
     case request_kind::resume:
         return sample_stream("/resume/" + id, id, deadline_ms);
+    case request_kind::take_up:
+        return take_up_of(id.substr(0, id.find('-')), id, deadline_ms);
     }
     throw std::invalid_argument{"unknown kind of request"};
 }
@@ -218,6 +236,12 @@
 
     asio::awaitable<void> begin_fault(int number);
     asio::awaitable<void> begin_notice_fault();
+    asio::awaitable<void> notice_of(const std::string& worker, std::uint32_t kind,
+                                    milliseconds length);
+    asio::awaitable<void> restart_worker(const std::string& worker, const char* version,
+                                         milliseconds length);
+    asio::awaitable<void> return_store_from_copy(milliseconds length);
+    asio::awaitable<void> read_ledger();
     asio::awaitable<void> disturb_host(std::size_t host, std::uint32_t kind,
                                        milliseconds length);
     asio::awaitable<void> disturb_link(fault_proxy& proxy, std::uint32_t kind,
@@ -264,6 +288,14 @@
                                        {"port", first_worker_port + at},
                                        {"listed_port", first_proxy_port + at}});
     }
+    for (std::size_t at = 0; at < next_version_engines.size(); ++at)
+    {
+        workers.push_back(
+            json::object{{"id", next_version_engines[at]},
+                         {"service", "engine"},
+                         {"version", "v2"},
+                         {"port", first_worker_port + worker_forms.size() + at}});
+    }
     const json::object standin{{"address", place(0, 0).address().to_string()},
                                {"store_port", store_port},
                                {"control_port", control_port},
@@ -485,6 +517,13 @@
         seen.m_timed_out = error.m_kind == http_error_kind::timeout;
         seen.m_cut = error.m_sent && !seen.m_timed_out;
     }
+    if (kind == request_kind::resume && seen.m_cut && record && m_sending)
+    {
+        // The caller returns at any host.
+        const std::size_t other =
+            uniform_below(m_notice_random, static_cast<std::uint32_t>(m_hosts.size()));
+        spawn(call(request_kind::take_up, other, id + "-again", true));
+    }
     if (record || seen.m_status == 200)
     {
         m_result.m_run.m_calls.push_back(std::move(seen));
@@ -664,7 +703,6 @@
     --m_active_faults;
 }
 
-/// A worker says that it takes few requests, declines them for a time, or leaves.
 asio::awaitable<void> soak_driver::begin_notice_fault()
 {
     const milliseconds begin{uniform_below(
@@ -673,38 +711,91 @@
                               uniform_below(m_notice_random, longest_fault_ms - 200)};
     const std::string id =
         worker_forms[uniform_below(m_notice_random, worker_forms.size())].m_id;
-    const std::uint32_t kind = uniform_below(m_notice_random, 3);
+    const std::uint32_t kind = uniform_below(m_notice_random, 5);
     ++m_active_faults;
     co_await pause_for(begin);
-    say(id +
-        (kind == 0   ? " names a limit"
-         : kind == 1 ? " declines requests"
-                     : " says that it leaves") +
-        " for " + std::to_string(length.count()) + " ms");
+    if (kind < 4)
+    {
+        co_await notice_of(id, kind, length);
+    }
+    else
+    {
+        co_await return_store_from_copy(length);
+    }
+    --m_active_faults;
+}
+
+/// A worker says that it takes few requests, declines them for a time, or leaves.
+asio::awaitable<void> soak_driver::notice_of(const std::string& worker,
+                                             std::uint32_t kind, milliseconds length)
+{
+    static constexpr std::array<const char*, 4> names{
+        "names a limit", "declines requests", "says that it leaves",
+        "starts with the next version"};
+    say(worker + ' ' + names[kind] + " for " + std::to_string(length.count()) + " ms");
     if (kind == 0)
     {
-        co_await control(worker_change(id, "limit", "2"));
-        co_await pause_for(length);
-        co_await control(worker_change(id, "limit", ""));
+        co_await control(worker_change(worker, "limit", "2"));
+        co_await pause_for(length + limit_time);
+        co_await control(worker_change(worker, "limit", ""));
     }
     else if (kind == 1)
     {
-        co_await control(worker_change(id, "retry_after", "0.7"));
-        co_await control(worker_change(id, "mode", "decline"));
+        co_await control(worker_change(worker, "retry_after", "0.7"));
+        co_await control(worker_change(worker, "mode", "decline"));
         co_await pause_for(length);
-        co_await control(worker_change(id, "mode", "normal"));
-        co_await control(worker_change(id, "retry_after", ""));
+        co_await control(worker_change(worker, "mode", "normal"));
+        co_await control(worker_change(worker, "retry_after", ""));
     }
     else
     {
-        co_await control(worker_change(id, "process", "leaves"));
-        co_await pause_for(length);
-        co_await control(worker_change(id, "state", "gone"));
-        co_await control(worker_change(id, "process", "new"));
-        co_await pause_for(length);
-        co_await control(worker_change(id, "state", "ready"));
+        co_await restart_worker(worker, kind == 2 ? "v1" : "v2", length);
+    }
+}
+
+asio::awaitable<void> soak_driver::restart_worker(const std::string& worker,
+                                                  const char* version,
+                                                  milliseconds length)
+{
+    co_await control(worker_change(worker, "process", "leaves"));
+    co_await pause_for(length);
+    co_await control(worker_change(worker, "state", "gone"));
+    co_await control(worker_change(worker, "process", "new"));
+    co_await control(worker_change(worker, "version", version));
+    co_await pause_for(length);
+    co_await control(worker_change(worker, "state", "ready"));
+}
+
+/// The store loses a change that it has confirmed, and what workers have written.
+asio::awaitable<void> soak_driver::return_store_from_copy(milliseconds length)
+{
+    say("store returns from a copy after " + std::to_string(length.count()) + " ms");
+    co_await control(change_of("store_copy", true));
+    co_await pause_for(length);
+    co_await control(change_of("config_version", ++m_version));
+    co_await pause_for(lost_write_time);
+    co_await control(change_of("store_down", true));
+    co_await pause_for(lost_write_time);
+    co_await control(change_of("store_back", true));
+    co_await control(change_of("store_down", false));
+}
+
+asio::awaitable<void> soak_driver::read_ledger()
+{
+    const auto answer = co_await ask_standin("GET", "/ledger", "");
+    const auto body = json::parse(answer.m_body);
+    for (const auto& stream : body.at("joined").as_array())
+    {
+        m_result.m_run.m_joined_streams.emplace_back(stream.as_string());
+    }
+    for (const auto& entry : body.at("limited").as_array())
+    {
+        m_result.m_run.m_limits.push_back(
+            {std::string{entry.at("worker").as_string()},
+             entry.at("per_s").to_number<double>(),
+             milliseconds{entry.at("ms").to_number<std::int64_t>()},
+             entry.at("arrivals").to_number<std::size_t>()});
     }
-    --m_active_faults;
 }
 
 /// Asks each host for each kind of request until all are served.
@@ -789,6 +880,7 @@
     {
         m_result.m_run.m_runs[member.key()] = json::value_to<int>(member.value());
     }
+    co_await read_ledger();
     note_ends();
     m_ending = true;
     m_result.m_run.m_last_version = m_version;
