Use upstreams that were in trouble again once they are sound

Cause: slowness and failures are averages over responses. A burst then meets one upstream less, until the others have several times their slots. Stage workers already recover while they are idle.

Change: an average is forgotten as other upstreams have the turns of this one, half of it in ten turns.

--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -42,6 +42,12 @@
 /// Weight of the newest sample in moving averages of response times and failures.
 inline constexpr double sample_weight = 0.2;
 
+/// What is known of an upstream's slowness and failures is forgotten once other upstreams
+/// have had this number of its turns; half of it in each second number. A turn is as many
+/// responses as the pool has upstreams.
+inline constexpr double observation_lifetime_turns = 5;
+inline constexpr double observation_half_life_turns = 10;
+
 /// An upstream and what this host has observed of it.
 struct upstream
 {
@@ -61,6 +67,9 @@
     double m_failure_share = 0;
     /// Moving average of the ratio of the measured to the expected response time.
     double m_slowness = 1;
+    /// Turns that other upstreams of its pool have had since its last response. Both
+    /// averages are as of then.
+    double m_missed_turns = 0;
     /// The upstream has said that it leaves, which may be before its registry entry does.
     bool m_says_leaving = false;
     /// When it last said so to this host.
@@ -133,8 +142,24 @@
 bool is_available(const upstream_table& table, const upstream& candidate, time_point now);
 
 /// Records a response and resets the circuit breaker.
+/// @param row upstream of the table
 /// @param slowness ratio of the measured to the expected response time
-void record_response(upstream& row, bool succeeded, double slowness);
+void record_response(upstream_table& table, upstream& row, bool succeeded,
+                     double slowness);
+
+struct observed_quality
+{
+    double m_failure_share = 0;
+    double m_slowness = 1;
+};
+
+/// What the averages of an upstream amount to at the moment.
+///
+/// Load pattern: an upstream is slow or fails for some seconds and is sound again. At low
+/// load it would get no request while others are better, and would be found sound only
+/// by a burst. Counting requests rather than time bounds the share of them that tries an
+/// upstream which is still in trouble.
+observed_quality quality_of(const upstream& row);
 
 /// Records a connection that could not be established, broke or timed out. Ejects the
 /// upstream for a time that doubles with each consecutive failure.
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -85,8 +85,9 @@
     body["ejected_ms"] = ms_until(row.m_ejected_until, at);
     const auto& limit = row.m_sends.m_statement.m_limit;
     body["limit_per_s"] = limit ? json::value(limit->m_value) : json::value{};
-    body["failure_share"] = row.m_failure_share;
-    body["slowness"] = row.m_slowness;
+    const serving::observed_quality quality = serving::quality_of(row);
+    body["failure_share"] = quality.m_failure_share;
+    body["slowness"] = quality.m_slowness;
     return body;
 }
 
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -525,7 +525,8 @@
         constexpr double max_slowness = 8;
         const double slowness =
             std::clamp(elapsed_ms / std::max(1.0, mean_ms), 0.3, max_slowness);
-        record_response(*row, outcome == attempt_outcome::answered, slowness);
+        record_response(m_state.m_upstreams, *row, outcome == attempt_outcome::answered,
+                        slowness);
         break;
     }
     case attempt_outcome::declined:
--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -94,7 +94,7 @@
                    time_point now)
 {
     double cost = expected_first_token_ms(engine, request_prompt, cached);
-    cost += failure_penalty_ms * engine.m_failure_share;
+    cost += failure_penalty_ms * quality_of(engine).m_failure_share;
     cost += is_full(engine, limits) ? full_penalty_ms : 0;
     cost += engine.m_cold_until > now ? cold_penalty_ms : 0;
     cost += engine.m_ejected_until > now ? ejected_penalty_ms : 0;
@@ -145,7 +145,7 @@
                                          : 0;
     const std::uint64_t prefill_tokens = cached ? own_tokens : own_tokens + shared_tokens;
     const double running_requests = engine.m_running + engine.m_running_elsewhere;
-    return engine.m_slowness *
+    return quality_of(engine).m_slowness *
            (idle_first_token_ms +
             static_cast<double>(prefill_tokens) / prefill_tokens_per_ms +
             running_requests * running_request_delay_ms);
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -2,6 +2,7 @@
 #include <geraniumdoor/serving/upstreams.hpp>
 
 #include <algorithm>
+#include <cmath>
 
 namespace geraniumdoor::serving
 {
@@ -21,8 +22,9 @@
 double selection_cost(const upstream& row, const data_centre_id& own_data_centre,
                       time_point now)
 {
-    double cost = row.m_slowness * (1 + load_ratio(row));
-    cost *= 1 + failure_penalty * row.m_failure_share;
+    const observed_quality quality = quality_of(row);
+    double cost = quality.m_slowness * (1 + load_ratio(row));
+    cost *= 1 + failure_penalty * quality.m_failure_share;
     if (row.m_cold_until > now)
     {
         cost += cold_penalty;
@@ -142,13 +144,40 @@
     return takes_requests(table, candidate, now) && candidate.m_ejected_until <= now;
 }
 
-void record_response(upstream& row, bool succeeded, double slowness)
+observed_quality quality_of(const upstream& row)
+{
+    const double age = row.m_missed_turns - observation_lifetime_turns;
+    if (age <= 0)
+    {
+        return {row.m_failure_share, row.m_slowness};
+    }
+    const double kept = std::exp2(-age / observation_half_life_turns);
+    return {kept * row.m_failure_share, 1 + kept * (row.m_slowness - 1)};
+}
+
+void record_response(upstream_table& table, upstream& row, bool succeeded,
+                     double slowness)
 {
     row.m_consecutive_failures = 0;
     row.m_ejected_until = {};
-    row.m_failure_share +=
-        sample_weight * ((succeeded ? 0.0 : 1.0) - row.m_failure_share);
-    row.m_slowness += sample_weight * (slowness - row.m_slowness);
+    const observed_quality before = quality_of(row);
+    const double failure = succeeded ? 0 : 1;
+    row.m_failure_share =
+        before.m_failure_share + sample_weight * (failure - before.m_failure_share);
+    row.m_slowness = before.m_slowness + sample_weight * (slowness - before.m_slowness);
+    std::vector<upstream*> pool;
+    for (auto& [id, other] : table.m_rows)
+    {
+        if (other.m_entry.m_pool == row.m_entry.m_pool)
+        {
+            pool.push_back(&other);
+        }
+    }
+    for (upstream* other : pool)
+    {
+        other->m_missed_turns += 1 / static_cast<double>(pool.size());
+    }
+    row.m_missed_turns = 0;
 }
 
 void record_unreachable(upstream& row, time_point now)
--- a/tests/serving/choice_test.cpp
+++ b/tests/serving/choice_test.cpp
@@ -226,8 +226,8 @@
     upstream_table table = sample_table(3);
     for (int index = 0; index < 10; ++index)
     {
-        record_response(*table.m_rows.find(upstream_id{"e0"}), false, 1);
-        record_response(*table.m_rows.find(upstream_id{"e1"}), true, 5);
+        record_response(table, *table.m_rows.find(upstream_id{"e0"}), false, 1);
+        record_response(table, *table.m_rows.find(upstream_id{"e1"}), true, 5);
     }
     const auto* chosen =
         choose_upstream(table, pool_id{"engines"}, data_centre_id{"z0"}, {}, now);
