Send repeated signals from one place in tests

The two tests of repeated signals had the same loop. It is a member of child_process now; checks and times are the same. The comment of observe_versions says what is forgotten: it named streams of forgotten versions, while streams go by their own age.

--- a/include/geraniumdoor/serving/stream_origins.hpp
+++ b/include/geraniumdoor/serving/stream_origins.hpp
@@ -51,8 +51,8 @@
     std::unordered_map<pool_id, version_history> m_pools;
 };
 
-/// Records the versions that upstreams have at the moment. Versions that were not seen
-/// for stream_lifetime are forgotten, with the streams that they began.
+/// Records the versions that upstreams have at the moment. Forgets versions that were not
+/// seen for stream_lifetime, and streams that began longer ago.
 /// @return pools in which a second version has appeared
 std::vector<pool_id> observe_versions(stream_origins& origins,
                                       const upstream_table& upstreams, time_point now);
--- a/tests/programs/child_process.hpp
+++ b/tests/programs/child_process.hpp
@@ -1,8 +1,10 @@
 #pragma once
 
+#include <chrono>
 #include <csignal>
 #include <optional>
 #include <string>
+#include <thread>
 #include <vector>
 
 #include <fcntl.h>
@@ -89,6 +91,22 @@
         return WIFEXITED(status) ? WEXITSTATUS(status) : -WTERMSIG(status);
     }
 
+    /// Sends a signal again and again until the process has ended, for a time at most.
+    /// Returns as take_end does.
+    std::optional<int> send_until_end(int signal, std::chrono::milliseconds limit)
+    {
+        constexpr std::chrono::microseconds pause{100};
+        std::optional<int> code;
+        const auto last = std::chrono::steady_clock::now() + limit;
+        while (!code && std::chrono::steady_clock::now() < last)
+        {
+            send(signal);
+            std::this_thread::sleep_for(pause);
+            code = take_end();
+        }
+        return code;
+    }
+
 private:
     pid_t m_process = 0;
 };
--- a/tests/programs/daemon_test.cpp
+++ b/tests/programs/daemon_test.cpp
@@ -223,14 +223,7 @@
     test::child_process daemon;
     cr_assert(daemon.start({programs + "/geraniumdoord", "--settings", file.path()},
                            log.path(), {SIGTERM}));
-    std::optional<int> code;
-    const auto last = std::chrono::steady_clock::now() + 20s;
-    while (not code && std::chrono::steady_clock::now() < last)
-    {
-        daemon.send(SIGTERM);
-        std::this_thread::sleep_for(100us);
-        code = daemon.take_end();
-    }
+    const auto code = daemon.send_until_end(SIGTERM, 20s);
     // A failed assertion would leave the process behind.
     cr_expect(code.has_value());
     cr_expect(code.value_or(0) == 0, "the daemon ended with %d", code.value_or(0));
--- a/tests/programs/edge_process_test.cpp
+++ b/tests/programs/edge_process_test.cpp
@@ -90,14 +90,7 @@
     cr_assert(host.start({programs + "/geraniumdoor_edge", "--settings", file.path()},
                          log.path()));
     cr_expect(wait_for_text(log.path(), "event=started"));
-    std::optional<int> code;
-    const auto last = std::chrono::steady_clock::now() + 15s;
-    while (not code && std::chrono::steady_clock::now() < last)
-    {
-        host.send(SIGTERM);
-        std::this_thread::sleep_for(100us);
-        code = host.take_end();
-    }
+    const auto code = host.send_until_end(SIGTERM, 15s);
     // A failed assertion would leave the process behind.
     cr_expect(code.has_value());
     cr_expect(code.value_or(0) == 0, "the host ended with %d", code.value_or(0));
