--- a/src/edge/upstream_notices.cpp
+++ b/src/edge/upstream_notices.cpp
@@ -28,6 +28,12 @@
     }
 }
 
+/// Counts what this host has heard itself.
+void count_notice(edge_state& state, const char* says)
+{
+    state.m_metrics.add("upstream_notices", {{"says", says}});
+}
+
 void set_leaving(upstream& row, const char* source)
 {
     if (!row.m_says_leaving)
@@ -53,6 +59,7 @@
     if (notice.m_decline_time)
     {
         record_decline(row->m_sends, *notice.m_decline_time, now());
+        count_notice(state, "declines");
         log_event{"upstream_declines"}
             .add("upstream", upstream)
             .add("for_ms", notice.m_decline_time->count());
@@ -60,7 +67,11 @@
     if (notice.m_leaves)
     {
         set_leaving(*row, "response");
-        state.m_notices_changed |= !row->m_said_leaving_at;
+        if (!row->m_said_leaving_at)
+        {
+            state.m_notices_changed = true;
+            count_notice(state, "leaves");
+        }
         row->m_said_leaving_at = now();
     }
     constexpr unsigned first_error_status = 400;
@@ -68,6 +79,7 @@
     if (record_statement(row->m_sends, notice.m_limit, may_end_limit, sent_at, now()))
     {
         log_limit(upstream, notice.m_limit, "response");
+        count_notice(state, notice.m_limit ? "limit" : "no_limit");
         state.m_notices_changed = true;
     }
     else if (notice.m_names_limit && !notice.m_limit)
--- a/tests/standins/leaving_upstream_test.cpp
+++ b/tests/standins/leaving_upstream_test.cpp
@@ -208,6 +208,8 @@
     cr_expect(wait_s > 0 && wait_s <= 0.5, "%.3f s", wait_s);
     const std::size_t asked = story.first().m_seen.size();
     EXPECT_EQUAL(asked, 1U);
+    const std::string metrics = story.m_cluster.get_admin(0, "/metrics").m_body;
+    cr_expect(metrics.find("upstream_notices{says=\"declines\"} 4") != std::string::npos);
 }
 
 // Guards against releases of results at a worker in the time for which it has declined
