Keep origins of streams as long as routes let streams last

Cause: origins and seen versions were forgotten after 30 s, whatever the routes. On a deployment with a timeout of a minute, a stream that is taken up after that time was refused while versions are mixed, and went on at the version that had replaced its own once the earlier one was gone.

Change: the lifetime is the longest timeout of a route and 10 s, at least 30 s, and is not shortened by a later configuration.

Result: stream_origins/origins_are_kept_as_long_as_* passes; it names extend_lifetime, so that it does not build on the code before.

--- a/include/geraniumdoor/serving/stream_origins.hpp
+++ b/include/geraniumdoor/serving/stream_origins.hpp
@@ -18,8 +18,11 @@
 /// Returns the key of the stream whose first event this attempt of a caller has brought.
 stream_key key_of_stream(const attempt_id& first_attempt);
 
-/// Longest time after its first event in which a caller may take up a stream again.
-inline constexpr seconds stream_lifetime{30};
+/// Least time after its first event for which the origin of a stream is kept.
+inline constexpr seconds min_stream_lifetime{30};
+
+/// Time beyond the timeout of a route in which a caller may still take up a stream.
+inline constexpr seconds take_up_margin{10};
 
 /// Most streams whose origin a host keeps. The oldest are forgotten first.
 inline constexpr std::size_t max_stream_origins = 4096;
@@ -49,10 +52,16 @@
 {
     std::unordered_map<stream_key, known_origin> m_streams;
     std::unordered_map<pool_id, version_history> m_pools;
+    /// Longest time after its first event in which a caller may take up a stream.
+    duration m_lifetime = min_stream_lifetime;
 };
 
+/// Extends the lifetime of streams to the longest timeout of the routes. Streams that
+/// began under an earlier configuration keep theirs.
+void extend_lifetime(stream_origins& origins, const routing_config& config);
+
 /// Records the versions that upstreams have at the moment. Forgets versions that were not
-/// seen for stream_lifetime, and streams that began longer ago.
+/// seen for a stream's lifetime, and streams that began longer ago.
 /// @return pools in which a second version has appeared
 std::vector<pool_id> observe_versions(stream_origins& origins,
                                       const upstream_table& upstreams, time_point now);
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -681,6 +681,7 @@
     {
         m_callers.set_limits(caller_http_limits(m_state.m_routing->m_limits,
                                                 m_state.m_settings.m_max_open_files));
+        serving::extend_lifetime(m_state.m_stream_origins, *m_state.m_routing);
     }
     const bool was_ready = m_state.m_own_report.m_ready;
     m_state.m_own_report.m_ready = m_state.m_routing && m_state.m_registry_loaded &&
--- a/src/serving/stream_origins.cpp
+++ b/src/serving/stream_origins.cpp
@@ -14,9 +14,9 @@
 void drop_ended_streams(stream_origins& origins, time_point now)
 {
     std::erase_if(origins.m_streams,
-                  [now](const auto& entry)
+                  [&origins, now](const auto& entry)
                   {
-                      return now - entry.second.m_began_at > stream_lifetime;
+                      return now - entry.second.m_began_at > origins.m_lifetime;
                   });
 }
 
@@ -38,6 +38,15 @@
     return stream_key{stable_hash(first_attempt.m_value)};
 }
 
+void extend_lifetime(stream_origins& origins, const routing_config& config)
+{
+    for (const route& listed : config.m_routes)
+    {
+        origins.m_lifetime =
+            std::max<duration>(origins.m_lifetime, listed.m_timeout + take_up_margin);
+    }
+}
+
 std::vector<pool_id> observe_versions(stream_origins& origins,
                                       const upstream_table& upstreams, time_point now)
 {
@@ -45,9 +54,9 @@
     for (auto& [pool, history] : origins.m_pools)
     {
         std::erase_if(history.m_last_seen,
-                      [now](const auto& entry)
+                      [&origins, now](const auto& entry)
                       {
-                          return now - entry.second > stream_lifetime;
+                          return now - entry.second > origins.m_lifetime;
                       });
         if (history.m_last_seen.size() > 1)
         {
@@ -86,7 +95,7 @@
 {
     const auto at = origins.m_pools.find(pool);
     if (at == origins.m_pools.end() || at->second.m_last_seen.size() != 1 ||
-        now - at->second.m_observed_since < stream_lifetime)
+        now - at->second.m_observed_since < origins.m_lifetime)
     {
         return std::nullopt;
     }
--- a/tests/serving/stream_origins_test.cpp
+++ b/tests/serving/stream_origins_test.cpp
@@ -483,11 +483,12 @@
         not decide(start, {reply_of(origin_finding::only_version, "v2")}).m_version);
     cr_expect(
         not decide(start, {reply_of(origin_finding::several_versions, "")}).m_version);
-    observe_versions(origins, one, start + stream_lifetime);
-    cr_expect(decide(start + stream_lifetime).m_source == origin_source::only_version);
+    observe_versions(origins, one, start + min_stream_lifetime);
+    cr_expect(decide(start + min_stream_lifetime).m_source ==
+              origin_source::only_version);
     // A second version: only a record tells.
     const auto two = table_of({entry_of("u1", "v1"), entry_of("u2", "v2")});
-    const time_point later = start + 2 * stream_lifetime;
+    const time_point later = start + 2 * min_stream_lifetime;
     observe_versions(origins, one, later);
     EXPECT_EQUAL(observe_versions(origins, two, later).size(), 1U);
     EXPECT_EQUAL(observe_versions(origins, two, later).size(), 0U);
@@ -504,9 +505,9 @@
     cr_expect(decide(later).m_source == origin_source::own_record);
     // The first version leaves. It may have begun streams for some time.
     const auto last = table_of({entry_of("u2", "v2")});
-    observe_versions(origins, last, later + stream_lifetime);
+    observe_versions(origins, last, later + min_stream_lifetime);
     cr_expect(has_several_versions(origins, sample_pool));
-    observe_versions(origins, last, later + stream_lifetime + 1s);
+    observe_versions(origins, last, later + min_stream_lifetime + 1s);
     cr_expect(not has_several_versions(origins, sample_pool));
     // By then, the stream has been forgotten.
     cr_expect(origins.m_streams.empty());
@@ -550,3 +551,35 @@
     EXPECT_EQUAL(origins.m_streams.size(), max_stream_origins);
     cr_expect(not origins.m_streams.contains(stream_key{0}));
 }
+
+// Guards against streams of long routes that nobody knows any more, or that go on at the
+// version that has replaced theirs.
+Test(stream_origins, origins_are_kept_as_long_as_the_longest_route_lets_streams_last)
+{
+    stream_origins origins;
+    routing_config config;
+    config.m_routes.resize(2);
+    config.m_routes[0].m_timeout = 20s;
+    config.m_routes[1].m_timeout = 120s;
+    extend_lifetime(origins, config);
+    observe_versions(origins, table_of({entry_of("u1", "v1")}), start);
+    const stream_key stream = key_of_stream(attempt_id{"a"});
+    known_origin origin;
+    origin.m_version.m_value = "v1";
+    origin.m_began_at = start;
+    record_origin(origins, stream, origin);
+    // The version leaves for another one.
+    const auto later = table_of({entry_of("u2", "v2")});
+    observe_versions(origins, later, start + 1s);
+    const time_point late = start + 120s;
+    observe_versions(origins, later, late);
+    EXPECT_EQUAL(decide_origin(origins, stream, sample_pool, {}, late).m_version->m_value,
+                 "v1");
+    // A stream without a record may have begun at either.
+    const stream_key other = key_of_stream(attempt_id{"b"});
+    cr_expect(not decide_origin(origins, other, sample_pool, {}, late).m_version);
+    // A configuration with shorter routes does not shorten what has begun.
+    config.m_routes[1].m_timeout = 5s;
+    extend_lifetime(origins, config);
+    cr_expect(origins.m_lifetime == 120s + take_up_margin);
+}
