--- a/tests/standins/silent_stream_test.cpp
+++ b/tests/standins/silent_stream_test.cpp
@@ -40,7 +40,7 @@
     cluster.run_for(200ms);
     stage.m_pieces_status = 503;
     stage.m_retry_after = "3";
-    cluster.run_for(2500ms);
+    cluster.run_for(3500ms);
     cr_assert(answer->has_value());
     EXPECT_EQUAL((*answer)->m_status, 200U);
     cr_expect((*answer)->m_body.find("id: 4\n") != std::string::npos);
