Count arrivals at limited workers of the soak from a sound response on

Cause, from the logs: the worker answers with the id of another request from 3.9 to 6.7 s, and names a limit from 4.2 s on. A host cannot take such a response for its upstream's word; it does not pass it on, and the rule on limits counts hosts that have passed on the answer. All hosts log the limit at 6.7 s, with the first sound response. The check had begun to count a second after the first response of any kind.

Change: the stand-in counts from the first response in its normal mode.

--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -332,7 +332,12 @@
     }
     if (!m_limit.empty())
     {
-        m_limit_named_at = m_limit_named_at.value_or(std::chrono::steady_clock::now());
+        // Of other responses, a host cannot tell whose word they are.
+        if (m_mode == worker_mode::normal)
+        {
+            m_limit_named_at =
+                m_limit_named_at.value_or(std::chrono::steady_clock::now());
+        }
         fields.emplace_back("Server-Limit", m_limit);
     }
     constexpr unsigned unavailable = 503;
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -146,7 +146,7 @@
     std::optional<time_point> m_notice_given_at;
     /// When requests, calls of pieces and releases arrived.
     std::vector<time_point> m_arrivals;
-    /// When a response first named the present limit.
+    /// When a sound response first named the present limit.
     std::optional<time_point> m_limit_named_at;
     std::shared_ptr<worker_ledger> m_ledger = std::make_shared<worker_ledger>();
 
@@ -164,7 +164,7 @@
     void add_notices(http_fields& fields, unsigned status = 200);
 
     /// Names another limit. Records what arrived while the present one was named, from a
-    /// second after the first response that named it.
+    /// second after the first sound response that named it.
     void set_limit(const std::string& limit);
 
     /// Closes all connections and the listener, and starts again after the delay.
--- a/tests/soak/soak_test.cpp
+++ b/tests/soak/soak_test.cpp
@@ -69,10 +69,12 @@
 
 // Seed 47: a host that had just been restarted got SIGHUP before it had a handler, and
 // ended. Seed 10: a stream whose engine broke had its inputs made again; when that was
-// refused, the caller was told that nothing had run.
+// refused, the caller was told that nothing had run. Seed 424: a second SIGTERM ended a
+// host that had just stopped. Seed 622: responses with the id of another request named a
+// limit, which no host can take for its upstream's word; the check counted from them on.
 Test(soak, seeds_that_have_failed_keep_their_promises)
 {
-    for (const std::uint64_t seed : {10, 47})
+    for (const std::uint64_t seed : {10, 47, 424, 622})
     {
         expect_promises_kept(seed);
     }
