Let the soak wait for the configuration after a return of the store

The driver reads the configuration of each host once, as soon as it serves; all hosts have version 4 1.5 s after the return, within the 2 s that the platform gives to apply a configuration.

Change: the fault of a return ends when that time is over. The check is as it was.

--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -52,6 +52,9 @@
 /// Time in which a process cannot have its signal handlers: it is still being loaded.
 constexpr milliseconds handlers_time{300};
 
+/// Time that the platform gives hosts to apply a configuration.
+constexpr milliseconds config_apply_time{2000};
+
 /// Tries of one second each; the stand-in runs on the same machine.
 constexpr int standin_tries = 20;
 
@@ -778,6 +781,8 @@
     co_await pause_for(lost_write_time);
     co_await control(change_of("store_back", true));
     co_await control(change_of("store_down", false));
+    // Hosts are checked for the configuration once the last fault has ended.
+    co_await pause_for(config_apply_time);
 }
 
 asio::awaitable<void> soak_driver::read_ledger()
