Log for how long an upstream was silent and why a request is not sent again

The logs could not tell a stream that was given up for its silence from one that its upstream had broken off, nor what was missing to go on elsewhere, so that the hypotheses of the postmortem of silent upstreams could not be told apart. Lines of attempts that broke have gave_up and silent_ms, and the line of a request that ends without an answer has the missing condition as its reason. No decision changes.

--- a/include/geraniumdoor/serving/attempt_rules.hpp
+++ b/include/geraniumdoor/serving/attempt_rules.hpp
@@ -79,6 +79,10 @@
 /// can have run the request.
 next_step decide_next_step(attempt_outcome outcome, const retry_state& state);
 
+/// Names the condition that keeps a request from being sent again, for the log. Empty
+/// text if there is none.
+const char* why_not_again(attempt_outcome outcome, const retry_state& state);
+
 /// Whether the request may run more than once.
 bool is_retryable(retry_safety safety);
 
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -70,6 +70,12 @@
     return ids;
 }
 
+/// When the latest attempt last made progress: its latest event, or its start.
+time_point latest_progress(const relayed_request& current)
+{
+    return std::max(current.m_last_sent_at, current.m_last_event_at);
+}
+
 /// Whether the body is a stream of events, which is assumed unless the head says
 /// otherwise.
 bool has_events(const http_answer_head& head)
@@ -125,6 +131,14 @@
         {
             current.m_reason = no_upstream_of_version_reason;
         }
+        else if (chosen == nullptr)
+        {
+            current.m_reason = "no_untried_upstream";
+        }
+        else if (time_left(current) < min_time_for_attempt)
+        {
+            current.m_reason = "no_time_left";
+        }
         if (quarantined || chosen == nullptr || time_left(current) < min_time_for_attempt)
         {
             const next_step step =
@@ -250,6 +264,10 @@
                        step == next_step::prepare_again;
     if (!again)
     {
+        if (current.m_reason.empty() && step != next_step::deliver)
+        {
+            current.m_reason = why_not_again(outcome, state);
+        }
         co_await finish(current, step);
         co_return false;
     }
@@ -435,6 +453,8 @@
     {
         current.m_progress.m_connection_lost =
             error_of(response).m_kind == http_error_kind::closed;
+        current.m_progress.m_gave_up =
+            error_of(response).m_kind == http_error_kind::timeout;
     }
     call->close();
     current.m_upstream_call.reset();
@@ -493,6 +513,8 @@
             line.add("head", current.m_progress.m_head_received)
                 .add("events", current.m_progress.m_events)
                 .add("connection_lost", current.m_progress.m_connection_lost)
+                .add("gave_up", current.m_progress.m_gave_up)
+                .add("silent_ms", ms_between(latest_progress(current), at).count())
                 .add("parts", part_ids(current.m_metadata.m_prompt));
         }
     }
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -87,6 +87,7 @@
         if (read_timeout <= milliseconds{0} ||
             current.m_partial_event.size() > max_event_bytes)
         {
+            current.m_progress.m_gave_up = read_timeout <= milliseconds{0};
             co_return attempt_outcome::broken_stream;
         }
         auto part = co_await current.m_upstream_call->read_part(read_timeout);
@@ -94,6 +95,8 @@
         {
             current.m_progress.m_connection_lost =
                 error_of(part).m_kind == http_error_kind::closed;
+            current.m_progress.m_gave_up =
+                error_of(part).m_kind == http_error_kind::timeout;
             co_return attempt_outcome::broken_stream;
         }
         if (value_of(part).empty())
@@ -200,7 +203,11 @@
     std::string_view rest = part;
     while (const auto end = find_event_end(current.m_event_position, rest))
     {
-        current.m_progress.m_events += end->m_is_comment ? 0 : 1;
+        if (!end->m_is_comment)
+        {
+            ++current.m_progress.m_events;
+            current.m_last_event_at = may_resume ? current.m_last_event_at : now();
+        }
         if (may_resume)
         {
             current.m_partial_event += rest.substr(0, end->m_size);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -34,6 +34,8 @@
     std::uint32_t m_events = 0;
     /// The upstream closed or lost the connection, as it does when it crashes.
     bool m_connection_lost = false;
+    /// This host ended the attempt because the upstream was silent.
+    bool m_gave_up = false;
 };
 
 /// State of one caller request from its arrival to the end of its response.
--- a/src/serving/attempt_rules.cpp
+++ b/src/serving/attempt_rules.cpp
@@ -79,6 +79,32 @@
     return final_step(state);
 }
 
+const char* why_not_again(attempt_outcome outcome, const retry_state& state)
+{
+    const bool not_run = has_not_run(outcome);
+    if (!not_run && !is_retryable(state.m_retry_safety))
+    {
+        return "not_repeatable";
+    }
+    if (!state.m_has_time)
+    {
+        return "no_time_left";
+    }
+    if (!state.m_has_budget && outcome != attempt_outcome::not_sent)
+    {
+        return "no_retry_budget";
+    }
+    if (not_run)
+    {
+        return state.m_not_run_attempts > max_not_run_attempts ? "attempts_used" : "";
+    }
+    if (state.m_may_crash_upstreams)
+    {
+        return "may_crash_upstreams";
+    }
+    return state.m_possible_runs >= state.m_max_upstreams ? "attempts_used" : "";
+}
+
 const char* to_text(attempt_outcome outcome)
 {
     switch (outcome)
