Let upstream stand-ins fall silent in a planned phase of a request

No stand-in could fall silent for a moment and go on, which is what cut off streams in the incident of silent upstreams. A ledger shared by the upstreams of a test plans silences by request: before the head, before the first event, between events, inside an event, inside a JSON document of 300 KB, in a call of a stage, and in a release on a kept connection. Requests without a planned silence are served as before.

--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -313,6 +313,8 @@
     }
     if (target == "/stage-free")
     {
+        co_await pass_call_silence(m_ledger->m_silences, silence_phase::in_release,
+                                   exchange.request().m_body);
         const auto body = json::parse(exchange.request().m_body);
         m_released += static_cast<int>(body.at("handles").as_array().size());
         http_response response;
@@ -366,6 +368,8 @@
         co_return;
     }
     co_await pause(m_delay);
+    co_await pass_call_silence(m_ledger->m_silences, silence_phase::in_stage,
+                               exchange.request().m_body);
     json::array made;
     for (const auto& item : items)
     {
@@ -414,7 +418,10 @@
         co_return;
     }
     ++m_runs[std::string{find_field(request.m_fields, "Attempt-Id")}];
+    silent_run run{co_await asio::this_coro::executor, exchange, m_ledger->m_silences,
+                   m_id};
     co_await pause(m_delay);
+    co_await run.pass(silence_phase::before_head);
     if (has_part(request, m_crash_part))
     {
         m_crash_arrivals.push_back(std::chrono::steady_clock::now());
@@ -442,18 +449,23 @@
     {
         response.m_status = 500;
     }
+    if (run.is_planned(silence_phase::inside_body))
+    {
+        co_await run.write_document(exchange, std::move(response.m_fields));
+        co_return;
+    }
     const bool streams = request.m_target.starts_with("/stream") ||
                          request.m_target.starts_with("/resume");
     if (streams && sends_events(mode))
     {
-        co_await run_stream(exchange, std::move(response.m_fields), mode);
+        co_await run_stream(exchange, std::move(response.m_fields), mode, run);
         co_return;
     }
     response.m_body = m_id + ':' + request.m_target + ':' + request.m_body;
     if (mode == worker_mode::document)
     {
         response.m_fields.emplace_back("Content-Type", "application/json");
-        response.m_body = json::serialize(json::array(std::size_t{150} * 1024, 1));
+        response.m_body = large_document();
     }
     if (is_unframed(mode))
     {
@@ -473,7 +485,8 @@
 }
 
 asio::awaitable<void> worker_standin::run_stream(http_exchange& exchange,
-                                                 http_fields fields, worker_mode mode)
+                                                 http_fields fields, worker_mode mode,
+                                                 silent_run& run)
 {
     const std::string after{find_field(exchange.request().m_fields, "Last-Event-Id")};
     const int first = after.empty() ? 1 : std::stoi(after) + 1;
@@ -485,6 +498,7 @@
     {
         co_await exchange.begin_answer(200, std::move(fields), std::nullopt);
     }
+    co_await run.pass(silence_phase::before_first_event);
     for (int event = first; event <= 4 && mode != worker_mode::unframed_empty; ++event)
     {
         const std::string text =
@@ -510,7 +524,7 @@
             exchange.drop();
             co_return;
         }
-        co_await exchange.write_part(text);
+        co_await run.write_event(exchange, text, event);
         co_await pause(milliseconds{mode == worker_mode::slow_stream ? 400 : 10});
     }
     co_await exchange.end_stream();
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "planned_silence.hpp"
+
 #include <geraniumdoor/base/units.hpp>
 #include <geraniumdoor/net/http_server.hpp>
 
@@ -99,6 +101,7 @@
     /// Streams that went on at a worker of another version.
     std::vector<std::string> m_joined_streams;
     std::vector<limited_time> m_limited_times;
+    silence_ledger m_silences;
 
     /// Records a request of a stream that may be resumed.
     void add_stream_request(const http_request& request, const std::string& version);
@@ -157,7 +160,7 @@
     boost::asio::awaitable<void> serve(http_exchange& exchange);
     boost::asio::awaitable<void> run_request(http_exchange& exchange);
     boost::asio::awaitable<void> run_stream(http_exchange& exchange, http_fields fields,
-                                            worker_mode mode);
+                                            worker_mode mode, silent_run& run);
     boost::asio::awaitable<void> make_pieces(http_exchange& exchange);
 
     /// Adds what the worker says of itself to the fields of a response.
