--- a/tests/standins/edge_cluster.cpp
+++ b/tests/standins/edge_cluster.cpp
@@ -74,6 +74,7 @@
     settings.m_peer_endpoint = endpoint(3);
     settings.m_store_endpoint = {platform_address(), m_first_port};
     settings.m_max_open_files = 300;
+    settings.m_retry_limits = m_retry_limits;
     return settings;
 }
 
--- a/tests/standins/edge_cluster.hpp
+++ b/tests/standins/edge_cluster.hpp
@@ -66,6 +66,8 @@
     store_standin m_store;
     std::vector<std::unique_ptr<worker_standin>> m_workers;
     http_client m_client;
+    /// Limits of retries, for hosts that start afterwards.
+    serving::retry_limits m_retry_limits;
 
 private:
     /// All hosts use the same ports, each on its own loopback address, as on the
