Remove the pool of a stage during a silent call in the tests

A configuration that removes the route and the pool of a stage was only tried after the inputs had been made. Now it also arrives while the call of the stage is silent for 1.1 s. Both streams, the resumable one and the other, are answered in full, so the test passes without a change of the product.

--- a/tests/standins/silent_upstream_test.cpp
+++ b/tests/standins/silent_upstream_test.cpp
@@ -16,6 +16,11 @@
 constexpr std::array<milliseconds, 4> all_silences{300ms, 1100ms, 1600ms, 3000ms};
 constexpr std::array<milliseconds, 3> short_silences{300ms, 1100ms, 1600ms};
 
+/// A configuration without the routes and pools of silence_story.
+const char* const configuration_without_pools =
+    R"({"version":2,"routes":[],"services":[{"name":"new"}],)"
+    R"("tenants":[{"name":"t","apiKeys":["key"]}]})";
+
 /// Sends requests of these kinds to one upstream, for each phase and silence.
 void expect_one_upstream_enough(std::uint16_t first_port,
                                 const std::vector<request_kind>& kinds)
@@ -134,16 +139,28 @@
 {
     silence_story story{25000, 1, 1, 0};
     story.start();
-    for (const milliseconds silence : short_silences)
     {
+        for (const milliseconds silence : short_silences)
+        {
+            for (const auto kind : {request_kind::resumable_stream, request_kind::stream})
+            {
+                story.send(kind, silence_phase::in_stage, silence);
+                story.run_until_answered();
+                // The next call uses the connection on which the release falls silent.
+                story.send(kind, silence_phase::in_release, silence);
+                story.run_until_answered();
+            }
+        }
+    }
+    {
+        // The route and the pool of the stage are removed during a silent call.
         for (const auto kind : {request_kind::resumable_stream, request_kind::stream})
         {
-            story.send(kind, silence_phase::in_stage, silence);
-            story.run_until_answered();
-            // The next call uses the connection on which the release falls silent.
-            story.send(kind, silence_phase::in_release, silence);
-            story.run_until_answered();
+            story.send(kind, silence_phase::in_stage, 1100ms);
         }
+        story.m_cluster.run_for(250ms);
+        story.m_cluster.m_store.put("op", "config", configuration_without_pools);
+        story.run_until_answered();
     }
     // The last results are released in a call of their own.
     story.m_cluster.run_for(500ms);
@@ -317,13 +334,11 @@
 
 Test(silent_upstream, pools_and_their_stages_are_removed_during_a_silence)
 {
-    expect_harmless_change(
-        25560,
-        [](const std::string&)
-        {
-            return std::string{R"({"version":2,"routes":[],"services":[{"name":"new"}],)"
-                               R"("tenants":[{"name":"t","apiKeys":["key"]}]})"};
-        });
+    expect_harmless_change(25560,
+                           [](const std::string&)
+                           {
+                               return std::string{configuration_without_pools};
+                           });
 }
 
 Test(silent_upstream, the_number_of_attempts_is_lowered_during_a_silence)
