Let a silent upstream keep its request until a successor is ready

Cause: a resumable stream was closed 150 ms after its gap target, and the head of a retryable request was waited for no longer than a fixed time. Only then did the host look for an upstream, a permit, the retry budget and the inputs; when one of them was missing, the request ended.

An overdue request is now read on while the host looks for a successor. It moves once an untried upstream of its version takes requests, the budget and a permit allow it, the inputs exist and a connection is open. Until the time at which a sound upstream would have gone on, nothing is looked for, unless the target can still be met elsewhere or the upstream is in doubt: it has failed others, has left the registry, or sends bytes that are no events.

--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -22,24 +22,19 @@
 namespace
 {
 
-/// A healthy upstream accepts a connection within 4 ms; the operating system retransmits
-/// a lost packet after 200 ms or more.
-constexpr milliseconds connect_timeout{350};
-
 /// Responses up to this size are buffered before they are forwarded, so that the request
 /// can be repeated if the response is truncated.
 constexpr std::size_t max_buffered_response_bytes = std::size_t{256} * 1024;
 
-/// An idempotent request is sent to another upstream after this share of its latency
+/// The response to an idempotent request is overdue after this share of its latency
 /// target, but not before the minimum.
-constexpr double attempt_timeout_share = 0.6;
-constexpr milliseconds min_attempt_timeout{60};
+constexpr double usual_share_of_target = 0.6;
+constexpr milliseconds min_usual_head_time{60};
 
-/// A resumable stream is requested from another upstream when the head of its response
-/// takes longer than this multiple of the expected time to the first token plus the
-/// margin.
-constexpr double response_head_timeout_factor = 2.5;
-constexpr milliseconds response_head_timeout_margin{400};
+/// The head of a stream is overdue after this multiple of the expected time to the first
+/// token plus the margin.
+constexpr double response_head_factor = 2.5;
+constexpr milliseconds response_head_margin{400};
 
 /// Retry-after time when no upstream has run a request.
 constexpr milliseconds declined_retry_after{100};
@@ -89,7 +84,7 @@
 
 milliseconds request_relay::expected_first_token_time(const request& current) const
 {
-    const upstream* chosen = select_upstream(current);
+    const upstream* chosen = select_upstream(current, current.m_tried_upstreams);
     if (chosen == nullptr || !is_stream(current.m_route->m_retry_safety))
     {
         return milliseconds{0};
@@ -98,7 +93,9 @@
         expected_first_token_ms(*chosen, current.m_metadata.m_prompt, false))};
 }
 
-const upstream* request_relay::select_upstream(const request& current) const
+const upstream*
+request_relay::select_upstream(const request& current,
+                               const std::vector<upstream_id>& tried) const
 {
     const auto pool = current.m_routing->m_pools.find(current.m_pool);
     const bool is_engine =
@@ -106,13 +103,12 @@
     if (is_engine)
     {
         return choose_engine(m_state.m_upstreams, current.m_pool,
-                             current.m_metadata.m_prompt, *pool->second.m_engine,
-                             current.m_tried_upstreams, current.m_input_location, now(),
-                             current.m_stream_version);
+                             current.m_metadata.m_prompt, *pool->second.m_engine, tried,
+                             current.m_input_location, now(), current.m_stream_version);
     }
     return choose_upstream(m_state.m_upstreams, current.m_pool,
-                           m_state.m_settings.m_data_centre, current.m_tried_upstreams,
-                           now(), current.m_stream_version);
+                           m_state.m_settings.m_data_centre, tried, now(),
+                           current.m_stream_version);
 }
 
 asio::awaitable<void> request_relay::run_attempts(request& current)
@@ -121,7 +117,7 @@
     bool again = true;
     while (again && !current.m_caller_gone)
     {
-        const upstream* chosen = select_untried_upstream(current);
+        const upstream* chosen = select_next_upstream(current);
         const bool quarantined = is_quarantined(current);
         if (quarantined)
         {
@@ -160,6 +156,10 @@
             continue;
         }
         const time_point began = now();
+        if (current.m_last_sent_at == time_point{})
+        {
+            current.m_preparation_time = ms_between(current.m_arrived_at, began);
+        }
         current.m_last_sent_at = began;
         const attempt_outcome outcome = co_await run_attempt(current, *chosen);
         record_attempt(current, outcome, began);
@@ -235,15 +235,22 @@
     }
 }
 
-const upstream* request_relay::select_untried_upstream(request& current) const
+const upstream* request_relay::select_next_upstream(request& current) const
 {
-    const upstream* chosen = select_upstream(current);
+    const upstream* successor =
+        m_state.m_upstreams.m_rows.find(current.m_takeover.m_upstream);
+    if (is_connected(current.m_takeover) && successor != nullptr &&
+        serving::takes_requests(m_state.m_upstreams, *successor, now()))
+    {
+        return successor;
+    }
+    const upstream* chosen = select_upstream(current, current.m_tried_upstreams);
     if (chosen == nullptr && current.m_retry_state.m_possible_runs == 0 &&
         !current.m_tried_upstreams.empty())
     {
         // None of the upstreams tried has run the request, so each may be tried again.
         current.m_tried_upstreams.clear();
-        chosen = select_upstream(current);
+        chosen = select_upstream(current, current.m_tried_upstreams);
     }
     return chosen;
 }
@@ -341,29 +348,25 @@
         status, late ? "no answer in time" : "the upstream failed"));
 }
 
-milliseconds request_relay::response_head_timeout(const request& current) const
+milliseconds request_relay::usual_head_time(const request& current) const
 {
-    const milliseconds left = time_left(current);
-    const bool again =
-        is_retryable(current.m_route->m_retry_safety) &&
-        current.m_retry_state.m_possible_runs + 1 < current.m_route->m_max_upstreams;
-    if (!again)
-    {
-        return left;
-    }
     const double latency_target =
         static_cast<double>(current.m_route->m_latency_target.count());
     if (current.m_route->m_retry_safety == retry_safety::idempotent)
     {
         const milliseconds limit{
-            static_cast<std::int64_t>(latency_target * attempt_timeout_share)};
-        return std::min(left, std::max(limit, min_attempt_timeout));
+            static_cast<std::int64_t>(latency_target * usual_share_of_target)};
+        return std::max(limit, min_usual_head_time);
     }
     const double expected =
         static_cast<double>(expected_first_token_time(current).count());
-    const milliseconds limit{
-        static_cast<std::int64_t>(expected * response_head_timeout_factor)};
-    return std::min(left, limit + response_head_timeout_margin);
+    const milliseconds limit{static_cast<std::int64_t>(expected * response_head_factor)};
+    return limit + response_head_margin;
+}
+
+std::shared_ptr<http_call> request_relay::make_upstream_call() const
+{
+    return std::make_shared<http_call>(m_state.m_executor, upstream_http_limits());
 }
 
 asio::awaitable<attempt_outcome> request_relay::run_attempt(request& current,
@@ -371,8 +374,8 @@
 {
     const upstream_id id = chosen.m_entry.m_id;
     const ip_endpoint address = chosen.m_entry.m_address;
-    const auto call =
-        std::make_shared<http_call>(m_state.m_executor, upstream_http_limits());
+    const auto opened = take_connection(current, id);
+    const auto call = opened ? opened : make_upstream_call();
     current.m_upstream_call = call;
     current.m_upstream = id;
     current.m_upstream_version = chosen.m_entry.m_version;
@@ -401,8 +404,12 @@
     };
     update_running(true);
     current.m_progress = {};
-    const auto connected = co_await call->connect(
-        to_tcp(address), std::min(connect_timeout, time_left(current)));
+    result<done, http_error> connected = done{};
+    if (!opened)
+    {
+        connected = co_await call->connect(to_tcp(address),
+                                           std::min(connect_timeout, time_left(current)));
+    }
     // The upstream may have said that it leaves while the connection was opened.
     if (!is_ok(connected) || current.m_caller_gone || !takes_requests(id))
     {
@@ -430,15 +437,16 @@
             {
                 // A handler that is already queued runs without an error even if the
                 // timer and the request have been destroyed.
-                if (!error && !attempt.expired())
+                if (!error && !attempt.expired() && !current.m_takeover.m_began_at)
                 {
                     release_results(current, true);
                 }
             });
     }
-    const auto response = co_await call->send(
-        platform::make_upstream_request(current.m_exchange.request(), fields),
-        response_head_timeout(current));
+    current.m_usual_silence = usual_head_time(current);
+    http_request message =
+        platform::make_upstream_request(current.m_exchange.request(), fields);
+    const auto response = co_await send_to_upstream(current, std::move(message));
     attempt_outcome outcome = attempt_outcome::broken;
     if (is_ok(response))
     {
@@ -581,6 +589,7 @@
     {
         co_return attempt_outcome::unusable;
     }
+    end_search(current);
     const bool streams = is_stream(current.m_route->m_retry_safety) &&
                          head.m_status == 200 && has_events(head);
     if (streams)
--- a/src/edge/relay_stages.cpp
+++ b/src/edge/relay_stages.cpp
@@ -205,7 +205,7 @@
     // If the prompt shares a long prefix with others, its results are produced in the
     // data centre of the chosen engine. Otherwise the engine is chosen where the results
     // are.
-    const upstream* chosen = select_upstream(current);
+    const upstream* chosen = select_upstream(current, current.m_tried_upstreams);
     if (chosen != nullptr && shared_prefix_tokens(current.m_metadata.m_prompt) >=
                                  min_shared_tokens_for_single_home)
     {
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -16,8 +16,7 @@
 namespace
 {
 
-/// A stream is resumed at another upstream when the gap between two events exceeds its
-/// target by this margin.
+/// The next event of a stream is overdue when the gap exceeds its target by this margin.
 constexpr milliseconds event_gap_margin{150};
 
 /// Longest event of a stream that may be resumed. An upstream in trouble may send bytes
@@ -81,16 +80,14 @@
     current.m_partial_event.clear();
     current.m_event_position = {};
     current.m_last_event_at = now();
+    current.m_usual_silence = current.m_route->m_event_gap_target + event_gap_margin;
     while (true)
     {
-        const milliseconds read_timeout = event_timeout(current);
-        if (read_timeout <= milliseconds{0} ||
-            current.m_partial_event.size() > max_event_bytes)
+        if (current.m_partial_event.size() > max_event_bytes)
         {
-            current.m_progress.m_gave_up = read_timeout <= milliseconds{0};
             co_return attempt_outcome::broken_stream;
         }
-        auto part = co_await current.m_upstream_call->read_part(read_timeout);
+        auto part = co_await read_stream_part(current);
         if (!is_ok(part))
         {
             current.m_progress.m_connection_lost =
@@ -104,7 +101,13 @@
             break;
         }
         record_first_byte(current);
+        current.m_last_byte_at = now();
+        const time_point last_event_at = current.m_last_event_at;
         std::string forwarded_bytes = take_events(current, value_of(std::move(part)));
+        if (current.m_last_event_at != last_event_at)
+        {
+            end_search(current);
+        }
         if (current.m_progress.m_events >= events_of_sound_stream)
         {
             record_sound_stream(current);
@@ -130,22 +133,6 @@
     co_return attempt_outcome::answered;
 }
 
-milliseconds request_relay::event_timeout(const request& current) const
-{
-    const bool can_resume =
-        current.m_route->m_retry_safety == retry_safety::stream_resumable &&
-        current.m_retry_state.m_possible_runs + 1 < current.m_route->m_max_upstreams;
-    if (!can_resume)
-    {
-        return time_left(current);
-    }
-    // Only events count as progress: a stalled upstream may send single bytes or
-    // comments.
-    const time_point next_event_due =
-        current.m_last_event_at + current.m_route->m_event_gap_target + event_gap_margin;
-    return std::min(time_left(current), ms_between(now(), next_event_due));
-}
-
 asio::awaitable<attempt_outcome>
 request_relay::relay_large_body(request& current, const http_answer_head& head,
                                 std::string body_so_far)
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -8,6 +8,10 @@
 /// Remaining time below which another attempt is not worth starting.
 inline constexpr milliseconds min_time_for_attempt{20};
 
+/// A healthy upstream accepts a connection within 4 ms; the operating system retransmits
+/// a lost packet after 200 ms or more.
+inline constexpr milliseconds connect_timeout{350};
+
 /// Reason of refusals while a part of the prompt is in quarantine.
 inline constexpr const char* crashing_prompt_reason = "crashing_prompt";
 
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -28,17 +28,6 @@
 /// Time reserved for the last bytes of a response to reach the caller.
 constexpr milliseconds response_delivery_margin{10};
 
-/// Time without an event after which callers abandon a stream, as specified in the
-/// platform's page on requests.
-milliseconds caller_stream_timeout(const route& chosen)
-{
-    constexpr milliseconds min_timeout{2000};
-    constexpr int target_multiple = 4;
-    constexpr int gap_multiple = 8;
-    return std::max({min_timeout, chosen.m_latency_target * target_multiple,
-                     chosen.m_event_gap_target * gap_multiple});
-}
-
 } // namespace
 
 request_relay::request_relay(edge_state& state, stage_client& stages,
@@ -305,6 +294,10 @@
     {
         line.add("reason", current.m_reason);
     }
+    if (current.m_takeover.m_began_at)
+    {
+        line.add("successor_lacks", current.m_takeover.m_missing);
+    }
     const metric_labels labels{{"route", routed ? current.m_route->m_name : "none"},
                                {"outcome", outcome}};
     m_state.m_metrics.add("requests", labels);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -5,6 +5,7 @@
 #include "send_permits.hpp"
 #include "stage_client.hpp"
 #include "stage_scheduler.hpp"
+#include "takeover.hpp"
 
 #include <geraniumdoor/net/http_call.hpp>
 #include <geraniumdoor/net/http_server.hpp>
@@ -113,9 +114,16 @@
     attempt_progress m_progress;
     /// When the last event with an id arrived, or the response began.
     time_point m_last_event_at{};
+    /// When bytes of a stream last arrived, whether they formed an event or not.
+    time_point m_last_byte_at{};
     time_point m_first_byte_at{};
     /// Start of the most recent attempt.
     time_point m_last_sent_at{};
+    /// Longest time without progress that is usual at this point of the attempt.
+    milliseconds m_usual_silence{0};
+    /// Time from the arrival to the first attempt, most of it for the inputs.
+    milliseconds m_preparation_time{0};
+    takeover m_takeover;
     /// End of each stage in milliseconds after the arrival, as "stage:ms", for the log.
     std::string m_stage_end_times;
     /// Reason of a rejection or refusal, for the log.
@@ -202,8 +210,10 @@
     bool has_final_inputs(const request& current) const;
     std::vector<std::string> final_inputs(const request& current) const;
 
-    const serving::upstream* select_upstream(const request& current) const;
-    const serving::upstream* select_untried_upstream(request& current) const;
+    const serving::upstream* select_upstream(const request& current,
+                                             const std::vector<upstream_id>& tried) const;
+    /// Selects the upstream that takes the request over, or else an untried one.
+    const serving::upstream* select_next_upstream(request& current) const;
     /// Time until the request may be sent, if parts of its prompt are in quarantine.
     /// Begins a trial with the request when one is due.
     std::optional<milliseconds> quarantine_wait(request& current);
@@ -261,8 +271,34 @@
                                                 const http_answer_head& head,
                                                 std::optional<std::uint64_t> length);
     void record_first_byte(request& current);
-    /// Time to wait for more of a stream, until its next event is overdue.
-    milliseconds event_timeout(const request& current) const;
+    std::shared_ptr<http_call> make_upstream_call() const;
+
+    /// Sends the request over the open connection and waits for the head of the response.
+    /// Like read_stream_part, ends with a timeout when the time of the request is up or
+    /// another upstream is ready to take it over.
+    boost::asio::awaitable<result<http_answer_head, http_error>>
+    send_to_upstream(request& current, http_request message);
+    boost::asio::awaitable<result<std::string, http_error>>
+    read_stream_part(request& current);
+    boost::asio::awaitable<void>
+    await_progress(request& current, std::shared_ptr<pending_operation> operation);
+
+    /// When to look for a successor of a silent upstream; time_point::max() if the
+    /// request has to stay.
+    time_point next_search(const request& current, time_point at) const;
+    /// Takes the next steps of the search. Returns whether the successor is ready.
+    bool search_successor(request& current);
+    /// Takes these steps up to the first condition that is not met, and names it.
+    const char* missing_for_takeover(request& current);
+    bool choose_successor(request& current) const;
+    bool prepare_successor_inputs(request& current);
+    bool connect_successor(request& current);
+    /// Ends the search, if there is one, because the upstream has made progress.
+    void end_search(request& current);
+    void log_search_end(const request& current, const takeover& ended, const char* end);
+    /// Ends the search with the attempt. Returns the open connection to the upstream;
+    /// null if there is none.
+    std::shared_ptr<http_call> take_connection(request& current, const upstream_id& id);
     /// Logs and counts how the stream of an attempt ended.
     void record_stream_end(const request& current, body_framing framing,
                            serving::attempt_outcome outcome);
@@ -271,7 +307,8 @@
     /// them.
     std::string take_events(request& current, std::string part) const;
     milliseconds time_left(const request& current) const;
-    milliseconds response_head_timeout(const request& current) const;
+    /// Longest time that an upstream usually takes until the head of its response.
+    milliseconds usual_head_time(const request& current) const;
     void record_attempt(request& current, serving::attempt_outcome outcome,
                         time_point began);
 
--- /dev/null
+++ b/src/edge/takeover.hpp
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <geraniumdoor/net/http_call.hpp>
+#include <geraniumdoor/serving/silence.hpp>
+
+#include <boost/asio/steady_timer.hpp>
+
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace geraniumdoor::edge
+{
+
+/// Operation on a connection to an upstream that another coroutine awaits. It may end
+/// after the request that started it.
+struct pending_operation
+{
+    bool m_ended = false;
+    /// Null once the request does not wait any more.
+    boost::asio::steady_timer* m_wake_timer = nullptr;
+
+    void end()
+    {
+        m_ended = true;
+        if (m_wake_timer != nullptr)
+        {
+            m_wake_timer->cancel();
+        }
+    }
+};
+
+template<class Value>
+struct upstream_reply : pending_operation
+{
+    std::optional<result<Value, http_error>> m_result;
+};
+
+/// Search for an upstream that takes a request over from a silent one. The request moves
+/// once the successor is known, connected and permitted, and its inputs exist.
+struct takeover
+{
+    /// When the search began; empty while the present upstream is not overdue.
+    std::optional<time_point> m_began_at;
+    /// Successor; empty while none is chosen.
+    upstream_id m_upstream;
+    std::shared_ptr<http_call> m_call;
+    std::shared_ptr<upstream_reply<done>> m_connection;
+    /// Upstreams to which no connection could be opened.
+    std::vector<upstream_id> m_unreachable;
+    /// The inputs are being made again, or have been in the course of this search.
+    bool m_preparing = false;
+    bool m_inputs_requested = false;
+    /// Earliest time of the next attempt to prepare them, or to connect.
+    time_point m_next_try{};
+    /// What the successor lacks, for the log.
+    const char* m_missing = "";
+};
+
+/// Whether the connection to the successor is open.
+inline bool is_connected(const takeover& search)
+{
+    return search.m_connection && search.m_connection->m_ended &&
+           is_ok(*search.m_connection->m_result);
+}
+
+} // namespace geraniumdoor::edge
