Make the inputs of a resumed stream again until its caller leaves

A stream with stages that broke off later than its caller would have waited for the first event was cut off: its inputs are made again, and their deadline was still that of the first event, counted from the arrival, so that the request ended with reason=stages_late or stage_refused although the caller was waiting. The deadline now counts from the latest event.

silent_stream/a_stream_that_breaks_off_late_is_resumed_with_inputs_made_again failed before (outcome=cut_off reason=stages_late with 4.0 s left) and passes.

--- a/src/edge/relay_stages.cpp
+++ b/src/edge/relay_stages.cpp
@@ -499,6 +499,7 @@
     cancel_stages(current);
     release_results(current, true);
     ++current.m_stage_restarts;
+    current.m_first_byte_deadline = next_byte_deadline(current);
     current.m_stage_failed = false;
     std::fill(current.m_stage_done.begin(), current.m_stage_done.end(), false);
     std::fill(current.m_stage_submitted.begin(), current.m_stage_submitted.end(), false);
--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -147,13 +147,7 @@
     {
         attempt.m_target = current.m_target_time;
     }
-    attempt.m_abandoned_at = current.m_deadline;
-    if (is_stream(state.m_retry_safety))
-    {
-        const time_point heard = std::max(current.m_arrived_at, current.m_last_event_at);
-        attempt.m_abandoned_at =
-            std::min(current.m_deadline, heard + caller_stream_timeout(*current.m_route));
-    }
+    attempt.m_abandoned_at = next_byte_deadline(current);
     return successor_due(attempt);
 }
 
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -166,19 +166,23 @@
                  current.m_route->m_timeout);
     current.m_deadline = current.m_arrived_at + timeout - response_delivery_margin;
     current.m_target_time = current.m_arrived_at + current.m_route->m_latency_target;
-    current.m_first_byte_deadline = current.m_deadline;
-    if (is_stream(current.m_route->m_retry_safety))
-    {
-        current.m_first_byte_deadline =
-            std::min(current.m_deadline, current.m_arrived_at +
-                                             caller_stream_timeout(*current.m_route) -
-                                             response_delivery_margin);
-    }
+    current.m_first_byte_deadline = next_byte_deadline(current);
     current.m_retry_state.m_retry_safety = current.m_route->m_retry_safety;
     current.m_retry_state.m_max_upstreams = current.m_route->m_max_upstreams;
     return std::nullopt;
 }
 
+time_point request_relay::next_byte_deadline(const request& current) const
+{
+    if (!is_stream(current.m_route->m_retry_safety))
+    {
+        return current.m_deadline;
+    }
+    const time_point heard = std::max(current.m_arrived_at, current.m_last_event_at);
+    return std::min(current.m_deadline, heard + caller_stream_timeout(*current.m_route) -
+                                            response_delivery_margin);
+}
+
 asio::awaitable<void> request_relay::process(request& current)
 {
     if (const auto wait = quarantine_wait(current))
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -60,7 +60,8 @@
     time_point m_deadline{};
     /// Latency target for the first byte of the response.
     time_point m_target_time{};
-    /// Time at which the caller abandons the request if no byte has arrived.
+    /// Time at which the caller abandons the request if no byte has arrived, or no
+    /// further one of a stream that is to be resumed.
     time_point m_first_byte_deadline{};
     /// Parts of the prompt of a request to a model engine.
     std::vector<serving::shared_part> m_shared_parts;
@@ -161,6 +162,8 @@
     /// Finds the route, workspace and pool, and sets the deadlines. Returns the error
     /// response if the request is rejected.
     std::optional<http_response> route_request(request& current);
+    /// Time at which the caller abandons the request if nothing more arrives.
+    time_point next_byte_deadline(const request& current) const;
     boost::asio::awaitable<void> process(request& current);
     boost::asio::awaitable<void> reject(request& current, http_response response);
     boost::asio::awaitable<void> refuse(request& current, milliseconds until_capacity,
--- a/tests/standins/silent_stream_test.cpp
+++ b/tests/standins/silent_stream_test.cpp
@@ -45,3 +45,39 @@
     EXPECT_EQUAL((*answer)->m_status, 200U);
     cr_expect((*answer)->m_body.find("id: 4\n") != std::string::npos);
 }
+
+// Guards against a stream that breaks off later than its caller would have waited for the
+// first event, and whose inputs are then refused as too late.
+Test(silent_stream, a_stream_that_breaks_off_late_is_resumed_with_inputs_made_again)
+{
+    edge_cluster cluster{24520, 1};
+    worker_standin& stage = cluster.add_worker("s0", "stage");
+    stage.m_delay = 500ms;
+    worker_standin& first = cluster.add_worker("e0", "engine");
+    worker_standin& second = cluster.add_worker("e1", "engine");
+    std::string routes = sample_resume_route;
+    const auto replace = [&routes](const std::string& before, const std::string& after)
+    {
+        routes.replace(routes.find(before), before.size(), after);
+    };
+    replace("\"timeoutMs\":3000", "\"timeoutMs\":6000");
+    replace("\"targetLatencyMs\":1000", "\"targetLatencyMs\":100");
+    replace("\"gapAimMs\":300", "\"gapAimMs\":100");
+    cluster.set_config(routes, 1);
+    cluster.start();
+    for (worker_standin* engine : {&first, &second})
+    {
+        engine->m_delay = 1300ms;
+        engine->m_script = {worker_mode::tear};
+    }
+    const auto answer =
+        cluster.start_request(0, sample_stream("/resume/x", "x", 6000), 6s);
+    cluster.run_for(1000ms);
+    worker_standin& other = first.m_seen.empty() ? first : second;
+    other.m_script.clear();
+    other.m_delay = 0ms;
+    cluster.run_for(2500ms);
+    cr_assert(answer->has_value());
+    EXPECT_EQUAL((*answer)->m_status, 200U);
+    cr_expect((*answer)->m_body.find("id: 4\n") != std::string::npos);
+}
