Offer a request to its successor before its silent upstream loses it

A successor that was connected and permitted could still decline the request (503, not run), for example because it was full. The first upstream had lost the stream by then, and the caller was cut off. The host now sends the request to the successor while the present upstream still has it, and waits 200 ms for a refusal: then the successor is excluded and the present one keeps the request. Otherwise the present one is closed. The platform allows 400 ms at two upstreams. If the present upstream goes on meanwhile, the successor is closed and counts as one that may have run the request.

--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -145,7 +145,11 @@
             co_return;
         }
         const upstream_id id = chosen->m_entry.m_id;
-        const bool may_send = co_await get_permit(current, id);
+        bool may_send = true;
+        if (!current.m_takeover.m_head)
+        {
+            may_send = co_await get_permit(current, id);
+        }
         if (current.m_caller_gone)
         {
             co_return;
@@ -237,12 +241,10 @@
 
 const upstream* request_relay::select_next_upstream(request& current) const
 {
-    const upstream* successor =
-        m_state.m_upstreams.m_rows.find(current.m_takeover.m_upstream);
-    if (is_connected(current.m_takeover) && successor != nullptr &&
-        serving::takes_requests(m_state.m_upstreams, *successor, now()))
+    if (current.m_takeover.m_head)
     {
-        return successor;
+        // The successor has the request already.
+        return m_state.m_upstreams.m_rows.find(current.m_takeover.m_upstream);
     }
     const upstream* chosen = select_upstream(current, current.m_tried_upstreams);
     if (chosen == nullptr && current.m_retry_state.m_possible_runs == 0 &&
@@ -262,8 +264,11 @@
     state.m_possible_runs += may_have_run(outcome) ? 1 : 0;
     state.m_not_run_attempts += may_have_run(outcome) ? 0 : 1;
     state.m_has_time = time_left(current) >= min_time_for_attempt;
-    state.m_has_budget = may_retry(m_state.m_retry_budget, current.m_pool,
-                                   count_possible_senders(m_state.m_hosts, now()), now());
+    // A request that is at its successor has been paid for.
+    const bool moves = current.m_takeover.m_head != nullptr;
+    state.m_has_budget =
+        moves || may_retry(m_state.m_retry_budget, current.m_pool,
+                           count_possible_senders(m_state.m_hosts, now()), now());
     state.m_may_crash_upstreams =
         !may_send_again(m_state.m_crash_suspects, current.m_shared_parts, now());
     const next_step step = decide_next_step(outcome, state);
@@ -278,6 +283,10 @@
         co_await finish(current, step);
         co_return false;
     }
+    if (moves)
+    {
+        co_return true;
+    }
     if (outcome != attempt_outcome::not_sent)
     {
         record_retry(m_state.m_retry_budget, current.m_pool, now());
@@ -369,13 +378,29 @@
     return std::make_shared<http_call>(m_state.m_executor, upstream_http_limits());
 }
 
+http_request request_relay::make_upstream_message(const request& current,
+                                                  const upstream_id& id) const
+{
+    platform::forwarding_fields fields;
+    fields.m_upstream = id;
+    fields.m_workspace = current.m_workspace.m_id;
+    fields.m_remaining_time = time_left(current);
+    fields.m_inputs = final_inputs(current);
+    fields.m_last_event_id = current.m_last_event_id;
+    if (is_stream(current.m_route->m_retry_safety))
+    {
+        fields.m_engine_priority = engine_priority(current.m_metadata.m_prompt);
+    }
+    return platform::make_upstream_request(current.m_exchange.request(), fields);
+}
+
 asio::awaitable<attempt_outcome> request_relay::run_attempt(request& current,
                                                             const upstream& chosen)
 {
     const upstream_id id = chosen.m_entry.m_id;
     const ip_endpoint address = chosen.m_entry.m_address;
-    const auto opened = take_connection(current, id);
-    const auto call = opened ? opened : make_upstream_call();
+    const takeover moved = std::exchange(current.m_takeover, {});
+    const auto call = moved.m_head ? moved.m_call : make_upstream_call();
     current.m_upstream_call = call;
     current.m_upstream = id;
     current.m_upstream_version = chosen.m_entry.m_version;
@@ -390,7 +415,10 @@
         }
         if (begin)
         {
-            record_send(row->m_sends, now());
+            if (!moved.m_head)
+            {
+                record_send(row->m_sends, now());
+            }
             ++row->m_running;
             row->m_running_tokens += tokens;
         }
@@ -405,28 +433,20 @@
     update_running(true);
     current.m_progress = {};
     result<done, http_error> connected = done{};
-    if (!opened)
+    if (!moved.m_head)
     {
         connected = co_await call->connect(to_tcp(address),
                                            std::min(connect_timeout, time_left(current)));
     }
     // The upstream may have said that it leaves while the connection was opened.
-    if (!is_ok(connected) || current.m_caller_gone || !takes_requests(id))
+    const bool may_send = moved.m_head || (is_ok(connected) && takes_requests(id));
+    if (!may_send || current.m_caller_gone)
     {
+        call->close();
         update_running(false);
         current.m_upstream_call.reset();
         co_return attempt_outcome::not_sent;
     }
-    platform::forwarding_fields fields;
-    fields.m_upstream = id;
-    fields.m_workspace = current.m_workspace.m_id;
-    fields.m_remaining_time = time_left(current);
-    fields.m_inputs = final_inputs(current);
-    fields.m_last_event_id = current.m_last_event_id;
-    if (is_stream(current.m_route->m_retry_safety))
-    {
-        fields.m_engine_priority = engine_priority(current.m_metadata.m_prompt);
-    }
     asio::steady_timer release_timer{m_state.m_executor};
     if (const auto wait = input_release_delay(current, id))
     {
@@ -444,9 +464,12 @@
             });
     }
     current.m_usual_silence = usual_head_time(current);
-    http_request message =
-        platform::make_upstream_request(current.m_exchange.request(), fields);
-    const auto response = co_await send_to_upstream(current, std::move(message));
+    auto head = moved.m_head;
+    if (!head)
+    {
+        head = send_to_upstream(current, call, id);
+    }
+    const auto response = co_await await_head(current, head);
     attempt_outcome outcome = attempt_outcome::broken;
     if (is_ok(response))
     {
@@ -574,7 +597,7 @@
     {
         co_return attempt_outcome::unusable;
     }
-    if (head.m_status == 421)
+    if (head.m_status == wrong_upstream_status)
     {
         co_return attempt_outcome::wrong_upstream;
     }
@@ -582,8 +605,8 @@
                  current.m_last_sent_at);
     if (metadata.m_not_run && head.m_status >= 400)
     {
-        co_return head.m_status == 409 ? attempt_outcome::input_gone
-                                       : attempt_outcome::declined;
+        co_return head.m_status == input_gone_status ? attempt_outcome::input_gone
+                                                     : attempt_outcome::declined;
     }
     if (!metadata.m_signed)
     {
--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -1,5 +1,6 @@
 #include "relay_util.hpp"
 #include "request_relay.hpp"
+#include "upstream_notices.hpp"
 
 #include <geraniumdoor/base/log.hpp>
 
@@ -29,8 +30,11 @@
 /// upstreams that could not be reached are tried again.
 constexpr milliseconds search_backoff{300};
 
+/// Longest time for which a request is at two upstreams: most of those that decline it do
+/// so at once, and then the present one keeps it. The platform allows 400 ms.
+constexpr milliseconds max_overlap{200};
+
 using part_reply = upstream_reply<std::string>;
-using head_reply = upstream_reply<http_answer_head>;
 
 asio::awaitable<void> read_part(std::shared_ptr<http_call> call, milliseconds limit,
                                 std::shared_ptr<part_reply> reply)
@@ -70,14 +74,21 @@
 
 } // namespace
 
-asio::awaitable<result<http_answer_head, http_error>>
-request_relay::send_to_upstream(request& current, http_request message)
+std::shared_ptr<head_reply>
+request_relay::send_to_upstream(request& current, const std::shared_ptr<http_call>& call,
+                                const upstream_id& id)
 {
-    const auto reply = std::make_shared<head_reply>();
+    auto reply = std::make_shared<head_reply>();
     asio::co_spawn(
         m_state.m_executor,
-        send(current.m_upstream_call, std::move(message), time_left(current), reply),
+        send(call, make_upstream_message(current, id), time_left(current), reply),
         asio::detached);
+    return reply;
+}
+
+asio::awaitable<result<http_answer_head, http_error>>
+request_relay::await_head(request& current, std::shared_ptr<head_reply> reply)
+{
     co_await await_progress(current, reply);
     co_return value_or_given_up(*reply);
 }
@@ -179,7 +190,15 @@
 {
     takeover& next = current.m_takeover;
     const time_point at = now();
+    if (next.m_head)
+    {
+        return offer_to_successor(current);
+    }
     const std::size_t senders = count_possible_senders(m_state.m_hosts, at);
+    if (current.m_retry_state.m_not_run_attempts > max_not_run_attempts)
+    {
+        return "attempts";
+    }
     if (!may_retry(m_state.m_retry_budget, current.m_pool, senders, at))
     {
         return "budget";
@@ -211,17 +230,11 @@
     {
         return "upstream";
     }
-    upstream& row = *m_state.m_upstreams.m_rows.find(next.m_upstream);
-    if (row.m_sends.m_statement.m_limit)
+    if (!connect_successor(current))
     {
-        if (!take_permit(row.m_sends, at))
-        {
-            m_permits.ask_ahead(next.m_upstream, [] {});
-            return "permit";
-        }
-        add_permit(row.m_sends, at);
+        return "connection";
     }
-    return connect_successor(current) ? "" : "connection";
+    return offer_to_successor(current);
 }
 
 bool request_relay::choose_successor(request& current) const
@@ -238,16 +251,15 @@
     }
     std::vector<upstream_id> excluded = current.m_tried_upstreams;
     excluded.push_back(current.m_upstream);
-    excluded.insert(excluded.end(), next.m_unreachable.begin(), next.m_unreachable.end());
+    excluded.insert(excluded.end(), next.m_excluded.begin(), next.m_excluded.end());
     const upstream* chosen = select_upstream(current, excluded);
-    next.m_call.reset();
-    next.m_connection.reset();
+    close_connection(next);
     if (chosen == nullptr || !is_available(m_state.m_upstreams, *chosen, at))
     {
         next.m_upstream = {};
-        if (!next.m_unreachable.empty())
+        if (!next.m_excluded.empty())
         {
-            next.m_unreachable.clear();
+            next.m_excluded.clear();
             next.m_next_try = at + search_backoff;
         }
         return false;
@@ -316,20 +328,78 @@
         return true;
     }
     record_unreachable(row, now());
-    next.m_unreachable.push_back(next.m_upstream);
-    next.m_call.reset();
-    next.m_connection.reset();
+    exclude_successor(current);
     return false;
 }
 
+const char* request_relay::offer_to_successor(request& current)
+{
+    takeover& next = current.m_takeover;
+    const time_point at = now();
+    if (!next.m_head)
+    {
+        upstream& row = *m_state.m_upstreams.m_rows.find(next.m_upstream);
+        if (row.m_sends.m_statement.m_limit && !take_permit(row.m_sends, at))
+        {
+            m_permits.ask_ahead(next.m_upstream, [] {});
+            return "permit";
+        }
+        record_send(row.m_sends, at);
+        record_retry(m_state.m_retry_budget, current.m_pool, at);
+        next.m_sent_at = at;
+        next.m_head = send_to_upstream(current, next.m_call, next.m_upstream);
+        return "answer";
+    }
+    if (!next.m_head->m_ended)
+    {
+        return at < next.m_sent_at + max_overlap ? "answer" : "";
+    }
+    if (!is_ok(*next.m_head->m_result))
+    {
+        return "";
+    }
+    const http_answer_head& head = value_of(*next.m_head->m_result);
+    const auto metadata =
+        platform::parse_response_metadata(head, current.m_metadata.m_request);
+    const bool declined =
+        !metadata.m_id_mismatch && (head.m_status == wrong_upstream_status ||
+                                    (metadata.m_not_run && head.m_status >= 400));
+    if (!declined)
+    {
+        return "";
+    }
+    apply_notice(m_state, next.m_upstream, head.m_status, head.m_fields, next.m_sent_at);
+    ++current.m_retry_state.m_not_run_attempts;
+    if (head.m_status == input_gone_status)
+    {
+        release_results(current, true);
+    }
+    exclude_successor(current);
+    return "acceptance";
+}
+
+void request_relay::exclude_successor(request& current)
+{
+    takeover& next = current.m_takeover;
+    next.m_excluded.push_back(std::exchange(next.m_upstream, {}));
+    close_connection(next);
+}
+
 void request_relay::end_search(request& current)
 {
     if (!current.m_takeover.m_began_at)
     {
         return;
     }
-    const takeover ended = std::exchange(current.m_takeover, {});
+    takeover ended = std::exchange(current.m_takeover, {});
     log_search_end(current, ended, "resumed");
+    if (ended.m_head)
+    {
+        // The successor may have begun to run it.
+        ++current.m_retry_state.m_possible_runs;
+        current.m_tried_upstreams.push_back(ended.m_upstream);
+    }
+    close_connection(ended);
     if (ended.m_inputs_requested)
     {
         cancel_stages(current);
@@ -337,14 +407,6 @@
     }
 }
 
-std::shared_ptr<http_call> request_relay::take_connection(request& current,
-                                                          const upstream_id& id)
-{
-    const takeover ended = std::exchange(current.m_takeover, {});
-    const bool connected = ended.m_upstream == id && is_connected(ended);
-    return connected ? ended.m_call : nullptr;
-}
-
 void request_relay::log_search_end(const request& current, const takeover& ended,
                                    const char* end)
 {
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -12,6 +12,11 @@
 /// a lost packet after 200 ms or more.
 inline constexpr milliseconds connect_timeout{350};
 
+/// Status of an upstream that is not the one to which the request was sent, and of one
+/// that could not fetch an input.
+inline constexpr unsigned wrong_upstream_status = 421;
+inline constexpr unsigned input_gone_status = 409;
+
 /// Reason of refusals while a part of the prompt is in quarantine.
 inline constexpr const char* crashing_prompt_reason = "crashing_prompt";
 
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -71,6 +71,7 @@
     {
         co_await process(current);
     }
+    close_connection(current.m_takeover);
     cancel_stages(current);
     release_results(current, true);
     if (current.m_is_trial)
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -275,12 +275,17 @@
                                                 std::optional<std::uint64_t> length);
     void record_first_byte(request& current);
     std::shared_ptr<http_call> make_upstream_call() const;
-
-    /// Sends the request over the open connection and waits for the head of the response.
-    /// Like read_stream_part, ends with a timeout when the time of the request is up or
-    /// another upstream is ready to take it over.
+    http_request make_upstream_message(const request& current,
+                                       const upstream_id& id) const;
+
+    /// Begins to send the request over the open connection.
+    std::shared_ptr<head_reply> send_to_upstream(request& current,
+                                                 const std::shared_ptr<http_call>& call,
+                                                 const upstream_id& id);
+    /// Waits for the head of the response. Like read_stream_part, ends with a timeout
+    /// when the time of the request is up or another upstream is ready to take it over.
     boost::asio::awaitable<result<http_answer_head, http_error>>
-    send_to_upstream(request& current, http_request message);
+    await_head(request& current, std::shared_ptr<head_reply> reply);
     boost::asio::awaitable<result<std::string, http_error>>
     read_stream_part(request& current);
     boost::asio::awaitable<void>
@@ -296,12 +301,14 @@
     bool choose_successor(request& current) const;
     bool prepare_successor_inputs(request& current);
     bool connect_successor(request& current);
+    /// Sends the request to the connected successor, while the present upstream still has
+    /// it, and waits for a short time for a refusal. Like missing_for_takeover, names
+    /// what is missing.
+    const char* offer_to_successor(request& current);
+    void exclude_successor(request& current);
     /// Ends the search, if there is one, because the upstream has made progress.
     void end_search(request& current);
     void log_search_end(const request& current, const takeover& ended, const char* end);
-    /// Ends the search with the attempt. Returns the open connection to the upstream;
-    /// null if there is none.
-    std::shared_ptr<http_call> take_connection(request& current, const upstream_id& id);
     /// Logs and counts how the stream of an attempt ended.
     void record_stream_end(const request& current, body_framing framing,
                            serving::attempt_outcome outcome);
--- a/src/edge/takeover.hpp
+++ b/src/edge/takeover.hpp
@@ -36,8 +36,11 @@
     std::optional<result<Value, http_error>> m_result;
 };
 
+using head_reply = upstream_reply<http_answer_head>;
+
 /// Search for an upstream that takes a request over from a silent one. The request moves
-/// once the successor is known, connected and permitted, and its inputs exist.
+/// once the successor is known, connected and permitted, its inputs exist, and it has
+/// not declined the request at once.
 struct takeover
 {
     /// When the search began; empty while the present upstream is not overdue.
@@ -46,8 +49,11 @@
     upstream_id m_upstream;
     std::shared_ptr<http_call> m_call;
     std::shared_ptr<upstream_reply<done>> m_connection;
-    /// Upstreams to which no connection could be opened.
-    std::vector<upstream_id> m_unreachable;
+    /// Response of the successor; null until the request has been sent to it.
+    std::shared_ptr<head_reply> m_head;
+    time_point m_sent_at{};
+    /// Upstreams that could not be reached or have declined the request.
+    std::vector<upstream_id> m_excluded;
     /// The inputs are being made again, or have been in the course of this search.
     bool m_preparing = false;
     bool m_inputs_requested = false;
@@ -64,4 +70,16 @@
            is_ok(*search.m_connection->m_result);
 }
 
+/// Closes the connection to the successor, whose pending operations then end.
+inline void close_connection(takeover& search)
+{
+    if (search.m_call)
+    {
+        search.m_call->close();
+    }
+    search.m_call.reset();
+    search.m_connection.reset();
+    search.m_head.reset();
+}
+
 } // namespace geraniumdoor::edge
