Show that streams are cut off when their successor leaves the registry

The step after an attempt looks up the row of the successor that has taken the request. If the row has vanished since the offer, the request ends as if there were no upstream, although the successor works on it and its connection is open. Callers saw a connection that was cut off.

New test: seven streams that move to a second engine 100 ms apart while its row is removed.

--- a/tests/standins/silent_takeover_test.cpp
+++ b/tests/standins/silent_takeover_test.cpp
@@ -34,6 +34,17 @@
         m_story.m_cluster.set_worker_state(m_second, "ready");
     }
 
+    /// Runs until the second engine has got a stream.
+    void run_until_offered()
+    {
+        const time_point last = std::chrono::steady_clock::now() + 3s;
+        while (m_second.m_seen.empty() && std::chrono::steady_clock::now() < last)
+        {
+            m_story.m_cluster.run_for(5ms);
+        }
+        cr_assert(!m_second.m_seen.empty(), "no stream was offered");
+    }
+
     silence_story m_story;
     worker_standin& m_second;
 };
@@ -78,3 +89,25 @@
     expect_first_engine_keeps_stream(29000, worker_mode::foreign,
                                      silence_phase::between_events);
 }
+
+// Guards against streams that are cut off while their successor works on them.
+Test(silent_takeover, streams_go_on_when_their_successor_leaves_the_registry)
+{
+    overdue_streams streams{29040};
+    silence_story& story = streams.m_story;
+    streams.m_second.m_delay = 400ms;
+    {
+        // Offers follow each other while the registry is read again.
+        for (int number = 0; number < 7; ++number)
+        {
+            story.send(request_kind::resumable_stream, silence_phase::between_events,
+                       long_silence);
+            story.m_cluster.run_for(100ms);
+        }
+        story.m_cluster.set_worker_state(streams.m_second, "ready");
+    }
+    streams.run_until_offered();
+    story.m_cluster.m_store.remove("servers", "second");
+    story.run_until_answered();
+    story.expect_nothing_lost();
+}
