Keep a request at its silent upstream when its successor fails

A successor that closed the connection, answered 5xx or answered another request was taken for one that takes the request over: the silent upstream lost the stream, and the caller was cut off, although the upstream would have gone on. Only a sound response, or none after 200 ms, moves the request now; after a failure the successor counts as one that may have run it, and the present upstream keeps it.

--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -30,6 +30,9 @@
 /// upstreams that could not be reached are tried again.
 constexpr milliseconds search_backoff{300};
 
+/// Lowest status of a response that does not serve the request.
+constexpr unsigned http_client_error = 400;
+
 /// Longest time for which a request is at two upstreams: most of those that decline it do
 /// so at once, and then the present one keeps it. The platform allows 400 ms.
 constexpr milliseconds max_overlap{200};
@@ -350,34 +353,65 @@
         next.m_head = send_to_upstream(current, next.m_call, next.m_upstream);
         return "answer";
     }
+    return answer_of_successor(current);
+}
+
+const char* request_relay::answer_of_successor(request& current)
+{
+    takeover& next = current.m_takeover;
+    upstream* row = m_state.m_upstreams.m_rows.find(next.m_upstream);
     if (!next.m_head->m_ended)
     {
-        return at < next.m_sent_at + max_overlap ? "answer" : "";
+        return now() < next.m_sent_at + max_overlap ? "answer" : "";
+    }
+    bool usable = false;
+    bool not_run = false;
+    if (is_ok(*next.m_head->m_result))
+    {
+        const http_answer_head& head = value_of(*next.m_head->m_result);
+        const auto metadata =
+            platform::parse_response_metadata(head, current.m_metadata.m_request);
+        usable =
+            metadata.m_signed && !metadata.m_not_run && head.m_status < http_client_error;
+        not_run = !metadata.m_id_mismatch &&
+                  (head.m_status == wrong_upstream_status ||
+                   (metadata.m_not_run && head.m_status >= http_client_error));
+        if (!metadata.m_id_mismatch && head.m_status != wrong_upstream_status)
+        {
+            apply_notice(m_state, next.m_upstream, head.m_status, head.m_fields,
+                         next.m_sent_at);
+        }
+        if (not_run && head.m_status == input_gone_status)
+        {
+            release_results(current, true);
+        }
     }
-    if (!is_ok(*next.m_head->m_result))
+    if (usable)
     {
         return "";
     }
-    const http_answer_head& head = value_of(*next.m_head->m_result);
-    const auto metadata =
-        platform::parse_response_metadata(head, current.m_metadata.m_request);
-    const bool declined =
-        !metadata.m_id_mismatch && (head.m_status == wrong_upstream_status ||
-                                    (metadata.m_not_run && head.m_status >= 400));
-    if (!declined)
+    if (not_run)
     {
-        return "";
+        ++current.m_retry_state.m_not_run_attempts;
     }
-    apply_notice(m_state, next.m_upstream, head.m_status, head.m_fields, next.m_sent_at);
-    ++current.m_retry_state.m_not_run_attempts;
-    if (head.m_status == input_gone_status)
+    else
     {
-        release_results(current, true);
+        if (row != nullptr)
+        {
+            record_unreachable(*row, now());
+        }
+        record_possible_run(current, next.m_upstream);
     }
     exclude_successor(current);
     return "acceptance";
 }
 
+void request_relay::record_possible_run(request& current, const upstream_id& id)
+{
+    ++current.m_retry_state.m_possible_runs;
+    current.m_tried_upstreams.push_back(id);
+}
+
 void request_relay::exclude_successor(request& current)
 {
     takeover& next = current.m_takeover;
@@ -395,9 +429,7 @@
     log_search_end(current, ended, "resumed");
     if (ended.m_head)
     {
-        // The successor may have begun to run it.
-        ++current.m_retry_state.m_possible_runs;
-        current.m_tried_upstreams.push_back(ended.m_upstream);
+        record_possible_run(current, ended.m_upstream);
     }
     close_connection(ended);
     if (ended.m_inputs_requested)
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -305,6 +305,11 @@
     /// it, and waits for a short time for a refusal. Like missing_for_takeover, names
     /// what is missing.
     const char* offer_to_successor(request& current);
+    /// Whether the successor has refused or failed the request, so that its present
+    /// upstream keeps it.
+    const char* answer_of_successor(request& current);
+    /// Records that an upstream which does not get the request may have run it.
+    static void record_possible_run(request& current, const upstream_id& id);
     void exclude_successor(request& current);
     /// Ends the search, if there is one, because the upstream has made progress.
     void end_search(request& current);
