Keep a request at its silent upstream when its successor leaves the registry

The row of a successor could vanish within the 200 ms in which it had been sent the request and the upstream had not lost it. No upstream was found then (reason=no_untried_upstream), and 2 of 7 streams were cut off while the successor worked on them. A successor without a row is given up, and the present upstream keeps the request.

silent_takeover/streams_go_on_when_their_successor_leaves_the_registry failed before and passes, as do all 26 tests of silences.

--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -360,6 +360,12 @@
 {
     takeover& next = current.m_takeover;
     upstream* row = m_state.m_upstreams.m_rows.find(next.m_upstream);
+    if (row == nullptr)
+    {
+        record_possible_run(current, next.m_upstream);
+        exclude_successor(current);
+        return "upstream";
+    }
     if (!next.m_head->m_ended)
     {
         return now() < next.m_sent_at + max_overlap ? "answer" : "";
@@ -396,10 +402,7 @@
     }
     else
     {
-        if (row != nullptr)
-        {
-            record_unreachable(*row, now());
-        }
+        record_unreachable(*row, now());
         record_possible_run(current, next.m_upstream);
     }
     exclude_successor(current);
