Close connections on which bytes follow an answer

The buffer of a call was dropped with whatever it held beyond the answer, and the connection was kept. A second copy of an answer in the same segment went unnoticed; of a copy that was cut in two, the rest was read as the answer to the next call, which failed as malformed although its own answer arrived behind it.

A connection with bytes beyond the answer is now closed, and a log line says connection_has_extra_bytes, as for bytes that arrive on an idle connection.

http_repeat/bytes_after_an_answer_end_its_connection failed before ("with_answer: 1 connections", "around_next_request: malformed", "around_next_request: 1 connections") and passes. A copy that arrives while the connection is idle was noticed before.

--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,3 +1,4 @@
+#include <geraniumdoor/base/log.hpp>
 #include <geraniumdoor/net/http_client.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -30,13 +31,37 @@
 using stream_ptr = std::shared_ptr<beast::tcp_stream>;
 using response_parser = http::response_parser<http::string_body>;
 
-bool is_open_and_quiet(beast::tcp_stream& stream)
+/// How an exchange on a connection ended.
+struct exchange_end
+{
+    beast::error_code m_error;
+    /// Bytes of the request may have left.
+    bool m_sent = false;
+    /// Bytes that belong to no answer followed the answer.
+    bool m_has_extra_bytes = false;
+};
+
+/// Bytes that belong to no call show that the peer may answer a call with something else.
+void log_extra_bytes(const tcp::endpoint& endpoint, const char* where)
+{
+    log_event{"connection_has_extra_bytes"}
+        .add("address",
+             endpoint.address().to_string() + ':' + std::to_string(endpoint.port()))
+        .add("where", where);
+}
+
+bool is_open_and_quiet(beast::tcp_stream& stream, const tcp::endpoint& endpoint)
 {
     char byte = 0;
     beast::error_code error;
     auto& socket = stream.socket();
     socket.non_blocking(true, error);
-    socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    const auto size =
+        socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+    if (!error && size > 0)
+    {
+        log_extra_bytes(endpoint, "idle");
+    }
     return error == asio::error::would_block;
 }
 
@@ -154,14 +179,11 @@
 
 /// Reads the whole answer and adds its size. Lines are passed on only when the status is
 /// 200.
-asio::awaitable<beast::error_code> read_answer(beast::tcp_stream& stream,
-                                               std::optional<response_parser>& parser,
-                                               const http_limits& limits,
-                                               const http_call_options& options,
-                                               std::uint64_t& received)
+asio::awaitable<beast::error_code>
+read_answer(beast::tcp_stream& stream, beast::flat_buffer& buffer,
+            std::optional<response_parser>& parser, const http_limits& limits,
+            const http_call_options& options, std::uint64_t& received)
 {
-    // Limited, because Beast buffers the head of a chunk and the trailer as a whole.
-    beast::flat_buffer buffer{limits.m_header_bytes + read_bytes};
     const beast::error_code header_error =
         co_await read_final_head(stream, buffer, parser, limits, received);
     if (header_error)
@@ -212,7 +234,7 @@
 
     stream_ptr take_idle(const tcp::endpoint& endpoint);
     void keep_idle(const tcp::endpoint& endpoint, stream_ptr stream);
-    asio::awaitable<std::pair<beast::error_code, bool>>
+    asio::awaitable<exchange_end>
     exchange(beast::tcp_stream& stream, bool connected, const tcp::endpoint& endpoint,
              const http::request<http::string_body>& message,
              std::optional<response_parser>& parser, const http_call_options& options);
@@ -231,7 +253,7 @@
     {
         stream_ptr stream = std::move(idle.back());
         idle.pop_back();
-        if (is_open_and_quiet(*stream))
+        if (is_open_and_quiet(*stream, endpoint))
         {
             return stream;
         }
@@ -249,8 +271,7 @@
     }
 }
 
-/// Returns the error and whether any byte of the request may have left.
-asio::awaitable<std::pair<beast::error_code, bool>> http_client::state::exchange(
+asio::awaitable<exchange_end> http_client::state::exchange(
     beast::tcp_stream& stream, bool connected, const tcp::endpoint& endpoint,
     const http::request<http::string_body>& message,
     std::optional<response_parser>& parser, const http_call_options& options)
@@ -260,7 +281,7 @@
         const auto [error] = co_await stream.async_connect(endpoint, use_tuple);
         if (error)
         {
-            co_return std::pair{error, false};
+            co_return exchange_end{error, false, false};
         }
         beast::error_code ignored;
         stream.socket().set_option(tcp::no_delay{true}, ignored);
@@ -270,11 +291,13 @@
     m_bytes_sent += written;
     if (write_error)
     {
-        co_return std::pair{write_error, true};
+        co_return exchange_end{write_error, true, false};
     }
+    // Limited, because Beast buffers the head of a chunk and the trailer as a whole.
+    beast::flat_buffer buffer{m_limits.m_header_bytes + read_bytes};
     const beast::error_code error =
-        co_await read_answer(stream, parser, m_limits, options, m_bytes_received);
-    co_return std::pair{error, true};
+        co_await read_answer(stream, buffer, parser, m_limits, options, m_bytes_received);
+    co_return exchange_end{error, true, buffer.size() > 0};
 }
 
 http_client::http_client(asio::any_io_executor executor, http_limits limits)
@@ -312,18 +335,22 @@
     stream->expires_after(options.m_timeout);
     const auto message = to_message(endpoint, std::move(request));
     std::optional<response_parser> parser;
-    const auto [error, sent] =
+    const auto end =
         co_await self->exchange(*stream, connected, endpoint, message, parser, options);
     if (options.m_control)
     {
         options.m_control->m_close = nullptr;
     }
-    if (error)
+    if (end.m_error)
     {
         stream->close();
-        co_return make_error(error, sent, options);
+        co_return make_error(end.m_error, end.m_sent, options);
+    }
+    if (end.m_has_extra_bytes)
+    {
+        log_extra_bytes(endpoint, "after_answer");
     }
-    const bool keep_alive = parser->get().keep_alive();
+    const bool keep_alive = parser->get().keep_alive() && !end.m_has_extra_bytes;
     http_response response = to_response(parser->release());
     const bool trusted = !options.m_may_reuse || options.m_may_reuse(response);
     if (keep_alive && trusted)
