Keep no connection on which a peer has refused a call

A refusal reads the same for every call. On a kept connection, a copy of an earlier one that arrived after the next request had been sent was returned as the answer to it: the caller learned "not run" of a call that the peer had read and was running. An idle connection is checked for bytes before it is used, but a copy that is in flight at that moment, or is written when the peer has read the next request or a part of it, cannot be told from an answer.

http_client now closes a connection after an answer with a status of 400 or more, whoever uses it, so that there is no later call that a copy could reach. The price is one new connection after each refusal.

--- a/include/geraniumdoor/net/http_client.hpp
+++ b/include/geraniumdoor/net/http_client.hpp
@@ -44,13 +44,15 @@
     /// another status is returned whole.
     std::function<void(std::string_view line)> m_on_line;
     /// Called once for each whole answer: whether the connection may carry another call.
-    /// Without it, the connection is reused whenever HTTP allows it.
+    /// Without it, the connection is reused whenever the client allows it.
     std::function<bool(const http_response& response)> m_may_reuse;
     std::shared_ptr<http_call_control> m_control;
 };
 
 /// HTTP/1.1 client that keeps idle connections per endpoint. A connection carries one
-/// call at a time and is reused only after the whole answer was read.
+/// call at a time and is reused only after a whole answer with a status below 400 that no
+/// bytes follow: a peer that repeats a refusal would otherwise refuse a later call that
+/// it runs.
 class http_client
 {
 public:
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -41,6 +41,13 @@
     bool m_has_extra_bytes = false;
 };
 
+/// Whether an answer with this status can pass for the answer to any other call.
+bool is_refusal(unsigned status)
+{
+    constexpr unsigned first_error_status = 400;
+    return status >= first_error_status;
+}
+
 /// Bytes that belong to no call show that the peer may answer a call with something else.
 void log_extra_bytes(const tcp::endpoint& endpoint, const char* where)
 {
@@ -350,7 +357,8 @@
     {
         log_extra_bytes(endpoint, "after_answer");
     }
-    const bool keep_alive = parser->get().keep_alive() && !end.m_has_extra_bytes;
+    const bool keep_alive = parser->get().keep_alive() && !end.m_has_extra_bytes &&
+                            !is_refusal(parser->get().result_int());
     http_response response = to_response(parser->release());
     const bool trusted = !options.m_may_reuse || options.m_may_reuse(response);
     if (keep_alive && trusted)
--- a/tests/net/http_repeat_test.cpp
+++ b/tests/net/http_repeat_test.cpp
@@ -89,8 +89,30 @@
     http_client m_client;
 };
 
+/// More than the buffers of both sockets hold.
+constexpr std::size_t large_body_bytes = std::size_t{900} * 1024;
+
 } // namespace
 
+Test(http_repeat, a_copy_of_a_refusal_is_not_the_answer_to_the_next_call)
+{
+    unsigned short port = 28800;
+    for (const copy_time time : copy_times)
+    {
+        for (const std::size_t body_bytes : {std::size_t{0}, large_body_bytes})
+        {
+            repeat_story story{port++, time, 503};
+            const std::string refused = story.call();
+            cr_expect(refused == "503 answer 1", "%s: %s", to_text(time),
+                      refused.c_str());
+            story.wait();
+            const std::string answered = story.call(body_bytes);
+            cr_expect(answered == "200 answer 2", "%s, %zu bytes: %s", to_text(time),
+                      body_bytes, answered.c_str());
+        }
+    }
+}
+
 Test(http_repeat, bytes_after_an_answer_end_its_connection)
 {
     unsigned short port = 28820;
