Believe no copy of an answer to a release about an upstream's limit

Releases of results went over kept connections, and their answers carry no id. A copy of an earlier answer without a limit, read as the answer to a release while the upstream named one, ended the limit, and all hosts were told so: the upstream got more requests than it takes. A copy of an answer that named a limit brought one back that had ended.

A release now has a connection of its own while a limit is in force, and no connection is kept after an answer that says anything of its upstream. What a kept connection has carried are successes without a statement, of which a copy says nothing. Releases without a limit share a connection as before: a new one for each would double the connections that stages open.

Calls of pieces have a connection of their own already. The test of a refused call passed before.

repeated_answer/a_copy_of_the_answer_to_a_release_does_not_end_a_limit failed before ("inside_next_request: the limit has ended", "after_next_request: the limit has ended"), a_copy_of_a_limit_that_has_ended_does_not_bring_it_back too ("the limit is back" for the same two times); both pass for all five times. releases_share_a_connection_while_no_limit_is_named passed before and passes.

--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -380,6 +380,15 @@
     constexpr milliseconds limit{1000};
     http_call_options options;
     options.m_timeout = limit;
+    // Answers to releases have no id. A kept connection carries only answers that say
+    // nothing of the upstream, and none while a copy of one could end a limit.
+    const auto* row = m_state.m_upstreams.m_rows.find(upstream);
+    options.m_fresh_connection =
+        row != nullptr && row->m_sends.m_statement.m_limit.has_value();
+    options.m_may_reuse = [](const http_response& response)
+    {
+        return !platform::has_notice(response.m_status, response.m_fields);
+    };
     const time_point began = now();
     const auto answer =
         co_await m_http.send(to_tcp(address), platform::encode_release(handles), options);
