Test refusals that a worker writes twice against requests of callers

A worker that refuses a request that may run once, and writes the refusal once more at any of five times, reaches neither the second send of the request nor the next request of the caller: each send has a connection of its own. The caller, on a connection that it keeps, gets one answer for each request, and nothing late. A refusal without an id is believed there, since nothing else can have been on the connection.

--- a/tests/standins/repeated_answer_test.cpp
+++ b/tests/standins/repeated_answer_test.cpp
@@ -1,7 +1,6 @@
 #include "edge_cluster.hpp"
 #include "repeating_server.hpp"
 
-#include <boost/asio/connect.hpp>
 #include <boost/json.hpp>
 
 #include <algorithm>
@@ -140,6 +139,91 @@
                            R"("}]})");
 }
 
+/// Answer of a worker that has run a request.
+std::string run_answer(const http_request& request)
+{
+    const std::string id{find_field(request.m_fields, "Attempt-Id")};
+    return make_answer(200, {{"Attempt-Id", id}, {"Response-Signature", "w0"}},
+                       "ran " + id);
+}
+
+/// One host with one worker, which refuses each request of a caller at first and writes
+/// the refusal twice.
+struct caller_story
+{
+    caller_story(std::uint16_t first_port, copy_time time, unsigned status, bool has_id)
+        : m_cluster{first_port, 1}
+        , m_worker{
+              m_cluster.m_io.get_executor(),
+              {asio::ip::make_address("127.20.0.1"),
+               static_cast<std::uint16_t>(first_port + 20)},
+              time,
+              [this, status, has_id](const http_request& request)
+              {
+                  const std::string id{find_field(request.m_fields, "Attempt-Id")};
+                  if (++m_arrivals[id] > 1)
+                  {
+                      return repeating_server::reply{run_answer(request), true};
+                  }
+                  http_fields fields{{"Not-Executed", "1"}};
+                  if (has_id)
+                  {
+                      fields.emplace_back("Attempt-Id", id);
+                  }
+                  return repeating_server::reply{make_answer(status, fields, ""), true};
+              }}
+    {
+        worker_standin listed;
+        listed.m_id = "w0";
+        listed.m_service = "plain";
+        listed.m_address = "127.20.0.1";
+        m_cluster.m_store.put(
+            "servers", "w0",
+            registry_entry(listed, static_cast<std::uint16_t>(first_port + 20)));
+        m_cluster.set_config(sample_routes(), 1);
+        m_cluster.start();
+    }
+
+    std::map<std::string, int> m_arrivals;
+    edge_cluster m_cluster;
+    repeating_server m_worker;
+};
+
+/// Bytes of a request of a caller that keeps its connection.
+std::string caller_request(const std::string& id)
+{
+    const http_request request = sample_post("/pay/" + id, id, 2000);
+    std::string text = "POST " + request.m_target + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : request.m_fields)
+    {
+        text += name + ": " + value + "\r\n";
+    }
+    return text + "Content-Length: " + std::to_string(request.m_body.size()) +
+           "\r\n\r\n" + request.m_body;
+}
+
+std::size_t count_of(const std::string& text, const std::string& part)
+{
+    std::size_t count = 0;
+    for (auto at = text.find(part); at != std::string::npos; at = text.find(part, at + 1))
+    {
+        ++count;
+    }
+    return count;
+}
+
+/// Reads what has arrived.
+std::string read_available(tcp::socket& socket)
+{
+    boost::system::error_code error;
+    std::string bytes(socket.available(error), '\0');
+    if (!bytes.empty())
+    {
+        bytes.resize(socket.read_some(asio::buffer(bytes), error));
+    }
+    return bytes;
+}
+
 bool are_distinct(const std::vector<int>& connections)
 {
     return std::set<int>(connections.begin(), connections.end()).size() ==
@@ -261,3 +345,56 @@
     EXPECT_EQUAL(connections.size(), 3U);
     EXPECT_EQUAL(std::set<int>(connections.begin(), connections.end()).size(), 1U);
 }
+
+Test(repeated_answer, a_refused_request_of_a_caller_runs_once_and_is_answered_once)
+{
+    std::uint16_t first_port = 28080;
+    for (const copy_time time : copy_times)
+    {
+        caller_story story{first_port, time, 503, true};
+        first_port += 40;
+        tcp::socket caller{story.m_cluster.m_io};
+        caller.connect(story.m_cluster.caller_endpoint(0));
+        for (const std::string id : {"p1", "p2"})
+        {
+            asio::write(caller, asio::buffer(caller_request(id)));
+            std::string received;
+            const time_point last = now() + 2s;
+            while (received.find("ran " + id) == std::string::npos && now() < last)
+            {
+                story.m_cluster.run_for(10ms);
+                received += read_available(caller);
+            }
+            // Time for an answer that comes late.
+            story.m_cluster.run_for(200ms);
+            received += read_available(caller);
+            cr_expect(received.starts_with("HTTP/1.1 200") &&
+                          count_of(received, "HTTP/1.1 ") == 1 &&
+                          received.ends_with("ran " + id),
+                      "%s: %s", to_text(time), received.c_str());
+            // The second arrival runs it.
+            EXPECT_EQUAL(story.m_arrivals[id], 2);
+        }
+        std::vector<int> connections;
+        for (const auto& arrival : story.m_worker.m_arrivals)
+        {
+            connections.push_back(arrival.m_connection);
+        }
+        cr_expect(are_distinct(connections), "%s", to_text(time));
+    }
+}
+
+Test(repeated_answer, a_refusal_without_an_id_is_believed_on_its_own_connection)
+{
+    std::uint16_t first_port = 28280;
+    for (const unsigned status : {429U, 503U})
+    {
+        caller_story story{first_port, copy_time::with_answer, status, false};
+        first_port += 40;
+        const auto answer =
+            story.m_cluster.send_request(0, sample_post("/pay/p1", "p1", 2000), 2s);
+        cr_expect(answer.m_status == 200 && answer.m_body == "ran p1", "%u: %u", status,
+                  answer.m_status);
+        EXPECT_EQUAL(story.m_arrivals["p1"], 2);
+    }
+}
