Let the versions of a transaction prove that an answer is its own

Transactions of the table service go over kept connections, and an answer names rows but no call. A copy of an earlier answer about the same row, read as the answer to the next transaction, passed for a commit where the service reported a conflict, and the reverse. Claims that keep a request from running twice rest on these answers.

A commit is accepted only if each row written is newer than the version that was checked, and a conflict only if a listed row has another version than the one checked. Otherwise the effect is unknown, is read back as after a lost answer, and the connection is closed; a log line table_answer_rejected says why.

Found by search; no such answer has been reported.

--- a/src/platform/table_client.cpp
+++ b/src/platform/table_client.cpp
@@ -1,3 +1,4 @@
+#include <geraniumdoor/base/log.hpp>
 #include <geraniumdoor/net/http_client.hpp>
 #include <geraniumdoor/platform/table_client.hpp>
 #include <geraniumdoor/platform/table_codec.hpp>
@@ -65,6 +66,12 @@
     request.m_fields.emplace_back("Content-Type", "application/json");
     http_call_options options;
     options.m_timeout = m_timeout;
+    auto end = result<table_transaction_end, decode_error>{decode_error{"no answer"}};
+    options.m_may_reuse = [&transaction, &end](const http_response& answer)
+    {
+        end = decode_transaction_answer(transaction, answer.m_body);
+        return is_ok(end);
+    };
     auto response =
         co_await m_http.send(m_service, std::move(request), std::move(options));
     if (not is_ok(response))
@@ -84,9 +91,9 @@
     {
         co_return unknown_end(transaction);
     }
-    auto end = decode_transaction_answer(transaction, answer.m_body);
     if (not is_ok(end))
     {
+        log_event{"table_answer_rejected"}.add("reason", error_of(end).m_detail);
         co_return unknown_end(transaction);
     }
     co_return value_of(std::move(end));
--- a/src/platform/table_codec.cpp
+++ b/src/platform/table_codec.cpp
@@ -4,6 +4,7 @@
 
 #include <boost/json.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumdoor
@@ -97,6 +98,48 @@
     return rows;
 }
 
+const row_check* find_check(const table_transaction& transaction, const std::string& key)
+{
+    const auto at = std::find_if(transaction.m_checks.begin(), transaction.m_checks.end(),
+                                 [&key](const row_check& check)
+                                 {
+                                     return check.m_key == key;
+                                 });
+    return at == transaction.m_checks.end() ? nullptr : &*at;
+}
+
+/// Whether the rows can come from this transaction and not from an earlier one on the
+/// same rows: each row written is newer than the version that was checked.
+bool proves_commit(const table_transaction& transaction,
+                   const std::vector<table_row>& rows)
+{
+    return std::all_of(transaction.m_writes.begin(), transaction.m_writes.end(),
+                       [&](const row_write& write)
+                       {
+                           const auto* check = find_check(transaction, write.m_key);
+                           const auto row =
+                               std::find_if(rows.begin(), rows.end(),
+                                            [&write](const table_row& other)
+                                            {
+                                                return other.m_key == write.m_key;
+                                            });
+                           return !write.m_value || check == nullptr ||
+                                  row->m_version > check->m_version;
+                       });
+}
+
+/// The same for a conflict: a row has another version than the one that was checked.
+bool proves_conflict(const table_transaction& transaction,
+                     const std::vector<table_row>& rows)
+{
+    return std::any_of(rows.begin(), rows.end(),
+                       [&](const table_row& row)
+                       {
+                           const auto* check = find_check(transaction, row.m_key);
+                           return check != nullptr && row.m_version != check->m_version;
+                       });
+}
+
 } // namespace
 
 std::string encode_transaction(const table_transaction& transaction)
@@ -135,6 +178,12 @@
     {
         return error_of(rows);
     }
+    const bool is_proved = is_committed ? proves_commit(transaction, value_of(rows))
+                                        : proves_conflict(transaction, value_of(rows));
+    if (not is_proved)
+    {
+        return decode_error{"the versions do not follow from the checks"};
+    }
     const auto outcome =
         is_committed ? table_outcome::committed : table_outcome::conflict;
     return table_transaction_end{transaction.m_id, outcome, value_of(std::move(rows))};
