Let the store client write on condition and read whole tables

Hosts are to keep rows of their own that several of them may write. A write can name the version that a row must have, zero for none, and fails with a conflict otherwise. Reading all pages of a table moves from store_watch to the client, unchanged. The stand-in of the store applies transactions, which it only acknowledged before, checks expected versions, counts transactions and can refuse reads of single tables. No behaviour of hosts changes.

--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -188,7 +188,7 @@
     const time_point began = now();
     if (serving::needs_whole_read(table.m_copy))
     {
-        auto page = co_await read_table(table.m_name);
+        auto page = co_await m_store.read_table(table.m_name, store_call_timeout);
         const bool succeeded = is_ok(page);
         record_read_result(table, succeeded, began,
                            succeeded ? "" : error_of(page).m_detail);
@@ -205,7 +205,7 @@
         log_event{"store_history_gone"}
             .add("table", table.m_name)
             .add("reason", error_of(page).m_detail);
-        page = co_await read_table(table.m_name);
+        page = co_await m_store.read_table(table.m_name, store_call_timeout);
         if (is_ok(page))
         {
             record_read_result(table, true, began, "");
@@ -222,41 +222,6 @@
     co_return succeeded;
 }
 
-asio::awaitable<result<platform::row_page, platform::store_error>>
-store_watch::read_table(std::string table)
-{
-    platform::row_page merged;
-    std::string from;
-    while (true)
-    {
-        auto page = co_await m_store.read_page(table, from, store_call_timeout);
-        if (!is_ok(page))
-        {
-            co_return error_of(page);
-        }
-        // Rows of a later page may be newer than those of an earlier one. With the lowest
-        // version, the feed returns the changes in between again.
-        const store_version version = value_of(page).m_version;
-        const bool is_first = merged.m_version == store_version{};
-        if (!is_first && era_of(version) != era_of(merged.m_version))
-        {
-            co_return platform::store_error{platform::store_error_kind::unavailable,
-                                            "the store went back during the read"};
-        }
-        merged.m_version = is_first ? version : std::min(merged.m_version, version);
-        for (serving::store_row& entry : value_of(page).m_rows)
-        {
-            merged.m_rows.push_back(std::move(entry));
-        }
-        if (!value_of(page).m_has_more || merged.m_rows.empty())
-        {
-            break;
-        }
-        from = merged.m_rows.back().m_key + '\0';
-    }
-    co_return merged;
-}
-
 void store_watch::record_read_result(cached_table& table, bool succeeded,
                                      time_point began, const std::string& detail)
 {
@@ -339,7 +304,8 @@
 
 asio::awaitable<bool> store_watch::read_host_addresses()
 {
-    const auto page = co_await read_table(platform::address_table_name);
+    const auto page =
+        co_await m_store.read_table(platform::address_table_name, store_call_timeout);
     if (!is_ok(page))
     {
         co_return false;
@@ -363,8 +329,8 @@
             stored == m_stored_addresses.end() || stored->second != address;
         if (is_missing && rows.size() < max_rows_per_write)
         {
-            rows.push_back(
-                {platform::address_table_name, node.m_value, std::move(address), false});
+            rows.push_back({platform::address_table_name, node.m_value,
+                            std::move(address), false, std::nullopt});
         }
     };
     add(m_state.m_settings.m_node, to_text(m_state.m_settings.m_peer_endpoint));
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -75,8 +75,6 @@
     boost::asio::awaitable<void> watch_table(cached_table& table, milliseconds wait,
                                              milliseconds pause);
     boost::asio::awaitable<bool> refresh_table(cached_table& table, milliseconds wait);
-    boost::asio::awaitable<result<platform::row_page, platform::store_error>>
-    read_table(std::string table);
     boost::asio::awaitable<void> maintain_addresses();
     boost::asio::awaitable<bool> read_host_addresses();
     boost::asio::awaitable<bool> write_missing_addresses();
--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -27,6 +27,14 @@
     return text;
 }
 
+std::string unbase64(const std::string& text)
+{
+    namespace codec = boost::beast::detail::base64;
+    std::string bytes(codec::decoded_size(text.size()), '\0');
+    bytes.resize(codec::decode(bytes.data(), text.data(), text.size()).first);
+    return bytes;
+}
+
 std::string value_in(const std::string& target, const std::string& name)
 {
     const auto at = target.find(name + '=');
@@ -136,20 +144,61 @@
     }
     if (exchange.request().m_target == "/rows-tx")
     {
-        json::object done;
-        done["ver"] = m_version;
-        http_response response = json_body(done);
+        http_response response = apply_transaction(exchange.request().m_body);
         co_await answer(exchange, std::move(response));
         co_return;
     }
     co_await read_rows(exchange);
 }
 
+http_response store_standin::apply_transaction(const std::string& body)
+{
+    const json::value call = json::parse(body);
+    const auto text = [](const json::value& entry, const char* name)
+    {
+        return json::value_to<std::string>(entry.at(name));
+    };
+    http_response response;
+    for (const json::value& entry : call.at("expected").as_array())
+    {
+        const auto& rows = m_tables[text(entry, "table")];
+        const auto at = rows.find(text(entry, "key"));
+        const bool exists = at != rows.end() && !at->second.m_removed;
+        if (json::value_to<std::uint64_t>(entry.at("ver")) !=
+            (exists ? at->second.m_version : 0))
+        {
+            response.m_status = 412;
+            return response;
+        }
+    }
+    ++m_version;
+    ++m_transactions;
+    for (const json::value& entry : call.at("setKeys").as_array())
+    {
+        m_tables[text(entry, "table")][text(entry, "key")] = {
+            unbase64(text(entry, "value")), m_version, false};
+    }
+    for (const json::value& entry : call.at("remove").as_array())
+    {
+        m_tables[text(entry, "table")][text(entry, "key")] = {"", m_version, true};
+    }
+    json::object done;
+    done["ver"] = m_version;
+    return json_body(done);
+}
+
 asio::awaitable<void> store_standin::read_rows(http_exchange& exchange)
 {
     const http_request request = exchange.request();
     const bool whole = request.m_target.starts_with("/rows-get");
     const std::string table = value_in(request.m_target, "table");
+    if (m_refused_tables.contains(table))
+    {
+        http_response response;
+        response.m_status = 503;
+        co_await answer(exchange, std::move(response));
+        co_return;
+    }
     const std::string after = value_in(request.m_target, "after");
     const std::uint64_t since = whole || after.empty() ? 0 : std::stoull(after);
     const std::string wait = value_in(request.m_target, "waitMs");
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -35,7 +36,10 @@
     std::uint64_t m_era = 1;
     /// Answers 503 to all calls.
     bool m_down = false;
+    /// Answers 503 to reads of these tables.
+    std::set<std::string> m_refused_tables;
     int m_reads = 0;
+    int m_transactions = 0;
 
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
@@ -45,6 +49,7 @@
     boost::asio::awaitable<void> serve(http_exchange& exchange);
 
 private:
+    http_response apply_transaction(const std::string& body);
     boost::asio::awaitable<void> read_rows(http_exchange& exchange);
     boost::asio::awaitable<void> answer(http_exchange& exchange, http_response response);
 };
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -314,7 +314,7 @@
     cr_expect(value_of(page).m_rows[1].m_removed);
     cr_expect(value_of(page).m_has_more);
     const std::string written =
-        platform::encode_transaction({{"my", "owner", "node-1", false}});
+        platform::encode_transaction({{"my", "owner", "node-1", false, std::nullopt}});
     cr_expect(written.find("bm9kZS0x") != std::string::npos);
 }
 
