Keep in the store which versions can have begun streams

What callers saw: after a loss of power of all hosts, streams that they took up were answered 200 and ran to the end, with the first part written by an upstream of one software version and the rest by one of another. While both versions still served, all such streams were refused.

Cause: what hosts know of versions and of the streams that they began is in their memory alone. When nobody had observed a pool for long, decide_origin took the only version that the registry listed (only_listed), also when another one had left just before or meanwhile.

Change: the one of the hosts that read the store which has the lowest id keeps there the versions of each pool that can have begun streams, and while a pool has several, the versions of streams, at most every half second. Hosts that read the store read both once after their start, and are asked beside the three holders of a stream. A version counts as the only one if the store says so or if it was observed for the lifetime of streams; only_listed is gone, such requests are refused. A host that does not know of one version alone tells others of its streams, also if it sees one. Rows name the version that they replace, and are written again after a return of the store.

--- a/include/geraniumdoor/serving/stream_origins.hpp
+++ b/include/geraniumdoor/serving/stream_origins.hpp
@@ -38,6 +38,10 @@
     /// This host relayed the first event.
     bool m_began_here = false;
     pool_id m_pool;
+    /// The store holds it.
+    bool m_is_saved = false;
+    /// This host knows it from the store.
+    bool m_was_stored = false;
 };
 
 /// When this host last saw each version of a pool in the registry.
@@ -54,6 +58,8 @@
     std::unordered_map<pool_id, version_history> m_pools;
     /// Longest time after its first event in which a caller may take up a stream.
     duration m_lifetime = min_stream_lifetime;
+    /// What hosts have seen before this one has started is known from the store.
+    bool m_is_complete = false;
 };
 
 /// Extends the lifetime of streams to the longest timeout of the routes. Streams that
@@ -70,7 +76,8 @@
 bool has_several_versions(const stream_origins& origins, const pool_id& pool);
 
 /// Returns the version that began every stream of the pool that may still be taken up, if
-/// this host has observed the pool for long enough to tell.
+/// this host has observed the pool for long enough, or knows from the store what was
+/// before.
 std::optional<software_version> only_version(const stream_origins& origins,
                                              const pool_id& pool, time_point now);
 
@@ -79,10 +86,12 @@
                    const known_origin& origin);
 
 /// Returns the hosts that keep the origin of a stream, in order of preference: live hosts
-/// with the highest weights, from as many data centres as there are.
+/// with the highest weights, from as many data centres as there are, and those that read
+/// the store.
 ///
 /// Load pattern: a host is killed, or its data centre loses power, and the callers of its
-/// streams return at other hosts within milliseconds.
+/// streams return at other hosts within milliseconds. After a loss of all hosts, those
+/// that read the store know what began before.
 std::vector<node_address> origin_hosts(const host_table& table, stream_key stream,
                                        time_point now);
 
@@ -95,13 +104,13 @@
 {
     /// This host relayed or was told of its first event.
     own_record,
+    /// The store had a record.
+    stored_record,
     /// Another host has a record.
     other_host,
     /// No other version can have begun it.
     only_version,
-    /// The registry has one version. Nobody has observed the pool for long enough to
-    /// tell, as when all hosts have restarted.
-    only_listed,
+    /// Several versions can have begun it, or nobody can tell which ones were there.
     unknown,
 };
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -1,6 +1,7 @@
 #include "edge_state.hpp"
 #include "host_status.hpp"
 #include "origin_exchange.hpp"
+#include "origin_store.hpp"
 #include "request_relay.hpp"
 #include "send_permits.hpp"
 #include "stage_client.hpp"
@@ -157,6 +158,7 @@
     node_transport m_transport;
     send_permits m_permits;
     origin_exchange m_origins;
+    origin_store m_origin_store;
     stage_scheduler m_scheduler;
     stage_client m_stages;
     store_watch m_store;
@@ -194,6 +196,7 @@
                 {
                     m_transport.send_datagram(host, message);
                 }}
+    , m_origin_store{m_state, m_origins}
     , m_scheduler{m_state, m_permits,
                   [this](const node_id& host, pieces_result result)
                   {
@@ -319,6 +322,7 @@
     m_scheduler.start();
     m_stages.start();
     m_store.start();
+    m_origin_store.start();
     m_timers.every(max_timer_sleep,
                    [this](time_point)
                    {
@@ -811,6 +815,7 @@
         .add("host", m_state.m_own_report.m_node)
         .add("requests", m_relay.active());
     m_store.stop();
+    m_origin_store.stop();
     m_on_stopped();
 }
 
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -42,6 +42,9 @@
     std::shared_ptr<const serving::routing_config> m_routing;
     serving::upstream_table m_upstreams;
     bool m_registry_loaded = false;
+    /// Number of times that a table of the store was found to have come back from an
+    /// older copy.
+    std::uint64_t m_store_returns = 0;
     serving::host_table m_hosts;
     host_report m_own_report;
     serving::retry_budget m_retry_budget;
--- a/src/edge/origin_exchange.cpp
+++ b/src/edge/origin_exchange.cpp
@@ -34,11 +34,11 @@
 {
     origin.m_began_here = true;
     record_origin(m_state.m_stream_origins, stream, origin);
-    if (!has_several_versions(m_state.m_stream_origins, origin.m_pool))
+    const time_point at = now();
+    if (only_version(m_state.m_stream_origins, origin.m_pool, at))
     {
         return;
     }
-    const time_point at = now();
     for (const node_address& host : origin_hosts(m_state.m_hosts, stream, at))
     {
         m_send(host, origin_report{{to_message(stream, origin, at)}});
--- a/src/edge/origin_exchange.hpp
+++ b/src/edge/origin_exchange.hpp
@@ -22,7 +22,7 @@
     origin_exchange(edge_state& state, datagram_sender send);
 
     /// Records the version of a stream whose first event this host is about to relay, and
-    /// tells other hosts if the pool has another version.
+    /// tells other hosts unless the pool is known to have no other version.
     void record(serving::known_origin origin, stream_key stream);
 
     /// Calls `done` with the version that began a stream, at the latest when other hosts
@@ -33,6 +33,9 @@
     /// told of the streams that this host relays.
     void observe_upstreams();
 
+    /// Tells other hosts of the streams of a pool that this host relays.
+    void tell_hosts_of_streams(const pool_id& pool);
+
     void on_report(const origin_report& report);
     void on_request(const origin_request& request, const node_address& from);
     void on_reply(const origin_reply& reply);
@@ -49,7 +52,6 @@
         timer_id m_timeout{};
     };
 
-    void tell_hosts_of_streams(const pool_id& pool);
     void finish(std::uint64_t number);
 
     edge_state& m_state;
--- a/src/edge/store_rows.cpp
+++ b/src/edge/store_rows.cpp
@@ -37,6 +37,7 @@
             .add("held_era", era_of(before))
             .add("held", transaction_of(before))
             .add("rows_held_back", table.m_copy.m_held_rows.size());
+        ++m_state.m_store_returns;
         m_state.m_metrics.add("store_returns", {{"table", table.m_name}});
     }
     const std::uint64_t changes_before = m_changes;
--- a/src/serving/stream_origins.cpp
+++ b/src/serving/stream_origins.cpp
@@ -95,7 +95,8 @@
 {
     const auto at = origins.m_pools.find(pool);
     if (at == origins.m_pools.end() || at->second.m_last_seen.size() != 1 ||
-        now - at->second.m_observed_since < origins.m_lifetime)
+        (!origins.m_is_complete &&
+         now - at->second.m_observed_since < origins.m_lifetime))
     {
         return std::nullopt;
     }
@@ -147,6 +148,15 @@
     }
     hosts.insert(hosts.end(), others.begin(), others.end());
     hosts.resize(std::min(hosts.size(), origin_holders));
+    for (const candidate& entry : candidates)
+    {
+        const node_address& peer = entry.m_report->m_peer;
+        if (entry.m_report->m_store_access == store_access::reading &&
+            std::find(hosts.begin(), hosts.end(), peer) == hosts.end())
+        {
+            hosts.push_back(peer);
+        }
+    }
     return hosts;
 }
 
@@ -181,12 +191,12 @@
     {
     case origin_source::own_record:
         return "own_record";
+    case origin_source::stored_record:
+        return "stored_record";
     case origin_source::other_host:
         return "other_host";
     case origin_source::only_version:
         return "only_version";
-    case origin_source::only_listed:
-        return "only_listed";
     case origin_source::unknown:
         return "unknown";
     }
@@ -200,7 +210,9 @@
     const auto own = origins.m_streams.find(stream);
     if (own != origins.m_streams.end())
     {
-        return {own->second.m_version, origin_source::own_record};
+        return {own->second.m_version, own->second.m_was_stored
+                                           ? origin_source::stored_record
+                                           : origin_source::own_record};
     }
     bool has_several = has_several_versions(origins, pool);
     std::set<software_version> only;
@@ -225,12 +237,11 @@
     const software_version& listed = at->second.m_last_seen.begin()->first;
     const bool is_certain = !only.empty() || only_version(origins, pool, now).has_value();
     only.insert(listed);
-    if (only.size() > 1)
+    if (!is_certain || only.size() > 1)
     {
         return {};
     }
-    return {listed,
-            is_certain ? origin_source::only_version : origin_source::only_listed};
+    return {listed, origin_source::only_version};
 }
 
 bool has_upstream_of(const upstream_table& table, const pool_id& pool,
