Ask callers back late for streams that nobody will know

What callers saw: a stream whose version nobody can tell was refused with 300 ms to return, again and again, also when each host that keeps origins had said that it has no record.

Cause: one time to return for two reasons. A missing answer or rows that the store's readers have not read yet may be there 300 ms later; a record that no host and no row has will not.

Change: decide_origin says whether its refusal is final: several versions can have begun the stream, all hosts that were asked have answered, and this host has observed the pool for the 2 s by which the rows are read. The caller is then told the rest of its time, of which refusals name a third at most, as for a version without upstreams.

The test of holders now also covers the hosts that read the store.

--- a/include/geraniumdoor/serving/stream_origins.hpp
+++ b/include/geraniumdoor/serving/stream_origins.hpp
@@ -121,17 +121,25 @@
     /// Empty if it is not known.
     std::optional<software_version> m_version;
     origin_source m_source = origin_source::unknown;
+    /// No host can tell, and none will be able to later.
+    bool m_is_final = false;
 };
 
+/// Time after a host has begun to observe a pool by which those that read the store have
+/// read what it holds of earlier streams.
+inline constexpr seconds stored_origins_read_time{2};
+
 /// Decides which version began a stream that a caller takes up.
 ///
 /// Load pattern: upstreams of two software versions serve during a release, what they
 /// write does not fit together, and hosts are killed meanwhile. A stream whose version
 /// nobody can tell is refused.
 /// @param replies what other hosts have answered
+/// @param asked number of hosts that were asked
 origin_decision decide_origin(const stream_origins& origins, stream_key stream,
                               const pool_id& pool,
-                              const std::vector<origin_reply>& replies, time_point now);
+                              const std::vector<origin_reply>& replies, std::size_t asked,
+                              time_point now);
 
 /// Whether an upstream of the version accepts work. Without a version, whether any does.
 bool has_upstream_of(const upstream_table& table, const pool_id& pool,
--- a/src/edge/origin_exchange.cpp
+++ b/src/edge/origin_exchange.cpp
@@ -52,7 +52,7 @@
     const auto hosts = origin_hosts(m_state.m_hosts, stream, at);
     if (origins.m_streams.contains(stream) || hosts.empty())
     {
-        done(decide_origin(origins, stream, pool, {}, at));
+        done(decide_origin(origins, stream, pool, {}, 0, at));
         return;
     }
     const std::uint64_t number = ++m_last_number;
@@ -154,7 +154,7 @@
     m_questions.erase(at);
     m_state.m_timers.cancel(ended.m_timeout);
     ended.m_done(decide_origin(m_state.m_stream_origins, ended.m_stream, ended.m_pool,
-                               ended.m_replies, now()));
+                               ended.m_replies, ended.m_asked, now()));
 }
 
 } // namespace geraniumdoor::edge
--- a/src/edge/relay_versions.cpp
+++ b/src/edge/relay_versions.cpp
@@ -18,8 +18,8 @@
 namespace
 {
 
-/// Retry-after time when nobody can tell which version began a stream. Datagrams between
-/// hosts may have been lost.
+/// Retry-after time when nobody can tell which version began a stream, but somebody may
+/// later: datagrams between hosts may have been lost, or the store's rows not been read.
 constexpr milliseconds unknown_version_retry_after{300};
 
 stream_key key_of(const relayed_request& current)
@@ -78,7 +78,10 @@
         .add("source", to_text(decision.m_source));
     if (!decision.m_version)
     {
-        co_await refuse(current, unknown_version_retry_after, unknown_version_reason);
+        co_await refuse(current,
+                        decision.m_is_final ? time_left(current)
+                                            : unknown_version_retry_after,
+                        unknown_version_reason);
         co_return false;
     }
     current.m_stream_version = decision.m_version;
--- a/src/serving/stream_origins.cpp
+++ b/src/serving/stream_origins.cpp
@@ -205,7 +205,8 @@
 
 origin_decision decide_origin(const stream_origins& origins, stream_key stream,
                               const pool_id& pool,
-                              const std::vector<origin_reply>& replies, time_point now)
+                              const std::vector<origin_reply>& replies, std::size_t asked,
+                              time_point now)
 {
     const auto own = origins.m_streams.find(stream);
     if (own != origins.m_streams.end())
@@ -230,10 +231,17 @@
         has_several |= reply.m_finding == origin_finding::several_versions;
     }
     const auto at = origins.m_pools.find(pool);
-    if (has_several || at == origins.m_pools.end() || at->second.m_last_seen.empty())
+    if (at == origins.m_pools.end() || at->second.m_last_seen.empty())
     {
         return {};
     }
+    if (has_several)
+    {
+        const bool is_final =
+            replies.size() >= asked &&
+            now - at->second.m_observed_since >= stored_origins_read_time;
+        return {std::nullopt, origin_source::unknown, is_final};
+    }
     const software_version& listed = at->second.m_last_seen.begin()->first;
     const bool is_certain = !only.empty() || only_version(origins, pool, now).has_value();
     only.insert(listed);
--- a/tests/serving/stream_fleet.hpp
+++ b/tests/serving/stream_fleet.hpp
@@ -549,18 +549,20 @@
         const stream_key key = key_of_stream(attempt_id{stream.m_first_attempt});
         fleet_host& asking = m_hosts[host];
         std::vector<origin_reply> replies;
+        std::size_t asked = 0;
         for (const node_address& holder : origin_hosts(asking.m_hosts, key, m_now))
         {
+            ++asked;
             deliver(
                 holder,
-                [&](const fleet_host& asked)
+                [&](const fleet_host& other)
                 {
                     replies.push_back(answer_origin_request(
-                        asked.m_origins, {1, key.m_value, sample_pool.m_value}, m_now));
+                        other.m_origins, {1, key.m_value, sample_pool.m_value}, m_now));
                 });
         }
         const auto decision =
-            decide_origin(asking.m_origins, key, sample_pool, replies, m_now);
+            decide_origin(asking.m_origins, key, sample_pool, replies, asked, m_now);
         return decision.m_version && run_at(stream, host, decision.m_version);
     }
 
--- a/tests/serving/stream_origins_test.cpp
+++ b/tests/serving/stream_origins_test.cpp
@@ -91,18 +91,18 @@
     stream_origins origins;
     const stream_key stream = key_of_stream(attempt_id{"a"});
     observe_versions(origins, table_of({entry_of("u2", "v2")}), start);
-    cr_expect(not decide_origin(origins, stream, sample_pool, {}, start).m_version);
+    cr_expect(not decide_origin(origins, stream, sample_pool, {}, 0, start).m_version);
     // Two versions can have begun streams.
     std::map<pool_id, stored_versions> stored;
     stored[sample_pool] = {
         {software_version{"v1"}, software_version{"v2"}}, store_version{5}, start};
     EXPECT_EQUAL(apply_stored_versions(origins, stored, start).size(), 1U);
-    cr_expect(not decide_origin(origins, stream, sample_pool, {}, start).m_version);
+    cr_expect(not decide_origin(origins, stream, sample_pool, {}, 0, start).m_version);
     cr_expect(versions_to_store(origins, sample_pool, stored[sample_pool]) ==
               stored[sample_pool].m_versions);
     // A stream that the store holds is known all the same.
     apply_stored_stream(origins, {stream, software_version{"v1"}}, start);
-    const auto known = decide_origin(origins, stream, sample_pool, {}, start);
+    const auto known = decide_origin(origins, stream, sample_pool, {}, 0, start);
     EXPECT_EQUAL(known.m_version->m_value, "v1");
     cr_expect(known.m_source == origin_source::stored_record);
     cr_expect(unsaved_streams(origins, 10).empty());
@@ -112,7 +112,7 @@
     const std::set<software_version> last{software_version{"v2"}};
     cr_expect(versions_to_store(origins, sample_pool, stored[sample_pool]) == last);
     const stream_key other = key_of_stream(attempt_id{"b"});
-    cr_expect(decide_origin(origins, other, sample_pool, {}, later).m_source ==
+    cr_expect(decide_origin(origins, other, sample_pool, {}, 0, later).m_source ==
               origin_source::only_version);
 }
 
@@ -160,7 +160,7 @@
     const stream_key stream = key_of_stream(attempt_id{"a"});
     const auto decide = [&](time_point at, const std::vector<origin_reply>& replies = {})
     {
-        return decide_origin(origins, stream, sample_pool, replies, at);
+        return decide_origin(origins, stream, sample_pool, replies, replies.size(), at);
     };
     // Without any entry of the registry.
     cr_expect(decide(start).m_source == origin_source::unknown);
@@ -205,6 +205,29 @@
     cr_expect(origins.m_streams.empty());
 }
 
+// Guards against callers who return again and again for a stream that nobody knows.
+Test(stream_origins,
+     a_stream_is_given_up_once_all_hosts_have_said_that_they_do_not_know_it)
+{
+    stream_origins origins;
+    const auto two = table_of({entry_of("u1", "v1"), entry_of("u2", "v2")});
+    observe_versions(origins, two, start);
+    const stream_key stream = key_of_stream(attempt_id{"a"});
+    const auto several = reply_of(origin_finding::several_versions, "");
+    const auto decide = [&](std::size_t answers, time_point at)
+    {
+        const std::vector<origin_reply> replies(answers, several);
+        return decide_origin(origins, stream, sample_pool, replies, 3, at);
+    };
+    // The hosts may still read what the store holds.
+    cr_expect(not decide(3, start).m_is_final);
+    const time_point later = start + stored_origins_read_time;
+    // An answer is missing.
+    cr_expect(not decide(2, later).m_is_final);
+    cr_expect(decide(3, later).m_is_final);
+    cr_expect(not decide(3, later).m_version);
+}
+
 Test(stream_origins, holders_are_in_different_data_centres)
 {
     host_table table;
@@ -229,6 +252,22 @@
         cr_expect(zones == each_zone);
     }
     cr_expect(origin_hosts(table, stream_key{1}, start + 10s).empty());
+    // Hosts that read the store are told as well, once each.
+    for (std::size_t host = 0; host < 3; ++host)
+    {
+        host_report report = report_of(host, 2);
+        report.m_store_access = store_access::reading;
+        apply_report(table, report, start);
+    }
+    for (std::uint64_t stream = 0; stream < 50; ++stream)
+    {
+        auto hosts = origin_hosts(table, stream_key{stream}, start);
+        for (std::size_t host = 0; host < 3; ++host)
+        {
+            EXPECT_EQUAL(std::count(hosts.begin(), hosts.end(), address_of(host)), 1);
+        }
+        cr_expect(hosts.size() <= origin_holders + 3);
+    }
 }
 
 Test(stream_origins, a_host_keeps_a_bounded_number_of_streams)
@@ -265,11 +304,12 @@
     observe_versions(origins, later, start + 1s);
     const time_point late = start + 120s;
     observe_versions(origins, later, late);
-    EXPECT_EQUAL(decide_origin(origins, stream, sample_pool, {}, late).m_version->m_value,
-                 "v1");
+    EXPECT_EQUAL(
+        decide_origin(origins, stream, sample_pool, {}, 0, late).m_version->m_value,
+        "v1");
     // A stream without a record may have begun at either.
     const stream_key other = key_of_stream(attempt_id{"b"});
-    cr_expect(not decide_origin(origins, other, sample_pool, {}, late).m_version);
+    cr_expect(not decide_origin(origins, other, sample_pool, {}, 0, late).m_version);
     // A configuration with shorter routes does not shorten what has begun.
     config.m_routes[1].m_timeout = 5s;
     extend_lifetime(origins, config);
--- a/tests/standins/software_version_test.cpp
+++ b/tests/standins/software_version_test.cpp
@@ -4,6 +4,7 @@
 #include <array>
 #include <map>
 #include <set>
+#include <string>
 
 // clang-format off: this header stays last.
 #include "testing.hpp"
@@ -215,3 +216,17 @@
     EXPECT_EQUAL(answer.m_body, "unknown_stream_version");
     EXPECT_EQUAL(two.count_resumed(), 0U);
 }
+
+// Guards against callers who return again and again for a stream that nobody knows.
+Test(software_version, a_caller_of_a_stream_that_nobody_knows_is_not_asked_back_soon)
+{
+    version_story story{27120, 4, {"v1", "v1", "v2", "v2"}};
+    story.m_cluster.run_for(2500ms);
+    const auto answer = story.m_cluster.send_request(0, take_up("gone", "a"), 500ms);
+    EXPECT_EQUAL(answer.m_status, 503U);
+    EXPECT_EQUAL(answer.m_body, "unknown_stream_version");
+    const std::string wait{find_field(answer.m_fields, "Retry-After")};
+    cr_assert(not wait.empty());
+    // A third of the 2.5 s that the caller waits, less the time to ask other hosts.
+    cr_expect(std::stod(wait) >= 0.6, "Retry-After %s", wait.c_str());
+}
