Store versions again that left before the store came back

After a return of the store from an older copy, the host that writes the versions of pools read them and took them for what other hosts had written meanwhile. A version that it had seen, that had left, and that the copy did not have yet was not added again. A loss of all hosts within the lifetime of its streams would have joined them, as before rows were kept. No caller saw it.

Cause: rows read after a return counted as known since that read, as in an era that goes on, so that only versions seen later were added. They now count as older than all that the host has seen.

rejoined_stream::a_version_that_has_left_is_stored_again_after_a_return failed before: the row kept {"versions":["v2"]}.

--- a/src/edge/origin_store.cpp
+++ b/src/edge/origin_store.cpp
@@ -96,8 +96,8 @@
         m_versions_are_current = false;
         m_streams_are_current = false;
         mark_unsaved(m_state.m_stream_origins);
-        // The rows may lack what this host has seen before.
         m_versions.clear();
+        m_rows_are_older = true;
     }
     // Streams first: with the versions, the history counts as complete.
     if (!m_streams_are_current && !co_await read_streams())
@@ -152,7 +152,8 @@
 
 asio::awaitable<bool> origin_store::read_versions()
 {
-    const time_point began = now();
+    // All that this host has seen is newer than rows of an older copy.
+    const time_point known_since = m_rows_are_older ? time_point{} : now();
     const auto page =
         co_await m_store.read_table(platform::version_table_name, store_call_timeout);
     if (!is_ok(page))
@@ -172,18 +173,20 @@
             versions = {unreadable_version};
         }
         rows.emplace(pool_id{row.m_key},
-                     stored_versions{*std::move(versions), row.m_version, began});
+                     stored_versions{*std::move(versions), row.m_version, known_since});
     }
     // A row that has not changed has been known for longer.
     for (const auto& [pool, known] : m_versions)
     {
-        const auto at = rows.try_emplace(pool, stored_versions{{}, {}, began}).first;
+        const auto at =
+            rows.try_emplace(pool, stored_versions{{}, {}, known_since}).first;
         if (at->second.m_row == known.m_row)
         {
             at->second.m_known_since = known.m_known_since;
         }
     }
     m_versions = std::move(rows);
+    m_rows_are_older = false;
     for (const pool_id& pool :
          apply_stored_versions(m_state.m_stream_origins, m_versions, now()))
     {
--- a/src/edge/origin_store.hpp
+++ b/src/edge/origin_store.hpp
@@ -48,6 +48,8 @@
     bool m_versions_are_current = false;
     bool m_streams_are_current = false;
     std::uint64_t m_store_returns = 0;
+    /// The store has come back from an older copy, whose rows have not been read yet.
+    bool m_rows_are_older = false;
     std::uint64_t m_last_row = 0;
     time_point m_last_stream_write{};
     bool m_stopped = false;
--- a/tests/standins/rejoined_stream_test.cpp
+++ b/tests/standins/rejoined_stream_test.cpp
@@ -321,3 +321,25 @@
     EXPECT_EQUAL(store.m_transactions, before);
     cr_expect(store.m_tables["origins"].empty());
 }
+
+// Guards against a version that is forgotten because it left before the store came back
+// from a copy that did not have it yet.
+Test(rejoined_stream, a_version_that_has_left_is_stored_again_after_a_return)
+{
+    power_loss_story story{27160, 2, {"v1", "v1", "v2", "v2"}};
+    story.begin_broken_streams("r", 8);
+    story.remove_version("v1");
+    story.cluster().run_for(1500ms);
+    auto& store = story.cluster().m_store;
+    auto copy = store.make_copy();
+    copy.m_tables["versions"]["engine"].m_value = R"({"versions":["v2"]})";
+    copy.m_tables["origins"].clear();
+    store.go_back(copy);
+    story.cluster().run_for(2500ms);
+    EXPECT_EQUAL(store.m_tables["versions"]["engine"].m_value,
+                 R"({"versions":["v1","v2"]})");
+    story.lose_power({"v2", "v2"});
+    const auto counts = story.take_up_streams();
+    EXPECT_EQUAL(counts.m_joined, 0);
+    EXPECT_EQUAL(counts.m_went_on, story.count_streams_of("v2") * story.host_count());
+}
