--- a/src/edge/origin_exchange.cpp
+++ b/src/edge/origin_exchange.cpp
@@ -34,11 +34,11 @@
 {
     origin.m_began_here = true;
     record_origin(m_state.m_stream_origins, stream, origin);
-    if (!has_several_versions(m_state.m_stream_origins, origin.m_pool))
+    const time_point at = now();
+    if (only_version(m_state.m_stream_origins, origin.m_pool, at))
     {
         return;
     }
-    const time_point at = now();
     for (const node_address& host : origin_hosts(m_state.m_hosts, stream, at))
     {
         m_send(host, origin_report{{to_message(stream, origin, at)}});
@@ -52,7 +52,7 @@
     const auto hosts = origin_hosts(m_state.m_hosts, stream, at);
     if (origins.m_streams.contains(stream) || hosts.empty())
     {
-        done(decide_origin(origins, stream, pool, {}, at));
+        done(decide_origin(origins, stream, pool, {}, 0, at));
         return;
     }
     const std::uint64_t number = ++m_last_number;
@@ -154,7 +154,7 @@
     m_questions.erase(at);
     m_state.m_timers.cancel(ended.m_timeout);
     ended.m_done(decide_origin(m_state.m_stream_origins, ended.m_stream, ended.m_pool,
-                               ended.m_replies, now()));
+                               ended.m_replies, ended.m_asked, now()));
 }
 
 } // namespace geraniumdoor::edge
--- a/src/serving/stream_origins.cpp
+++ b/src/serving/stream_origins.cpp
@@ -95,7 +95,8 @@
 {
     const auto at = origins.m_pools.find(pool);
     if (at == origins.m_pools.end() || at->second.m_last_seen.size() != 1 ||
-        now - at->second.m_observed_since < origins.m_lifetime)
+        (!origins.m_is_complete &&
+         now - at->second.m_observed_since < origins.m_lifetime))
     {
         return std::nullopt;
     }
@@ -147,6 +148,15 @@
     }
     hosts.insert(hosts.end(), others.begin(), others.end());
     hosts.resize(std::min(hosts.size(), origin_holders));
+    for (const candidate& entry : candidates)
+    {
+        const node_address& peer = entry.m_report->m_peer;
+        if (entry.m_report->m_store_access == store_access::reading &&
+            std::find(hosts.begin(), hosts.end(), peer) == hosts.end())
+        {
+            hosts.push_back(peer);
+        }
+    }
     return hosts;
 }
 
@@ -181,12 +191,12 @@
     {
     case origin_source::own_record:
         return "own_record";
+    case origin_source::stored_record:
+        return "stored_record";
     case origin_source::other_host:
         return "other_host";
     case origin_source::only_version:
         return "only_version";
-    case origin_source::only_listed:
-        return "only_listed";
     case origin_source::unknown:
         return "unknown";
     }
@@ -195,12 +205,15 @@
 
 origin_decision decide_origin(const stream_origins& origins, stream_key stream,
                               const pool_id& pool,
-                              const std::vector<origin_reply>& replies, time_point now)
+                              const std::vector<origin_reply>& replies, std::size_t asked,
+                              time_point now)
 {
     const auto own = origins.m_streams.find(stream);
     if (own != origins.m_streams.end())
     {
-        return {own->second.m_version, origin_source::own_record};
+        return {own->second.m_version, own->second.m_was_stored
+                                           ? origin_source::stored_record
+                                           : origin_source::own_record};
     }
     bool has_several = has_several_versions(origins, pool);
     std::set<software_version> only;
@@ -218,19 +231,25 @@
         has_several |= reply.m_finding == origin_finding::several_versions;
     }
     const auto at = origins.m_pools.find(pool);
-    if (has_several || at == origins.m_pools.end() || at->second.m_last_seen.empty())
+    if (at == origins.m_pools.end() || at->second.m_last_seen.empty())
     {
         return {};
     }
+    if (has_several)
+    {
+        const bool is_final =
+            replies.size() >= asked &&
+            now - at->second.m_observed_since >= stored_origins_read_time;
+        return {std::nullopt, origin_source::unknown, is_final};
+    }
     const software_version& listed = at->second.m_last_seen.begin()->first;
     const bool is_certain = !only.empty() || only_version(origins, pool, now).has_value();
     only.insert(listed);
-    if (only.size() > 1)
+    if (!is_certain || only.size() > 1)
     {
         return {};
     }
-    return {listed,
-            is_certain ? origin_source::only_version : origin_source::only_listed};
+    return {listed, origin_source::only_version};
 }
 
 bool has_upstream_of(const upstream_table& table, const pool_id& pool,
