--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -220,6 +220,18 @@
     }
 }
 
+// A stage that waits for itself never starts, and one that is not there was looked up.
+Test(odd_rows, a_configuration_with_stages_that_cannot_be_ordered_is_rejected)
+{
+    for (const char* stages : {"1", "2", "4294967295", "0.5"})
+    {
+        cr_expect(not accepts_configuration("/routes/0/stages/1/after/0", stages), "%s",
+                  stages);
+    }
+    cr_expect(not accepts_configuration("/routes/0/stages/0/after", "[1]"));
+    cr_expect(accepts_configuration("/routes/0/stages/1/after/0", "0"));
+}
+
 Test(odd_rows, odd_numbers_in_header_fields_say_nothing)
 {
     const std::string huge(400, '9');
--- a/tests/standins/odd_entry_test.cpp
+++ b/tests/standins/odd_entry_test.cpp
@@ -129,6 +129,8 @@
     for (const std::string& odd :
          {configuration_with_stage(R"("after":[-1],"bytes":8000)"),
           configuration_with_stage(R"("after":[0.5],"bytes":8000)"),
+          configuration_with_stage(R"("after":[7],"bytes":8000)"),
+          configuration_with_stage(R"("after":[0],"bytes":8000)"),
           configuration_with_stage(R"("after":[],"bytes":1e300)"),
           configuration_with_stage(R"("after":[],"x":)" + nested(100)),
           std::string{R"({"version":2,"routes":{}})"},
