Read a page past a row without a usable key

Cause: a row without a key, with a key of another type, or a key that is not UTF-8 made the whole page unreadable. The row stays in the store, so that each later page was unreadable, too. What callers saw: hosts no longer followed the registry, and a host that started beside such a row never served. Change: such rows are left out and logged, keys may have any bytes, and a page with more to come but no row to go on from is an error, not the end of the table.

--- a/src/edge/store_rows.cpp
+++ b/src/edge/store_rows.cpp
@@ -39,6 +39,12 @@
             .add("rows_held_back", table.m_copy.m_held_rows.size());
         m_state.m_metrics.add("store_returns", {{"table", table.m_name}});
     }
+    if (page.m_unreadable_rows > 0)
+    {
+        log_event{"store_rows_without_key"}
+            .add("table", table.m_name)
+            .add("rows", page.m_unreadable_rows);
+    }
     const std::uint64_t changes_before = m_changes;
     for (const serving::row_change& change : merged.m_changes)
     {
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -244,14 +244,21 @@
                                             "the store went back during the read"};
         }
         merged.m_version = is_first ? version : std::min(merged.m_version, version);
+        merged.m_unreadable_rows += value_of(page).m_unreadable_rows;
         for (serving::store_row& entry : value_of(page).m_rows)
         {
             merged.m_rows.push_back(std::move(entry));
         }
-        if (!value_of(page).m_has_more || merged.m_rows.empty())
+        if (!value_of(page).m_has_more)
         {
             break;
         }
+        // A table of which a part is missing would count as whole.
+        if (merged.m_rows.empty() || merged.m_rows.back().m_key < from)
+        {
+            co_return platform::store_error{platform::store_error_kind::malformed,
+                                            "a page has no rows to go on from"};
+        }
         from = merged.m_rows.back().m_key + '\0';
     }
     co_return merged;
--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -191,6 +191,13 @@
         }
         co_await pause(milliseconds{10});
     }
+    if (table == "servers")
+    {
+        for (const std::string& odd : m_odd_rows)
+        {
+            rows.push_back(json::parse(odd));
+        }
+    }
     json::object page;
     page["rows"] = std::move(rows);
     page["hasMore"] = false;
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -36,6 +36,8 @@
     /// Answers 503 to all calls.
     bool m_down = false;
     int m_reads = 0;
+    /// Rows, as JSON, that each page of the registry has besides those of the table.
+    std::vector<std::string> m_odd_rows;
 
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -232,6 +232,34 @@
     cr_expect(accepts_configuration("/routes/0/stages/1/after/0", "0"));
 }
 
+Test(odd_rows, a_page_is_read_past_a_row_without_a_usable_key)
+{
+    for (const char* odd :
+         {R"({"value":"e30=","ver":5})", R"({"key":7,"value":"e30=","ver":5})", "7",
+          "null", "[[[[]]]]", R"({"key":"","value":"e30=","ver":5})"})
+    {
+        const std::string body =
+            R"({"rows":[{"key":"a","value":"eA==","ver":3},)" + std::string{odd} +
+            R"(,{"key":"c","value":"eQ==","ver":4}],"hasMore":false,"ver":9})";
+        const auto page = platform::decode_row_page(body, {});
+        cr_assert(is_ok(page), "%s", odd);
+        EXPECT_EQUAL(value_of(page).m_version, store_version{9});
+        cr_assert(value_of(page).m_rows.size() >= 2);
+        EXPECT_EQUAL(value_of(page).m_rows.front().m_key, "a");
+        EXPECT_EQUAL(value_of(page).m_rows.back().m_key, "c");
+        EXPECT_EQUAL(value_of(page).m_rows.back().m_value, "y");
+    }
+}
+
+Test(odd_rows, a_page_with_a_key_of_odd_bytes_is_read)
+{
+    const std::string body = std::string{R"({"rows":[{"key":"i)"} + "\xff\xc0" +
+                             R"(","value":"eA==","ver":3}],"ver":9})";
+    const auto page = platform::decode_row_page(body, {});
+    cr_assert(is_ok(page));
+    EXPECT_EQUAL(value_of(page).m_rows.at(0).m_key, "i\xff\xc0");
+}
+
 Test(odd_rows, odd_numbers_in_header_fields_say_nothing)
 {
     const std::string huge(400, '9');
--- a/tests/standins/odd_entry_test.cpp
+++ b/tests/standins/odd_entry_test.cpp
@@ -98,6 +98,38 @@
     }
 }
 
+// A page with one of these was unreadable as a whole, and each later one, too.
+Test(odd_entry, hosts_follow_beside_a_row_without_a_usable_key)
+{
+    edge_cluster cluster{27320, 1};
+    cluster.set_config(sample_routes(), 1);
+    cluster.add_worker("w1", "plain");
+    cluster.start();
+    cluster.m_store.put("servers", "i\xff", "{}");
+    cluster.m_store.m_odd_rows = {R"({"value":"e30=","ver":2})", "7",
+                                  R"({"key":[],"value":"e30=","ver":2})"};
+    cluster.m_store.remove("servers", "w1");
+    cluster.run_for(time_to_follow + serving::restore_timeout);
+    EXPECT_EQUAL(read_status(cluster, 0, "without"), 503U);
+    cluster.add_worker("w2", "plain");
+    cluster.run_for(time_to_follow);
+    EXPECT_EQUAL(read_status(cluster, 0, "with"), 200U);
+}
+
+// The same for a host that starts when the odd row is there already.
+Test(odd_entry, a_host_starts_beside_a_row_without_a_usable_key)
+{
+    edge_cluster cluster{27360, 1};
+    cluster.set_config(sample_routes(), 1);
+    cluster.add_worker("w1", "plain");
+    cluster.m_store.put("servers", "i\xff", "{}");
+    cluster.m_store.m_odd_rows = {R"({"value":"e30=","ver":2})"};
+    cluster.start_store();
+    cluster.start_host(0);
+    cluster.run_for(time_to_follow);
+    EXPECT_EQUAL(read_status(cluster, 0, "read"), 200U);
+}
+
 Test(odd_entry, an_odd_entry_in_place_of_a_sound_one_names_no_upstream)
 {
     edge_cluster cluster{27400, 1};
