--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -260,6 +260,22 @@
     EXPECT_EQUAL(value_of(page).m_rows.at(0).m_key, "i\xff\xc0");
 }
 
+// A host keeps the newest version of a row: with one from the future, all that is written
+// later would be ignored.
+Test(odd_rows, no_row_is_newer_than_its_page)
+{
+    for (const char* version : {"18446744073709551615", "10", "281474976710656", "-1",
+                                "1e300", "3.5", "\"3\"", "null"})
+    {
+        const std::string body = R"({"rows":[{"key":"a","value":"","ver":)" +
+                                 std::string{version} + R"(}],"ver":9})";
+        const auto page = platform::decode_row_page(body, store_era{1});
+        cr_assert(is_ok(page), "%s", version);
+        const auto row = value_of(page).m_rows.at(0).m_version;
+        cr_expect(row <= value_of(page).m_version, "%s", version);
+    }
+}
+
 Test(odd_rows, odd_numbers_in_header_fields_say_nothing)
 {
     const std::string huge(400, '9');
