--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -136,6 +136,28 @@
     }
 }
 
+// The key is sent to the upstream in a header field.
+Test(odd_rows, an_entry_whose_name_cannot_be_sent_names_no_upstream)
+{
+    for (const std::string& id :
+         {std::string{}, std::string{"i 1"}, std::string{"i\r\nTenant: other"},
+          std::string{"i\0", 2}, std::string{"i\xff"}, std::string(201, 'i')})
+    {
+        cr_expect(not accepts_entry(sound_entry(), id));
+    }
+    cr_expect(accepts_entry(sound_entry(), std::string(200, 'i')));
+    for (const char* field : {"service", "zone"})
+    {
+        for (const std::string& name :
+             {std::string{}, std::string{"z\n1"}, std::string(201, 'z')})
+        {
+            json::object entry = sound_entry();
+            entry[field] = name;
+            cr_expect(not accepts_entry(entry), "%s", field);
+        }
+    }
+}
+
 Test(odd_rows, a_deeply_nested_value_names_no_upstream)
 {
     for (const std::size_t depth : {31U, 32U, 33U, 20000U})
@@ -276,6 +298,22 @@
     }
 }
 
+// The handle is sent to other upstreams in a header field.
+Test(odd_rows, a_handle_that_cannot_be_sent_is_no_result)
+{
+    for (const char* handle : {R"(10.0.0.1:80/a\r\nTenant: t)", R"(10.0.0.1:80/a,b)",
+                               R"(10.0.0.1:80/a b)", R"(10.0.0.1:80/\u0000)"})
+    {
+        const std::string body =
+            R"({"items":[{"handle":")" + std::string{handle} + R"("},{"handle":"x"}]})";
+        const auto decoded = platform::decode_pieces(body, 2);
+        cr_assert(is_ok(decoded));
+        EXPECT_EQUAL(value_of(decoded)[0].m_handle, "");
+        EXPECT_EQUAL(value_of(decoded)[0].m_failure, platform::piece_failure::other);
+        EXPECT_EQUAL(value_of(decoded)[1].m_handle, "x");
+    }
+}
+
 Test(odd_rows, odd_numbers_in_header_fields_say_nothing)
 {
     const std::string huge(400, '9');
--- a/tests/standins/odd_entry_test.cpp
+++ b/tests/standins/odd_entry_test.cpp
@@ -149,6 +149,20 @@
     EXPECT_EQUAL(read_status(cluster, 0, "after"), 200U);
 }
 
+// The key of an entry is sent to its upstream in a header field.
+Test(odd_entry, the_key_of_an_odd_entry_adds_no_header_field)
+{
+    edge_cluster cluster{27440, 1};
+    worker_standin& worker = cluster.add_worker("w1", "plain");
+    cluster.set_config(sample_routes(), 1);
+    cluster.m_store.put("servers", "w1\r\nTenant: other",
+                        registry_entry(worker, worker.m_port));
+    cluster.m_store.remove("servers", "w1");
+    cluster.start();
+    EXPECT_EQUAL(read_status(cluster, 0, "read"), 503U);
+    cr_expect(worker.m_seen.empty());
+}
+
 Test(odd_entry, an_odd_configuration_leaves_the_one_before_in_force)
 {
     edge_cluster cluster{27480, 1};
