--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -282,6 +282,19 @@
     EXPECT_EQUAL(value_of(page).m_rows.at(0).m_key, "i\xff\xc0");
 }
 
+Test(odd_rows, a_value_that_is_not_base64_is_empty)
+{
+    for (const char* value : {R"("e30=x")", R"("\u00ff\u00ff")", R"("%%%%")", R"("e")",
+                              "7", "null", "[]", R"("e30\u0000")"})
+    {
+        const std::string body = R"({"rows":[{"key":"a","value":)" + std::string{value} +
+                                 R"(,"ver":3}],"ver":9})";
+        const auto page = platform::decode_row_page(body, {});
+        cr_assert(is_ok(page), "%s", value);
+        EXPECT_EQUAL(value_of(page).m_rows.at(0).m_value, "");
+    }
+}
+
 // A host keeps the newest version of a row: with one from the future, all that is written
 // later would be ignored.
 Test(odd_rows, no_row_is_newer_than_its_page)
