Bound the time that inputs are kept for a fetch

Cause: the time follows from bytes and the bandwidth of the producers' links, which the configuration states. With next to no bandwidth it is longer than an integer of milliseconds holds. What callers saw: nothing here; the result of the cast is undefined and differs between processors. Change: at most an hour. Measured: before, choice::inputs_are_released_* ended with 'signed integer overflow: + 60'.

--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -30,6 +30,10 @@
 /// shared prefix again at another engine.
 constexpr double lone_version_penalty_ms = 300;
 
+/// Longest time for which results are kept while an engine fetches them. A link with next
+/// to no bandwidth would make it longer than a duration holds.
+constexpr seconds max_fetch_time{3600};
+
 /// Returns the key that selects the home engine of a prompt: the last shared part, so
 /// that sessions that have only a short general prefix in common are distributed over
 /// the engines.
@@ -131,7 +135,8 @@
         return std::nullopt;
     }
     const double transfer =
-        concurrent_fetches * static_cast<double>(bytes) / bytes_per_ms;
+        std::min(to_ms(max_fetch_time),
+                 concurrent_fetches * static_cast<double>(bytes) / bytes_per_ms);
     return fetch_start_delay +
            milliseconds{static_cast<std::int64_t>(std::ceil(transfer))};
 }
--- a/tests/serving/choice_test.cpp
+++ b/tests/serving/choice_test.cpp
@@ -300,6 +300,8 @@
     // A link with a tenth of the bandwidth is given ten times as long.
     EXPECT_EQUAL(*input_fetch_time(engine, limits, 3'000'000, bytes_per_ms / 10),
                  *large_inputs);
+    // A link with next to no bandwidth gives a time that a duration holds.
+    cr_expect(*input_fetch_time(engine, limits, 3'000'000, 1e-300) > 1000s);
     cr_expect(not input_fetch_time(engine, limits, 3'000'000, 0).has_value());
     engine.m_running = 64;
     cr_expect(not input_fetch_time(engine, limits, 3'000'000, bytes_per_ms).has_value());
