--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -42,6 +42,8 @@
     std::set<std::string> m_refused_tables;
     int m_reads = 0;
     int m_transactions = 0;
+    /// Rows, as JSON, that each page of the registry has besides those of the table.
+    std::vector<std::string> m_odd_rows;
 
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
