Judge the response of a successor like that of any attempt

A head is judged in one place for attempts and offers, so that a stream that has begun no longer ends its search at a response that is no stream. A failed offer is logged (offer_failed), and a connection that its successor closed is evidence of a crash. The registry entry goes with the offer, so that a successor whose row vanishes may end the stream that it works on instead of losing it.

--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -46,13 +46,6 @@
     return limits;
 }
 
-bool may_have_run(attempt_outcome outcome)
-{
-    return outcome != attempt_outcome::not_sent && outcome != attempt_outcome::declined &&
-           outcome != attempt_outcome::input_gone &&
-           outcome != attempt_outcome::wrong_upstream;
-}
-
 /// Ids of the parts of a prompt, for the log.
 std::string part_ids(const prompt& request_prompt)
 {
@@ -80,6 +73,12 @@
     return type.empty() || boost::algorithm::istarts_with(type, event_stream);
 }
 
+bool begins_stream(const relayed_request& current, const http_answer_head& head)
+{
+    return is_stream(current.m_route->m_retry_safety) && head.m_status == 200 &&
+           has_events(head);
+}
+
 } // namespace
 
 milliseconds request_relay::expected_first_token_time(const request& current) const
@@ -117,6 +116,12 @@
     bool again = true;
     while (again && !current.m_caller_gone)
     {
+        if (current.m_takeover.m_head)
+        {
+            // The successor has the request already, whatever becomes of its row.
+            again = co_await attempt_at(current, current.m_takeover.m_entry);
+            continue;
+        }
         const upstream* chosen = select_next_upstream(current);
         const bool quarantined = is_quarantined(current);
         if (quarantined)
@@ -145,11 +150,7 @@
             co_return;
         }
         const upstream_id id = chosen->m_entry.m_id;
-        bool may_send = true;
-        if (!current.m_takeover.m_head)
-        {
-            may_send = co_await get_permit(current, id);
-        }
+        const bool may_send = co_await get_permit(current, id);
         if (current.m_caller_gone)
         {
             co_return;
@@ -159,22 +160,29 @@
         {
             continue;
         }
-        const time_point began = now();
-        if (current.m_last_sent_at == time_point{})
-        {
-            current.m_preparation_time = ms_between(current.m_arrived_at, began);
-        }
-        current.m_last_sent_at = began;
-        const attempt_outcome outcome = co_await run_attempt(current, *chosen);
-        record_attempt(current, outcome, began);
-        record_crash_evidence(current, outcome);
-        if (current.m_caller_gone)
-        {
-            co_return;
-        }
-        current.m_tried_upstreams.push_back(id);
-        again = co_await handle_outcome(current, outcome);
+        again = co_await attempt_at(current, chosen->m_entry);
+    }
+}
+
+asio::awaitable<bool> request_relay::attempt_at(request& current, upstream_entry chosen)
+{
+    const upstream_id id = chosen.m_id;
+    const time_point began = now();
+    if (current.m_last_sent_at == time_point{})
+    {
+        current.m_preparation_time = ms_between(current.m_arrived_at, began);
     }
+    current.m_last_sent_at = began;
+    const attempt_outcome outcome = co_await run_attempt(current, std::move(chosen));
+    record_attempt(current, outcome, began);
+    record_crash_evidence(current, outcome);
+    if (current.m_caller_gone)
+    {
+        co_return false;
+    }
+    current.m_tried_upstreams.push_back(id);
+    const bool again = co_await handle_outcome(current, outcome);
+    co_return again;
 }
 
 asio::awaitable<bool> request_relay::get_permit(request& current, upstream_id id)
@@ -241,11 +249,6 @@
 
 const upstream* request_relay::select_next_upstream(request& current) const
 {
-    if (current.m_takeover.m_head)
-    {
-        // The successor has the request already.
-        return m_state.m_upstreams.m_rows.find(current.m_takeover.m_upstream);
-    }
     const upstream* chosen = select_upstream(current, current.m_tried_upstreams);
     if (chosen == nullptr && current.m_retry_state.m_possible_runs == 0 &&
         !current.m_tried_upstreams.empty())
@@ -270,6 +273,7 @@
         moves || may_retry(m_state.m_retry_budget, current.m_pool,
                            count_possible_senders(m_state.m_hosts, now()), now());
     state.m_may_crash_upstreams =
+        !moves &&
         !may_send_again(m_state.m_crash_suspects, current.m_shared_parts, now());
     const next_step step = decide_next_step(outcome, state);
     const bool again = step == next_step::try_other || step == next_step::resume_other ||
@@ -395,15 +399,15 @@
 }
 
 asio::awaitable<attempt_outcome> request_relay::run_attempt(request& current,
-                                                            const upstream& chosen)
+                                                            upstream_entry chosen)
 {
-    const upstream_id id = chosen.m_entry.m_id;
-    const ip_endpoint address = chosen.m_entry.m_address;
+    const upstream_id id = chosen.m_id;
+    const ip_endpoint address = chosen.m_address;
     const takeover moved = std::exchange(current.m_takeover, {});
     const auto call = moved.m_head ? moved.m_call : make_upstream_call();
     current.m_upstream_call = call;
     current.m_upstream = id;
-    current.m_upstream_version = chosen.m_entry.m_version;
+    current.m_upstream_version = chosen.m_version;
     const auto tokens = current.m_metadata.m_prompt.m_prompt_tokens +
                         current.m_metadata.m_prompt.m_output_tokens;
     const auto update_running = [&](bool begin)
@@ -588,34 +592,44 @@
     }
 }
 
-asio::awaitable<attempt_outcome>
-request_relay::handle_response_head(request& current, http_answer_head head)
+std::optional<attempt_outcome>
+request_relay::failure_of_head(const request& current, const upstream_id& id,
+                               time_point sent_at, const http_answer_head& head)
 {
     const auto metadata =
         platform::parse_response_metadata(head, current.m_metadata.m_request);
     if (metadata.m_id_mismatch)
     {
-        co_return attempt_outcome::unusable;
+        return attempt_outcome::unusable;
     }
     if (head.m_status == wrong_upstream_status)
     {
-        co_return attempt_outcome::wrong_upstream;
+        return attempt_outcome::wrong_upstream;
     }
-    apply_notice(m_state, current.m_upstream, head.m_status, head.m_fields,
-                 current.m_last_sent_at);
+    apply_notice(m_state, id, head.m_status, head.m_fields, sent_at);
     if (metadata.m_not_run && head.m_status >= 400)
     {
-        co_return head.m_status == input_gone_status ? attempt_outcome::input_gone
-                                                     : attempt_outcome::declined;
+        return head.m_status == input_gone_status ? attempt_outcome::input_gone
+                                                  : attempt_outcome::declined;
     }
-    if (!metadata.m_signed)
+    // Once part of a stream was sent to the caller, a different response cannot follow.
+    const bool fits =
+        !current.m_retry_state.m_stream_begun || begins_stream(current, head);
+    return metadata.m_signed && fits ? std::nullopt
+                                     : std::optional{attempt_outcome::unusable};
+}
+
+asio::awaitable<attempt_outcome>
+request_relay::handle_response_head(request& current, http_answer_head head)
+{
+    const auto failure =
+        failure_of_head(current, current.m_upstream, current.m_last_sent_at, head);
+    if (failure)
     {
-        co_return attempt_outcome::unusable;
+        co_return *failure;
     }
     end_search(current);
-    const bool streams = is_stream(current.m_route->m_retry_safety) &&
-                         head.m_status == 200 && has_events(head);
-    if (streams)
+    if (begins_stream(current, head))
     {
         const auto outcome = co_await relay_stream(current, head);
         record_stream_end(current, head.m_framing, outcome);
@@ -628,11 +642,6 @@
 asio::awaitable<attempt_outcome> request_relay::relay_buffered(request& current,
                                                                http_answer_head head)
 {
-    if (current.m_retry_state.m_stream_begun)
-    {
-        // Part of a stream was sent to the caller; a different response cannot follow it.
-        co_return attempt_outcome::unusable;
-    }
     std::string body;
     bool more = true;
     while (more)
--- a/src/edge/relay_suspects.cpp
+++ b/src/edge/relay_suspects.cpp
@@ -64,16 +64,24 @@
         record_sound_stream(current);
         return;
     }
-    const upstream* row = m_state.m_upstreams.m_rows.find(current.m_upstream);
-    if (!progress.m_connection_lost || progress.m_events >= events_of_sound_stream ||
-        row == nullptr)
+    if (progress.m_connection_lost && progress.m_events < events_of_sound_stream)
+    {
+        record_possible_crash(current, current.m_upstream,
+                              progress.m_head_received ? weight_of_begun_stream
+                                                       : weight_of_queued_request);
+    }
+}
+
+void request_relay::record_possible_crash(const request& current, const upstream_id& id,
+                                          std::uint32_t weight)
+{
+    const upstream* row = m_state.m_upstreams.m_rows.find(id);
+    if (row == nullptr || current.m_shared_parts.empty())
     {
         return;
     }
     record_crash(m_state.m_crash_suspects, current.m_shared_parts, run_of(row->m_entry),
-                 progress.m_head_received ? weight_of_begun_stream
-                                          : weight_of_queued_request,
-                 now());
+                 weight, now());
     m_state.m_metrics.add("suspected_crashes", {});
 }
 
--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -30,9 +30,6 @@
 /// upstreams that could not be reached are tried again.
 constexpr milliseconds search_backoff{300};
 
-/// Lowest status of a response that does not serve the request.
-constexpr unsigned http_client_error = 400;
-
 /// Longest time for which a request is at two upstreams: most of those that decline it do
 /// so at once, and then the present one keeps it. The platform allows 400 ms.
 constexpr milliseconds max_overlap{200};
@@ -349,70 +346,84 @@
         }
         record_send(row.m_sends, at);
         record_retry(m_state.m_retry_budget, current.m_pool, at);
+        next.m_entry = row.m_entry;
         next.m_sent_at = at;
         next.m_head = send_to_upstream(current, next.m_call, next.m_upstream);
         return "answer";
     }
-    return answer_of_successor(current);
+    if (!next.m_head->m_ended)
+    {
+        return at < next.m_sent_at + max_overlap ? "answer" : "";
+    }
+    const auto failure = failure_of_successor(current);
+    if (!failure)
+    {
+        return "";
+    }
+    record_failed_offer(current, *failure);
+    exclude_successor(current);
+    return "acceptance";
 }
 
-const char* request_relay::answer_of_successor(request& current)
+std::optional<attempt_outcome> request_relay::failure_of_successor(const request& current)
 {
-    takeover& next = current.m_takeover;
-    upstream* row = m_state.m_upstreams.m_rows.find(next.m_upstream);
-    if (row == nullptr)
+    const takeover& next = current.m_takeover;
+    const result<http_answer_head, http_error>& response = *next.m_head->m_result;
+    if (!is_ok(response))
+    {
+        return error_of(response).m_kind == http_error_kind::malformed
+                   ? attempt_outcome::unusable
+                   : attempt_outcome::broken;
+    }
+    const http_answer_head& head = value_of(response);
+    const auto failure = failure_of_head(current, next.m_upstream, next.m_sent_at, head);
+    return !failure && head.m_status >= 500
+               ? std::optional{attempt_outcome::answered_with_fault}
+               : failure;
+}
+
+void request_relay::record_failed_offer(request& current, attempt_outcome failure)
+{
+    const takeover& next = current.m_takeover;
+    const time_point at = now();
+    m_state.m_metrics.add("attempts", {{"end", to_text(failure)}});
+    log_event{"offer_failed"}
+        .add("request", current.m_metadata.m_request)
+        .add("successor", next.m_upstream)
+        .add("end", to_text(failure))
+        .add("took_ms", ms_between(next.m_sent_at, at).count());
+    if (may_have_run(failure))
     {
-        record_possible_run(current, next.m_upstream);
-        exclude_successor(current);
-        return "upstream";
+        ++current.m_retry_state.m_possible_runs;
+        current.m_tried_upstreams.push_back(next.m_upstream);
     }
-    if (!next.m_head->m_ended)
+    else
     {
-        return now() < next.m_sent_at + max_overlap ? "answer" : "";
-    }
-    bool usable = false;
-    bool not_run = false;
-    if (is_ok(*next.m_head->m_result))
-    {
-        const http_answer_head& head = value_of(*next.m_head->m_result);
-        const auto metadata =
-            platform::parse_response_metadata(head, current.m_metadata.m_request);
-        usable =
-            metadata.m_signed && !metadata.m_not_run && head.m_status < http_client_error;
-        not_run = !metadata.m_id_mismatch &&
-                  (head.m_status == wrong_upstream_status ||
-                   (metadata.m_not_run && head.m_status >= http_client_error));
-        if (!metadata.m_id_mismatch && head.m_status != wrong_upstream_status)
-        {
-            apply_notice(m_state, next.m_upstream, head.m_status, head.m_fields,
-                         next.m_sent_at);
-        }
-        if (not_run && head.m_status == input_gone_status)
-        {
-            release_results(current, true);
-        }
+        ++current.m_retry_state.m_not_run_attempts;
     }
-    if (usable)
+    if (failure == attempt_outcome::input_gone)
     {
-        return "";
+        release_results(current, true);
     }
-    if (not_run)
+    const auto& response = *next.m_head->m_result;
+    if (!is_ok(response) && error_of(response).m_kind == http_error_kind::closed)
     {
-        ++current.m_retry_state.m_not_run_attempts;
+        record_possible_crash(current, next.m_upstream, weight_of_queued_request);
     }
-    else
+    upstream* row = m_state.m_upstreams.m_rows.find(next.m_upstream);
+    if (row == nullptr)
     {
-        record_unreachable(*row, now());
-        record_possible_run(current, next.m_upstream);
+        return;
+    }
+    if (failure == attempt_outcome::answered_with_fault)
+    {
+        record_response(m_state.m_upstreams, *row, false, 1);
+    }
+    else if (failure != attempt_outcome::declined &&
+             failure != attempt_outcome::input_gone)
+    {
+        record_unreachable(*row, at);
     }
-    exclude_successor(current);
-    return "acceptance";
-}
-
-void request_relay::record_possible_run(request& current, const upstream_id& id)
-{
-    ++current.m_retry_state.m_possible_runs;
-    current.m_tried_upstreams.push_back(id);
 }
 
 void request_relay::exclude_successor(request& current)
@@ -432,7 +443,9 @@
     log_search_end(current, ended, "resumed");
     if (ended.m_head)
     {
-        record_possible_run(current, ended.m_upstream);
+        // The successor may have begun to run it.
+        ++current.m_retry_state.m_possible_runs;
+        current.m_tried_upstreams.push_back(ended.m_upstream);
     }
     close_connection(ended);
     if (ended.m_inputs_requested)
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -42,6 +42,14 @@
            repeat == serving::retry_safety::stream_resumable;
 }
 
+inline bool may_have_run(serving::attempt_outcome outcome)
+{
+    using serving::attempt_outcome;
+    return outcome != attempt_outcome::not_sent && outcome != attempt_outcome::declined &&
+           outcome != attempt_outcome::input_gone &&
+           outcome != attempt_outcome::wrong_upstream;
+}
+
 /// Number of pieces that the caller's head names for a stage; zero if it names none.
 inline std::uint32_t piece_count(const relayed_request& current, std::size_t stage)
 {
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -215,7 +215,7 @@
 
     const serving::upstream* select_upstream(const request& current,
                                              const std::vector<upstream_id>& tried) const;
-    /// Selects the upstream that takes the request over, or else an untried one.
+    /// Selects an untried upstream, or any if none can have run the request.
     const serving::upstream* select_next_upstream(request& current) const;
     /// Time until the request may be sent, if parts of its prompt are in quarantine.
     /// Begins a trial with the request when one is due.
@@ -227,8 +227,14 @@
     /// Records an attempt that may have crashed its upstream, or proved the parts of the
     /// prompt sound.
     void record_crash_evidence(request& current, serving::attempt_outcome outcome);
+    void record_possible_crash(const request& current, const upstream_id& id,
+                               std::uint32_t weight);
     void record_sound_stream(request& current);
     boost::asio::awaitable<void> run_attempts(request& current);
+    /// Sends the request to an upstream, or follows it to its successor. Returns whether
+    /// another attempt is made.
+    boost::asio::awaitable<bool> attempt_at(request& current,
+                                            serving::upstream_entry chosen);
     /// Performs the step that follows an attempt. Returns whether another attempt is
     /// made.
     boost::asio::awaitable<bool> handle_outcome(request& current,
@@ -256,7 +262,13 @@
     void keep_permit(const upstream_id& id);
     boost::asio::awaitable<void> finish(request& current, serving::next_step step);
     boost::asio::awaitable<serving::attempt_outcome>
-    run_attempt(request& current, const serving::upstream& chosen);
+    run_attempt(request& current, serving::upstream_entry chosen);
+    /// How an attempt ended whose response cannot be relayed; empty if it can. Applies
+    /// what the upstream says of itself.
+    std::optional<serving::attempt_outcome> failure_of_head(const request& current,
+                                                            const upstream_id& id,
+                                                            time_point sent_at,
+                                                            const http_answer_head& head);
     boost::asio::awaitable<serving::attempt_outcome>
     handle_response_head(request& current, http_answer_head head);
     /// Buffers the response, so that a truncated one can be requested again. Switches to
@@ -302,14 +314,12 @@
     bool prepare_successor_inputs(request& current);
     bool connect_successor(request& current);
     /// Sends the request to the connected successor, while the present upstream still has
-    /// it, and waits for a short time for a refusal. Like missing_for_takeover, names
+    /// it, and waits for a short time for a failure. Like missing_for_takeover, names
     /// what is missing.
     const char* offer_to_successor(request& current);
-    /// Whether the successor has refused or failed the request, so that its present
-    /// upstream keeps it.
-    const char* answer_of_successor(request& current);
-    /// Records that an upstream which does not get the request may have run it.
-    static void record_possible_run(request& current, const upstream_id& id);
+    /// How the attempt at the successor has ended; empty if it takes the request over.
+    std::optional<serving::attempt_outcome> failure_of_successor(const request& current);
+    void record_failed_offer(request& current, serving::attempt_outcome failure);
     void exclude_successor(request& current);
     /// Ends the search, if there is one, because the upstream has made progress.
     void end_search(request& current);
--- a/src/edge/takeover.hpp
+++ b/src/edge/takeover.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumdoor/net/http_call.hpp>
 #include <geraniumdoor/serving/silence.hpp>
+#include <geraniumdoor/serving/upstreams.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 
@@ -51,6 +52,8 @@
     std::shared_ptr<upstream_reply<done>> m_connection;
     /// Response of the successor; null until the request has been sent to it.
     std::shared_ptr<head_reply> m_head;
+    /// Registry entry of the successor when the request was sent to it.
+    serving::upstream_entry m_entry;
     time_point m_sent_at{};
     /// Upstreams that could not be reached or have declined the request.
     std::vector<upstream_id> m_excluded;
