Let tests of silences wait until their streams have begun

The stages were told to refuse 150 ms after the streams were sent, which on a busy machine came before the stage of the last one had ended; this is inferred, as the log of the run was not kept. The tests now wait until each stream is at an upstream, and check as much as before.

--- a/tests/standins/silence_story.cpp
+++ b/tests/standins/silence_story.cpp
@@ -219,6 +219,20 @@
     }
 }
 
+void silence_story::run_until_running()
+{
+    const time_point last = std::chrono::steady_clock::now() + milliseconds{deadline_ms};
+    const auto runs = [this](const silent_request& request)
+    {
+        return m_ledger->m_silences.m_runs.contains(request.m_id);
+    };
+    while (std::chrono::steady_clock::now() < last &&
+           !std::all_of(m_requests.begin(), m_requests.end(), runs))
+    {
+        m_cluster.run_for(milliseconds{10});
+    }
+}
+
 void silence_story::run_until_answered()
 {
     const time_point last =
--- a/tests/standins/silence_story.hpp
+++ b/tests/standins/silence_story.hpp
@@ -73,6 +73,8 @@
               int times = 1);
     /// Sends one request for each phase of its kind.
     void send_each_phase(request_kind kind, milliseconds silence);
+    /// Runs the event loop until each request is at an upstream.
+    void run_until_running();
     void run_until_answered();
 
     silence_count count(const std::function<bool(const silent_request&)>& selects) const;
--- a/tests/standins/silent_upstream_test.cpp
+++ b/tests/standins/silent_upstream_test.cpp
@@ -60,6 +60,7 @@
     {
         story.send_each_phase(request_kind::resumable_stream, silence);
     }
+    story.run_until_running();
     story.m_cluster.run_for(150ms);
     story.m_cluster.set_worker_state(second, "ready");
     prevent(second);
