Close gaps of the search for a successor that its review has named

Named by reading, without a test that failed before: a partial first event released the inputs that the search was preparing, which left it waiting for them; the head of a resumed stream, which the caller does not see, counted as progress for the caller's patience; a successor chosen before its id came back with another version or pool was kept; and an upstream that came into doubt during the wait was noticed at its end only.

--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -63,15 +63,20 @@
     {
         current.m_first_byte_at = now();
         // The engine has fetched its inputs. If the stream is resumed elsewhere, they
-        // are prepared again.
-        release_results(current, true);
+        // are prepared again; a search may be preparing them already.
+        if (!current.m_takeover.m_inputs_requested)
+        {
+            release_results(current, true);
+        }
     }
 }
 
 asio::awaitable<attempt_outcome> request_relay::relay_stream(request& current,
                                                              const http_answer_head& head)
 {
-    if (!current.m_retry_state.m_stream_begun)
+    // The head of a stream that is resumed does not reach the caller.
+    const bool resumes = current.m_retry_state.m_stream_begun;
+    if (!resumes)
     {
         // Whether the stream is complete is known only at its end, so that it is sent
         // without a length.
@@ -79,7 +84,10 @@
     }
     current.m_partial_event.clear();
     current.m_event_position = {};
-    current.m_last_event_at = now();
+    if (!resumes)
+    {
+        current.m_last_event_at = now();
+    }
     current.m_usual_silence = current.m_route->m_event_gap_target + event_gap_margin;
     while (true)
     {
--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -26,6 +26,9 @@
 /// Interval of the steps of a search for a successor.
 constexpr milliseconds search_interval{25};
 
+/// Interval at which an overdue request looks whether its upstream is in doubt.
+constexpr milliseconds doubt_interval{200};
+
 /// Time until inputs are requested again after their stages have failed, or until
 /// upstreams that could not be reached are tried again.
 constexpr milliseconds search_backoff{300};
@@ -120,7 +123,7 @@
         }
         if (!taken_over)
         {
-            current.m_wake_timer.expires_at(std::max(next, at + search_interval));
+            current.m_wake_timer.expires_at(next_wake(current, next, at));
             boost::system::error_code ignored;
             co_await current.m_wake_timer.async_wait(
                 asio::redirect_error(asio::use_awaitable, ignored));
@@ -129,6 +132,18 @@
     operation->m_wake_timer = nullptr;
 }
 
+time_point request_relay::next_wake(const request& current, time_point next,
+                                    time_point at)
+{
+    const time_point since = std::max(current.m_last_sent_at, current.m_last_event_at);
+    const bool overdue = at >= since + current.m_usual_silence;
+    if (!overdue || next == time_point::max())
+    {
+        return next;
+    }
+    return std::clamp(next, at + search_interval, at + doubt_interval);
+}
+
 time_point request_relay::next_search(const request& current, time_point at) const
 {
     const retry_state& state = current.m_retry_state;
@@ -243,6 +258,8 @@
     const time_point at = now();
     const upstream* known = m_state.m_upstreams.m_rows.find(next.m_upstream);
     const bool keep = known != nullptr && next.m_call &&
+                      known->m_entry.m_pool == current.m_pool &&
+                      has_version(*known, current.m_stream_version) &&
                       is_available(m_state.m_upstreams, *known, at) &&
                       decide_send(*known, at) != send_decision::denied;
     if (keep)
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -306,6 +306,9 @@
     /// When to look for a successor of a silent upstream; time_point::max() if the
     /// request has to stay.
     time_point next_search(const request& current, time_point at) const;
+    /// When to look again.
+    /// @param next result of next_search
+    static time_point next_wake(const request& current, time_point next, time_point at);
     /// Takes the next steps of the search. Returns whether the successor is ready.
     bool search_successor(request& current);
     /// Takes these steps up to the first condition that is not met, and names it.
