Log the identity of requests whose attempts break

Two requests with different ids could not be told to be the same one sent again, so that the logs of the incident did not show whether one request was at every crash. Attempt lines of broken attempts have a hash of caller, method, host, path and body, and the process of the upstream; lines of failed calls to stage upstreams name the requests of their pieces. The hash is computed for broken attempts alone.

--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -357,6 +357,7 @@
         std::make_shared<http_call>(m_state.m_executor, upstream_http_limits());
     current.m_upstream_call = call;
     current.m_upstream = id;
+    current.m_upstream_run = chosen.m_run;
     current.m_upstream_version = chosen.m_entry.m_version;
     const auto tokens = current.m_metadata.m_prompt.m_prompt_tokens +
                         current.m_metadata.m_prompt.m_output_tokens;
@@ -493,6 +494,8 @@
             line.add("head", current.m_progress.m_head_received)
                 .add("events", current.m_progress.m_events)
                 .add("connection_lost", current.m_progress.m_connection_lost)
+                .add("run", current.m_upstream_run)
+                .add("identity", identity_of(current))
                 .add("parts", part_ids(current.m_metadata.m_prompt));
         }
     }
--- a/src/edge/relay_suspects.cpp
+++ b/src/edge/relay_suspects.cpp
@@ -37,6 +37,13 @@
            quarantine_left(m_state.m_crash_suspects, current.m_shared_parts, now());
 }
 
+request_identity request_relay::identity_of(const request& current) const
+{
+    const http_request& sent = current.m_exchange.request();
+    return identify_request(current.m_workspace.m_id, sent.m_method,
+                            current.m_metadata.m_host, sent.m_target, sent.m_body);
+}
+
 std::size_t request_relay::trial_rank(part_key part) const
 {
     const std::string key = std::to_string(part.m_value);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -13,6 +13,7 @@
 #include <geraniumdoor/serving/engine_choice.hpp>
 #include <geraniumdoor/serving/event_stream.hpp>
 #include <geraniumdoor/serving/path_estimate.hpp>
+#include <geraniumdoor/serving/request_identity.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -95,6 +96,8 @@
     std::vector<upstream_id> m_tried_upstreams;
     std::shared_ptr<http_call> m_upstream_call;
     upstream_id m_upstream;
+    /// Process of that upstream when the attempt began.
+    upstream_run m_upstream_run;
     /// Software version of that upstream.
     software_version m_upstream_version;
     /// Version that began the stream; empty before its first event.
@@ -207,6 +210,7 @@
     std::optional<milliseconds> quarantine_wait(request& current);
     /// Whether a part was quarantined since the request was admitted.
     bool is_quarantined(const request& current) const;
+    serving::request_identity identity_of(const request& current) const;
     /// Order in which this host may begin a trial of a part, from zero.
     std::size_t trial_rank(serving::part_key part) const;
     /// Records an attempt that may have crashed its upstream, or proved the parts of the
--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -54,6 +54,24 @@
     }
 }
 
+/// Ids of the requests whose pieces a call had, for the log.
+std::string request_ids(const stage_queue& queue, const std::vector<piece_ref>& pieces)
+{
+    std::string ids;
+    const job_id* last = nullptr;
+    for (const piece_ref& ref : pieces)
+    {
+        const auto job = queue.m_jobs.find(ref.m_job);
+        if (job != queue.m_jobs.end() && (last == nullptr || *last != ref.m_job))
+        {
+            ids += ids.empty() ? "" : ",";
+            ids += job->second.m_request.m_value;
+        }
+        last = &ref.m_job;
+    }
+    return ids;
+}
+
 } // namespace
 
 void stage_scheduler::finish_call(const pool_id& pool, const upstream_id& upstream,
@@ -100,6 +118,7 @@
             .add("pool", pool)
             .add("upstream", upstream)
             .add("pieces", ended.m_pieces.size())
+            .add("requests", request_ids(state.m_queue, ended.m_pieces))
             .add("took_ms", took.count())
             .add("status", is_ok(answer) ? value_of(answer).m_status : 0)
             .add("reason",
