Show that a request without a prompt crashes upstream after upstream

Whole hosts and stand-ins that end at one body, and at the pieces of one key, and are back after 3 s, beside payments that may not be repeated.

--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -260,12 +260,18 @@
 {
     // The server is kept until the handlers of its connections have ended.
     const std::shared_ptr<http_server> crashed{std::move(m_server)};
+    if (crashed == nullptr)
+    {
+        // Another request has crashed it in the meantime.
+        return;
+    }
     crashed->close();
     asio::co_spawn(
         executor,
         [this, executor, crashed]() -> asio::awaitable<void>
         {
             co_await pause(m_restart_delay);
+            ++m_born;
             start(executor);
         },
         asio::detached);
@@ -365,6 +371,22 @@
         co_await exchange.respond(std::move(declined));
         co_return;
     }
+    const bool crashes = !m_crash_piece_key.empty() &&
+                         std::any_of(items.begin(), items.end(),
+                                     [this](const json::value& item)
+                                     {
+                                         const auto* key =
+                                             item.as_object().if_contains("key");
+                                         return key != nullptr && key->is_string() &&
+                                                key->as_string() == m_crash_piece_key;
+                                     });
+    if (crashes)
+    {
+        m_crash_arrivals.push_back(std::chrono::steady_clock::now());
+        co_await pause(milliseconds{20});
+        crash(co_await asio::this_coro::executor);
+        co_return;
+    }
     co_await pause(m_delay);
     json::array made;
     for (const auto& item : items)
@@ -414,6 +436,13 @@
         co_return;
     }
     ++m_runs[std::string{find_field(request.m_fields, "Attempt-Id")}];
+    if (!m_crash_body.empty() && request.m_body == m_crash_body)
+    {
+        m_crash_arrivals.push_back(std::chrono::steady_clock::now());
+        co_await pause(milliseconds{40});
+        crash(co_await asio::this_coro::executor);
+        co_return;
+    }
     co_await pause(m_delay);
     if (has_part(request, m_crash_part))
     {
--- a/standins/edge_standins.hpp
+++ b/standins/edge_standins.hpp
@@ -132,6 +132,10 @@
     std::unique_ptr<http_server> m_server;
     /// A request whose prompt has this part crashes the worker when it begins to write.
     std::string m_crash_part;
+    /// A request with this body crashes the worker after a while, before the head.
+    std::string m_crash_body;
+    /// A piece with this key crashes the worker.
+    std::string m_crash_piece_key;
     /// Time after which a crashed worker is back.
     milliseconds m_restart_delay{1000};
     /// When requests that crash the worker arrived.
