Suspect whole requests as well as parts of prompts

Cause: only parts of prompts were looked at as the cause of a crash. record_crash_evidence returned at once for a request without shared parts, and may_send_again always allowed it.

Change: a suspect is a part of a prompt or a whole request (caller, method, host, path, body), with one table, one report between hosts and one bound. A whole request that was at three crashes without a success is quarantined on all hosts, for 5 s first, then tried once; a success anywhere ends it. One that was at two is not repeated within its answer, nor given up for its silence. The body is hashed only at a crash and while a whole request is suspected.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -287,11 +287,21 @@
     }
 };
 
-/// A request with a part of a prompt was at an upstream that closed its connections.
+/// What may be the cause of a crash.
+enum class suspect_kind : std::uint8_t
+{
+    /// A part of a prompt that other prompts may share.
+    prompt_part,
+    /// A request with this caller, path and body.
+    whole_request,
+};
+
+/// A request with a suspect was at an upstream that closed its connections.
 struct crash_sighting
 {
-    /// Hashes of the part's id and of the upstream's process.
-    std::uint64_t m_part = 0;
+    suspect_kind m_kind = suspect_kind::prompt_part;
+    /// Hashes of the suspect and of the upstream's process.
+    std::uint64_t m_suspect = 0;
     std::uint64_t m_upstream = 0;
     std::uint32_t m_age_ms = 0;
     std::uint8_t m_weight = 0;
@@ -301,29 +311,30 @@
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_part, m_upstream, m_age_ms, m_weight);
+        archive(m_kind, m_suspect, m_upstream, m_age_ms, m_weight);
     }
 };
 
-/// A stream with the part was sound.
-struct part_success
+/// A request with the suspect was sound.
+struct suspect_success
 {
-    std::uint64_t m_part = 0;
+    std::uint64_t m_suspect = 0;
     std::uint32_t m_age_ms = 0;
 
-    bool operator==(const part_success&) const = default;
+    bool operator==(const suspect_success&) const = default;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_part, m_age_ms);
+        archive(m_suspect, m_age_ms);
     }
 };
 
-/// Requests with the part are not sent.
+/// Requests with the suspect are not sent.
 struct quarantine_notice
 {
-    std::uint64_t m_part = 0;
+    suspect_kind m_kind = suspect_kind::prompt_part;
+    std::uint64_t m_suspect = 0;
     std::uint32_t m_age_ms = 0;
     /// Negative after the end of the quarantine.
     std::int32_t m_left_ms = 0;
@@ -334,7 +345,7 @@
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_part, m_age_ms, m_left_ms, m_count);
+        archive(m_kind, m_suspect, m_age_ms, m_left_ms, m_count);
     }
 };
 
@@ -343,12 +354,12 @@
 constexpr std::size_t max_reported_successes = 24;
 constexpr std::size_t max_reported_quarantines = 16;
 
-/// What a host knows of parts of prompts that may crash upstreams. Sent to all others
+/// What a host knows of suspects that may crash upstreams. Sent to all others
 /// with its host_report while there is something to tell.
 struct crash_report
 {
     std::vector<crash_sighting> m_sightings;
-    std::vector<part_success> m_successes;
+    std::vector<suspect_success> m_successes;
     std::vector<quarantine_notice> m_quarantines;
 
     bool operator==(const crash_report&) const = default;
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -130,11 +130,26 @@
            message.m_store_access <= store_access::failing;
 }
 
+bool in_range(suspect_kind kind)
+{
+    return kind <= suspect_kind::whole_request;
+}
+
 bool in_range(const crash_report& message)
 {
     return message.m_sightings.size() <= max_reported_sightings &&
            message.m_successes.size() <= max_reported_successes &&
-           message.m_quarantines.size() <= max_reported_quarantines;
+           message.m_quarantines.size() <= max_reported_quarantines &&
+           std::all_of(message.m_sightings.begin(), message.m_sightings.end(),
+                       [](const crash_sighting& sighting)
+                       {
+                           return in_range(sighting.m_kind);
+                       }) &&
+           std::all_of(message.m_quarantines.begin(), message.m_quarantines.end(),
+                       [](const quarantine_notice& notice)
+                       {
+                           return in_range(notice.m_kind);
+                       });
 }
 
 bool in_range(const limit_notice& notice)
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -466,7 +466,7 @@
 void edge_daemon::parts::update_quarantines()
 {
     auto& suspects = m_state.m_crash_suspects;
-    if (suspects.m_parts.empty())
+    if (suspects.m_known.empty())
     {
         return;
     }
@@ -474,24 +474,25 @@
     const milliseconds exchange_time =
         2 * serving::report_interval(m_state.m_hosts.m_hosts.size() + 1, false) +
         exchange_margin;
-    for (const serving::part_key key :
+    for (const serving::suspect_key key :
          serving::update_quarantines(suspects, exchange_time, now()))
     {
-        const serving::suspect_part& part = suspects.m_parts.at(key);
-        log_event{"prompt_part_quarantined"}
-            .add("part", part.m_id.empty() ? std::to_string(key.m_value) : part.m_id)
+        const serving::suspect& held = suspects.m_known.at(key);
+        log_event{"suspect_quarantined"}
+            .add("kind", serving::to_text(held.m_kind))
+            .add("part", held.m_id)
             .add("key", key)
-            .add("crashes", part.m_crashes.size());
-        m_state.m_metrics.add("quarantines", {});
+            .add("crashes", held.m_crashes.size());
+        m_state.m_metrics.add("quarantines", {{"kind", serving::to_text(held.m_kind)}});
     }
 }
 
 void edge_daemon::parts::on_crash_report(const crash_report& report)
 {
-    for (const serving::part_key key :
+    for (const serving::suspect_key key :
          serving::apply_crash_report(m_state.m_crash_suspects, report, now()))
     {
-        log_event{"prompt_part_lifted"}.add("part", key);
+        log_event{"suspect_lifted"}.add("key", key);
     }
 }
 
@@ -706,9 +707,14 @@
         response.m_fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
         m_state.m_metrics.set("requests_active", {},
                               static_cast<double>(m_relay.active()));
-        m_state.m_metrics.set(
-            "prompt_parts_in_quarantine", {},
-            static_cast<double>(serving::count_quarantines(m_state.m_crash_suspects)));
+        for (const suspect_kind kind :
+             {suspect_kind::prompt_part, suspect_kind::whole_request})
+        {
+            m_state.m_metrics.set("suspects_in_quarantine",
+                                  {{"kind", serving::to_text(kind)}},
+                                  static_cast<double>(serving::count_quarantines(
+                                      m_state.m_crash_suspects, kind)));
+        }
         response.m_body = m_state.m_metrics.exposition();
         co_await exchange.respond(std::move(response));
         co_return;
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -155,22 +155,23 @@
     return body;
 }
 
-/// Lists the parts of prompts that have been at crashes of upstreams.
+/// Lists what has been at crashes of upstreams.
 json::object suspects_status(const edge_state& state, time_point at)
 {
     json::array rows;
-    for (const auto& [key, part] : state.m_crash_suspects.m_parts)
+    for (const auto& [key, known] : state.m_crash_suspects.m_known)
     {
         json::object row;
-        row["part"] = part.m_id;
+        row["kind"] = serving::to_text(known.m_kind);
+        row["part"] = known.m_id;
         row["key"] = key.m_value;
-        row["crashes"] = part.m_crashes.size();
-        row["sound_ms_ago"] = part.m_last_success
-                                  ? json::value(whole_ms(at - *part.m_last_success))
+        row["crashes"] = known.m_crashes.size();
+        row["sound_ms_ago"] = known.m_last_success
+                                  ? json::value(whole_ms(at - *known.m_last_success))
                                   : json::value{};
-        row["quarantined"] = part.m_quarantine.has_value();
+        row["quarantined"] = known.m_quarantine.has_value();
         row["quarantine_left_ms"] =
-            part.m_quarantine ? ms_until(part.m_quarantine->m_until, at) : 0;
+            known.m_quarantine ? ms_until(known.m_quarantine->m_until, at) : 0;
         rows.push_back(std::move(row));
     }
     json::object body;
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -119,7 +119,7 @@
         const bool quarantined = is_quarantined(current);
         if (quarantined)
         {
-            current.m_reason = crashing_prompt_reason;
+            current.m_reason = quarantine_reason(current);
         }
         else if (chosen == nullptr && lacks_stream_version(current))
         {
@@ -243,8 +243,7 @@
     state.m_has_time = time_left(current) >= min_time_for_attempt;
     state.m_has_budget = may_retry(m_state.m_retry_budget, current.m_pool,
                                    count_possible_senders(m_state.m_hosts, now()), now());
-    state.m_may_crash_upstreams =
-        !may_send_again(m_state.m_crash_suspects, current.m_shared_parts, now());
+    state.m_may_crash_upstreams = !may_repeat(current);
     const next_step step = decide_next_step(outcome, state);
     const bool again = step == next_step::try_other || step == next_step::resume_other ||
                        step == next_step::prepare_again;
@@ -284,13 +283,13 @@
     case next_step::refuse:
     {
         const auto quarantine =
-            quarantine_left(m_state.m_crash_suspects, current.m_shared_parts, now());
+            quarantine_left(m_state.m_crash_suspects, current.m_traits, now());
         const auto next = send_wait(m_state.m_upstreams, current.m_pool, now(),
                                     current.m_stream_version);
         const milliseconds wait =
             std::max(declined_retry_after, next.value_or(declined_retry_after));
         co_await refuse(current, quarantine.value_or(wait),
-                        quarantine                      ? crashing_prompt_reason
+                        quarantine                      ? quarantine_reason(current)
                         : next                          ? no_upstream_takes_it_reason
                         : lacks_stream_version(current) ? no_upstream_of_version_reason
                                                         : "no_upstream_ran_it");
@@ -327,7 +326,7 @@
 {
     const milliseconds left = time_left(current);
     const bool again =
-        is_retryable(current.m_route->m_retry_safety) &&
+        is_retryable(current.m_route->m_retry_safety) && may_repeat(current) &&
         current.m_retry_state.m_possible_runs + 1 < current.m_route->m_max_upstreams;
     if (!again)
     {
@@ -589,6 +588,8 @@
         const auto part = co_await current.m_upstream_call->read_part(time_left(current));
         if (!is_ok(part))
         {
+            current.m_progress.m_connection_lost =
+                error_of(part).m_kind == http_error_kind::closed;
             co_return attempt_outcome::broken;
         }
         if (current.m_first_byte_at == time_point{})
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -104,7 +104,7 @@
         std::string forwarded_bytes = take_events(current, value_of(std::move(part)));
         if (current.m_progress.m_events >= events_of_sound_stream)
         {
-            record_sound_stream(current);
+            record_sound_traits(current, current.m_traits);
         }
         if (!forwarded_bytes.empty())
         {
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -11,6 +11,9 @@
 /// Reason of refusals while a part of the prompt is in quarantine.
 inline constexpr const char* crashing_prompt_reason = "crashing_prompt";
 
+/// Reason of refusals while the request as a whole is in quarantine.
+inline constexpr const char* crashing_request_reason = "crashing_request";
+
 /// Reason of refusals while all upstreams have used up the limits that they have named,
 /// or decline requests.
 inline constexpr const char* no_upstream_takes_it_reason = "no_upstream_takes_it";
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -86,7 +86,7 @@
     release_results(current, true);
     if (current.m_is_trial)
     {
-        end_trial(m_state.m_crash_suspects, current.m_shared_parts);
+        end_trial(m_state.m_crash_suspects, current.m_traits);
     }
     if (current.m_caller_gone)
     {
@@ -170,7 +170,7 @@
     const auto pool = current.m_routing->m_pools.find(current.m_pool);
     if (pool != current.m_routing->m_pools.end() && pool->second.m_engine)
     {
-        current.m_shared_parts = shared_parts(current.m_metadata.m_prompt);
+        current.m_traits = shared_parts(current.m_metadata.m_prompt);
     }
     const milliseconds timeout =
         std::min(current.m_metadata.m_caller_timeout.value_or(current.m_route->m_timeout),
@@ -194,7 +194,7 @@
 {
     if (const auto wait = quarantine_wait(current))
     {
-        co_await refuse(current, *wait, crashing_prompt_reason);
+        co_await refuse(current, *wait, quarantine_reason(current));
         co_return;
     }
     const bool has_version = co_await find_stream_version(current);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -60,9 +60,11 @@
     time_point m_target_time{};
     /// Time at which the caller abandons the request if no byte has arrived.
     time_point m_first_byte_deadline{};
-    /// Parts of the prompt of a request to a model engine.
-    std::vector<serving::shared_part> m_shared_parts;
-    /// The request tries whether a part still crashes upstreams.
+    /// What the request has in common with others that may crash upstreams. The whole
+    /// request is among them once it has been identified.
+    std::vector<serving::request_trait> m_traits;
+    bool m_is_identified = false;
+    /// The request tries whether a suspect still crashes upstreams.
     bool m_is_trial = false;
     bool m_caller_gone = false;
     /// A response was started or sent in full, whether streamed, buffered or an error.
@@ -205,18 +207,26 @@
 
     const serving::upstream* select_upstream(const request& current) const;
     const serving::upstream* select_untried_upstream(request& current) const;
-    /// Time until the request may be sent, if parts of its prompt are in quarantine.
-    /// Begins a trial with the request when one is due.
-    std::optional<milliseconds> quarantine_wait(request& current);
-    /// Whether a part was quarantined since the request was admitted.
-    bool is_quarantined(const request& current) const;
+    /// Adds the whole request to the traits. Hashes the body.
+    void identify(request& current) const;
+    void identify_if_suspected(request& current) const;
     serving::request_identity identity_of(const request& current) const;
-    /// Order in which this host may begin a trial of a part, from zero.
-    std::size_t trial_rank(serving::part_key part) const;
-    /// Records an attempt that may have crashed its upstream, or proved the parts of the
-    /// prompt sound.
+    /// Time until the request may be sent, if its traits are in quarantine. Begins a
+    /// trial with the request when one is due.
+    std::optional<milliseconds> quarantine_wait(request& current);
+    /// Whether a trait was quarantined since the request was admitted.
+    bool is_quarantined(request& current) const;
+    const char* quarantine_reason(const request& current) const;
+    /// Whether the request may be sent again after its upstream was lost.
+    bool may_repeat(const request& current) const;
+    /// Order in which this host may begin a trial of a suspect, from zero.
+    std::size_t trial_rank(serving::suspect_key key) const;
+    /// Records an attempt that may have crashed its upstream, or proved the request
+    /// sound.
     void record_crash_evidence(request& current, serving::attempt_outcome outcome);
-    void record_sound_stream(request& current);
+    void record_sound_answer(request& current);
+    void record_sound_traits(const request& current,
+                             const std::vector<serving::request_trait>& traits);
     boost::asio::awaitable<void> run_attempts(request& current);
     /// Performs the step that follows an attempt. Returns whether another attempt is
     /// made.
--- a/src/serving/crash_suspects.cpp
+++ b/src/serving/crash_suspects.cpp
@@ -2,6 +2,7 @@
 #include <geraniumdoor/serving/crash_suspects.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <tuple>
 #include <utility>
 
@@ -11,9 +12,10 @@
 namespace
 {
 
-/// Parts that are kept; more are forgotten, those with the least evidence first.
-constexpr std::size_t max_suspect_parts = 256;
-constexpr std::size_t max_crashes_per_part = 16;
+/// Suspects of each kind that are kept; more are forgotten, those with the least evidence
+/// first.
+constexpr std::size_t max_suspects_per_kind = 256;
+constexpr std::size_t max_crashes_per_suspect = 16;
 
 /// Parts of sound streams that one generation holds.
 constexpr std::size_t max_successes_per_generation = 2048;
@@ -31,14 +33,14 @@
     return std::chrono::duration_cast<milliseconds>(length);
 }
 
-seconds quarantine_length(std::uint32_t count)
+seconds quarantine_length(suspect_kind kind, std::uint32_t count)
 {
-    const std::size_t at =
-        std::min<std::size_t>(std::max(count, 1U), quarantine_lengths.size());
-    return quarantine_lengths[at - 1];
+    const auto& lengths = rules_of(kind).m_quarantine_lengths;
+    const std::size_t at = std::min<std::size_t>(std::max(count, 1U), lengths.size());
+    return lengths[at - 1];
 }
 
-std::optional<time_point> own_success(const crash_suspects& suspects, part_key key)
+std::optional<time_point> own_success(const crash_suspects& suspects, suspect_key key)
 {
     for (const auto* generation :
          {&suspects.m_successes.m_newer, &suspects.m_successes.m_older})
@@ -52,7 +54,7 @@
     return std::nullopt;
 }
 
-void remember_success(recent_successes& successes, part_key key, time_point now)
+void remember_success(recent_successes& successes, suspect_key key, time_point now)
 {
     const bool full = successes.m_newer.size() >= max_successes_per_generation;
     if (full || now - successes.m_newer_since > suspicion_memory)
@@ -63,8 +65,8 @@
     successes.m_newer[key] = now;
 }
 
-/// Sum of the weights of the crashes since the last sound stream.
-std::uint32_t weight_of(const suspect_part& part)
+/// Sum of the weights of the crashes since the last success.
+std::uint32_t weight_of(const suspect& part)
 {
     std::uint32_t weight = 0;
     for (const suspected_crash& crash : part.m_crashes)
@@ -75,12 +77,12 @@
     return weight;
 }
 
-bool has_recent_success(const suspect_part& part, time_point now)
+bool has_recent_success(const suspect& part, time_point now)
 {
     return part.m_last_success && now - *part.m_last_success <= suspicion_memory;
 }
 
-time_point latest_crash(const suspect_part& part)
+time_point latest_crash(const suspect& part)
 {
     time_point latest{};
     for (const suspected_crash& crash : part.m_crashes)
@@ -90,74 +92,99 @@
     return latest;
 }
 
-void forget_least_suspect(crash_suspects& suspects)
+/// Order of suspects by the evidence against them.
+auto evidence_rank(const suspect& known)
 {
-    const auto rank = [](const auto& entry)
+    return std::tuple{known.m_quarantine.has_value(), weight_of(known),
+                      latest_crash(known)};
+}
+
+std::size_t count_of_kind(const crash_suspects& suspects, suspect_kind kind)
+{
+    return static_cast<std::size_t>(std::count_if(suspects.m_known.begin(),
+                                                  suspects.m_known.end(),
+                                                  [kind](const auto& entry)
+                                                  {
+                                                      return entry.second.m_kind == kind;
+                                                  }));
+}
+
+void forget_least_suspect(crash_suspects& suspects, suspect_kind kind)
+{
+    const auto rank = [kind](const auto& entry)
     {
-        const suspect_part& part = entry.second;
-        return std::tuple{part.m_quarantine.has_value(), weight_of(part),
-                          latest_crash(part)};
+        return std::pair{entry.second.m_kind != kind, evidence_rank(entry.second)};
     };
-    const auto least = std::min_element(suspects.m_parts.begin(), suspects.m_parts.end(),
+    const auto least = std::min_element(suspects.m_known.begin(), suspects.m_known.end(),
                                         [&](const auto& left, const auto& right)
                                         {
                                             return rank(left) < rank(right);
                                         });
-    suspects.m_parts.erase(least);
+    suspects.m_known.erase(least);
 }
 
-suspect_part& find_or_add(crash_suspects& suspects, part_key key)
+suspect& find_or_add(crash_suspects& suspects, suspect_kind kind, suspect_key key)
 {
-    const auto known = suspects.m_parts.find(key);
-    if (known != suspects.m_parts.end())
+    const auto known = suspects.m_known.find(key);
+    if (known != suspects.m_known.end())
     {
         return known->second;
     }
-    if (suspects.m_parts.size() >= max_suspect_parts)
+    if (count_of_kind(suspects, kind) >= max_suspects_per_kind)
     {
-        forget_least_suspect(suspects);
+        forget_least_suspect(suspects, kind);
     }
-    suspect_part& part = suspects.m_parts[key];
-    part.m_last_success = own_success(suspects, key);
-    return part;
+    suspect& added = suspects.m_known[key];
+    added.m_kind = kind;
+    added.m_own_success = own_success(suspects, key);
+    added.m_last_success = added.m_own_success;
+    return added;
 }
 
-void begin_quarantine(part_quarantine& quarantine, time_point now)
+void begin_quarantine(suspect& held, time_point now)
 {
+    suspect_quarantine& quarantine = *held.m_quarantine;
     quarantine.m_since = now;
-    quarantine.m_until = now + quarantine_length(quarantine.m_count);
+    quarantine.m_until = now + quarantine_length(held.m_kind, quarantine.m_count);
     quarantine.m_trial.reset();
 }
 
-void add_crash(suspect_part& part, const suspected_crash& crash)
+/// Whether two sightings are of the same crash.
+bool is_same_crash(suspect_kind kind, const suspected_crash& a, const suspected_crash& b)
 {
-    const auto known = std::find_if(part.m_crashes.begin(), part.m_crashes.end(),
+    const auto& restart_time = rules_of(kind).m_restart_time;
+    return a.m_upstream == b.m_upstream &&
+           (!restart_time || std::chrono::abs(a.m_at - b.m_at) < *restart_time);
+}
+
+void add_crash(suspect& seen, const suspected_crash& crash)
+{
+    const auto known = std::find_if(seen.m_crashes.begin(), seen.m_crashes.end(),
                                     [&](const suspected_crash& other)
                                     {
-                                        return other.m_upstream == crash.m_upstream;
+                                        return is_same_crash(seen.m_kind, other, crash);
                                     });
-    if (known != part.m_crashes.end())
+    if (known != seen.m_crashes.end())
     {
         known->m_weight = std::max(known->m_weight, crash.m_weight);
         known->m_own = known->m_own || crash.m_own;
         return;
     }
-    if (part.m_crashes.size() < max_crashes_per_part)
+    if (seen.m_crashes.size() < max_crashes_per_suspect)
     {
-        part.m_crashes.push_back(crash);
+        seen.m_crashes.push_back(crash);
     }
-    auto& quarantine = part.m_quarantine;
-    if (quarantine && crash.m_at > quarantine->m_until)
+    if (seen.m_quarantine && crash.m_at > seen.m_quarantine->m_until)
     {
         // A trial has failed, here or at another host.
-        ++quarantine->m_count;
-        begin_quarantine(*quarantine, crash.m_at);
+        ++seen.m_quarantine->m_count;
+        begin_quarantine(seen, crash.m_at);
     }
 }
 
-/// Ends the quarantine of a part whose crashes are older than a sound stream. Returns
+/// Ends the quarantine of a suspect whose crashes are older than a success. Returns
 /// whether it was in quarantine.
-bool lift_if_sound(suspect_part& part)
+bool lift_if_sound(suspect& part)
 {
     if (!part.m_quarantine || !part.m_last_success)
     {
@@ -174,14 +201,14 @@
     return true;
 }
 
-/// Whether all crashes of a part are also those of one that was at twice as many.
-bool is_explained_by_other(const crash_suspects& suspects, part_key key,
-                           const suspect_part& part)
+/// Whether all crashes of a suspect are also those of one that was at twice as many.
+bool is_explained_by_other(const crash_suspects& suspects, suspect_key key,
+                           const suspect& part)
 {
     const std::uint32_t weight = weight_of(part);
     const auto explains = [&](const auto& entry)
     {
-        const suspect_part& other = entry.second;
+        const suspect& other = entry.second;
         if (entry.first == key || weight_of(other) < 2 * weight)
         {
             return false;
@@ -196,15 +223,15 @@
         };
         return std::all_of(part.m_crashes.begin(), part.m_crashes.end(), shares);
     };
-    return std::any_of(suspects.m_parts.begin(), suspects.m_parts.end(), explains);
+    return std::any_of(suspects.m_known.begin(), suspects.m_known.end(), explains);
 }
 
-bool is_crash_cause(const crash_suspects& suspects, part_key key,
-                    const suspect_part& part, milliseconds exchange_time, time_point now)
+bool is_crash_cause(const crash_suspects& suspects, suspect_key key, const suspect& part,
+                    milliseconds exchange_time, time_point now)
 {
-    const std::uint32_t required = has_recent_success(part, now)
-                                       ? quarantine_weight_after_success
-                                       : quarantine_weight;
+    const suspicion_rules& rules = rules_of(part.m_kind);
+    const std::uint32_t required =
+        has_recent_success(part, now) ? rules.m_weight_after_success : quarantine_weight;
     if (weight_of(part) < required)
     {
         return false;
@@ -219,13 +246,13 @@
             last = std::max(last, crash.m_at);
         }
     }
-    return last - first >= min_crash_span && now - first >= exchange_time &&
+    return last - first >= rules.m_min_crash_span && now - first >= exchange_time &&
            !is_explained_by_other(suspects, key, part);
 }
 
 void forget_old(crash_suspects& suspects, time_point now)
 {
-    for (auto& [key, part] : suspects.m_parts)
+    for (auto& [key, part] : suspects.m_known)
     {
         std::erase_if(part.m_crashes,
                       [now](const suspected_crash& crash)
@@ -238,7 +265,7 @@
             part.m_quarantine.reset();
         }
     }
-    std::erase_if(suspects.m_parts,
+    std::erase_if(suspects.m_known,
                   [](const auto& entry)
                   {
                       return entry.second.m_crashes.empty() && !entry.second.m_quarantine;
@@ -247,25 +274,43 @@
 
 } // namespace
 
-std::vector<shared_part> shared_parts(const prompt& request_prompt)
+std::vector<request_trait> shared_parts(const prompt& request_prompt)
 {
-    std::vector<shared_part> parts;
+    std::vector<request_trait> parts;
     for (std::size_t at = 0; at + 1 < request_prompt.m_parts.size(); ++at)
     {
         const std::string& id = request_prompt.m_parts[at].m_id;
-        parts.push_back({part_key{stable_hash(id)}, id});
+        parts.push_back({suspect_key{stable_hash(id)}, id, suspect_kind::prompt_part});
     }
     return parts;
 }
 
-void record_crash(crash_suspects& suspects, const std::vector<shared_part>& parts,
+request_trait whole_request(request_identity identity)
+{
+    return {suspect_key{identity.m_value}, {}, suspect_kind::whole_request};
+}
+
+const suspicion_rules& rules_of(suspect_kind kind)
+{
+    return kind == suspect_kind::whole_request ? whole_request_rules : prompt_part_rules;
+}
+
+const char* to_text(suspect_kind kind)
+{
+    return kind == suspect_kind::whole_request ? "whole_request" : "prompt_part";
+}
+
+void record_crash(crash_suspects& suspects, const std::vector<request_trait>& traits,
                   upstream_run upstream, std::uint32_t weight, time_point now)
 {
-    for (const shared_part& shared : parts)
+    for (const request_trait& trait : traits)
     {
-        suspect_part& part = find_or_add(suspects, shared.m_key);
-        part.m_id = shared.m_id;
-        add_crash(part, {upstream, now, weight, true});
+        suspect& part = find_or_add(suspects, trait.m_kind, trait.m_key);
+        part.m_id = trait.m_id;
+        const std::uint32_t own_weight = trait.m_kind == suspect_kind::whole_request
+                                             ? weight_of_whole_request
+                                             : weight;
+        add_crash(part, {upstream, now, own_weight, true});
         if (part.m_quarantine)
         {
             part.m_quarantine->m_trial.reset();
@@ -273,56 +318,62 @@
     }
 }
 
-std::vector<part_key> record_success(crash_suspects& suspects,
-                                     const std::vector<shared_part>& parts,
-                                     time_point now)
+std::vector<suspect_key> record_success(crash_suspects& suspects,
+                                        const std::vector<request_trait>& traits,
+                                        time_point now)
 {
-    std::vector<part_key> lifted;
-    for (const shared_part& shared : parts)
+    std::vector<suspect_key> lifted;
+    for (const request_trait& trait : traits)
     {
-        remember_success(suspects.m_successes, shared.m_key, now);
-        const auto known = suspects.m_parts.find(shared.m_key);
-        if (known == suspects.m_parts.end())
+        if (trait.m_kind == suspect_kind::prompt_part)
+        {
+            remember_success(suspects.m_successes, trait.m_key, now);
+        }
+        const auto known = suspects.m_known.find(trait.m_key);
+        if (known == suspects.m_known.end())
         {
             continue;
         }
         known->second.m_last_success = now;
+        known->second.m_own_success = now;
         if (lift_if_sound(known->second))
         {
-            lifted.push_back(shared.m_key);
+            lifted.push_back(trait.m_key);
         }
     }
     return lifted;
 }
 
-std::vector<part_key> update_quarantines(crash_suspects& suspects,
-                                         milliseconds exchange_time, time_point now)
+std::vector<suspect_key> update_quarantines(crash_suspects& suspects,
+                                            milliseconds exchange_time, time_point now)
 {
     forget_old(suspects, now);
-    std::vector<part_key> begun;
-    for (const auto& [key, part] : suspects.m_parts)
+    std::vector<suspect_key> begun;
+    for (const auto& [key, part] : suspects.m_known)
     {
         if (!part.m_quarantine && is_crash_cause(suspects, key, part, exchange_time, now))
         {
             begun.push_back(key);
         }
     }
-    for (const part_key key : begun)
+    for (const suspect_key key : begun)
     {
-        begin_quarantine(suspects.m_parts[key].m_quarantine.emplace(), now);
+        suspect& held = suspects.m_known[key];
+        held.m_quarantine.emplace();
+        begin_quarantine(held, now);
     }
     return begun;
 }
 
 std::optional<milliseconds> quarantine_left(const crash_suspects& suspects,
-                                            const std::vector<shared_part>& parts,
+                                            const std::vector<request_trait>& traits,
                                             time_point now)
 {
     std::optional<milliseconds> left;
-    for (const shared_part& shared : parts)
+    for (const request_trait& trait : traits)
     {
-        const auto known = suspects.m_parts.find(shared.m_key);
-        if (known != suspects.m_parts.end() && known->second.m_quarantine)
+        const auto known = suspects.m_known.find(trait.m_key);
+        if (known != suspects.m_known.end() && known->second.m_quarantine)
         {
             const milliseconds own = whole_ms(known->second.m_quarantine->m_until - now);
             left = std::max({left.value_or(min_retry_delay), own});
@@ -331,34 +382,35 @@
     return left;
 }
 
-std::optional<part_key> only_quarantined(const crash_suspects& suspects,
-                                         const std::vector<shared_part>& parts)
+std::optional<suspect_key> only_quarantined(const crash_suspects& suspects,
+                                            const std::vector<request_trait>& traits)
 {
-    std::optional<part_key> only;
-    for (const shared_part& shared : parts)
+    std::optional<suspect_key> only;
+    for (const request_trait& trait : traits)
     {
-        const auto known = suspects.m_parts.find(shared.m_key);
-        if (known == suspects.m_parts.end() || !known->second.m_quarantine)
+        const auto known = suspects.m_known.find(trait.m_key);
+        if (known == suspects.m_known.end() || !known->second.m_quarantine)
         {
             continue;
         }
-        if (only && *only != shared.m_key)
+        if (only && *only != trait.m_key)
         {
             return std::nullopt;
         }
-        only = shared.m_key;
+        only = trait.m_key;
     }
     return only;
 }
 
-bool begin_trial(crash_suspects& suspects, part_key key, std::size_t rank, time_point now)
+bool begin_trial(crash_suspects& suspects, suspect_key key, std::size_t rank,
+                 time_point now)
 {
-    const auto known = suspects.m_parts.find(key);
-    if (known == suspects.m_parts.end() || !known->second.m_quarantine)
+    const auto known = suspects.m_known.find(key);
+    if (known == suspects.m_known.end() || !known->second.m_quarantine)
     {
         return false;
     }
-    part_quarantine& quarantine = *known->second.m_quarantine;
+    suspect_quarantine& quarantine = *known->second.m_quarantine;
     const bool is_running =
         quarantine.m_trial && now - *quarantine.m_trial < trial_timeout;
     const bool is_due =
@@ -371,34 +423,36 @@
     return true;
 }
 
-void end_trial(crash_suspects& suspects, const std::vector<shared_part>& parts)
+void end_trial(crash_suspects& suspects, const std::vector<request_trait>& traits)
 {
-    for (const shared_part& shared : parts)
+    for (const request_trait& trait : traits)
     {
-        const auto known = suspects.m_parts.find(shared.m_key);
-        if (known != suspects.m_parts.end() && known->second.m_quarantine)
+        const auto known = suspects.m_known.find(trait.m_key);
+        if (known != suspects.m_known.end() && known->second.m_quarantine)
         {
             known->second.m_quarantine->m_trial.reset();
         }
     }
 }
 
-bool may_send_again(const crash_suspects& suspects, const std::vector<shared_part>& parts,
-                    time_point now)
+bool may_send_again(const crash_suspects& suspects,
+                    const std::vector<request_trait>& traits, time_point now)
 {
-    return std::none_of(parts.begin(), parts.end(),
-                        [&](const shared_part& shared)
-                        {
-                            const auto known = suspects.m_parts.find(shared.m_key);
-                            if (known == suspects.m_parts.end())
-                            {
-                                return false;
-                            }
-                            const suspect_part& part = known->second;
-                            return part.m_quarantine ||
-                                   (!has_recent_success(part, now) &&
-                                    weight_of(part) >= 2 * weight_of_begun_stream);
-                        });
+    return std::none_of(
+        traits.begin(), traits.end(),
+        [&](const request_trait& trait)
+        {
+            const auto known = suspects.m_known.find(trait.m_key);
+            if (known == suspects.m_known.end())
+            {
+                return false;
+            }
+            const suspect& part = known->second;
+            const bool is_sound =
+                part.m_kind == suspect_kind::prompt_part && has_recent_success(part, now);
+            return part.m_quarantine ||
+                   (!is_sound && weight_of(part) >= 2 * weight_of_begun_stream);
+        });
 }
 
 std::optional<crash_report> make_crash_report(const crash_suspects& suspects,
@@ -409,33 +463,44 @@
         return static_cast<std::uint32_t>(
             std::max(whole_ms(now - at), milliseconds{0}).count());
     };
+    // What does not fit into the report is what has the least evidence.
+    std::vector<std::pair<suspect_key, const suspect*>> ordered;
+    for (const auto& [key, known] : suspects.m_known)
+    {
+        ordered.emplace_back(key, &known);
+    }
+    std::sort(ordered.begin(), ordered.end(),
+              [](const auto& left, const auto& right)
+              {
+                  return evidence_rank(*left.second) > evidence_rank(*right.second);
+              });
     crash_report report;
-    for (const auto& [key, part] : suspects.m_parts)
+    for (const auto& [key, known] : ordered)
     {
-        for (const suspected_crash& crash : part.m_crashes)
+        for (const suspected_crash& crash : known->m_crashes)
         {
             if (crash.m_own && now - crash.m_at <= report_repetition &&
                 report.m_sightings.size() < max_reported_sightings)
             {
-                report.m_sightings.push_back({key.m_value, crash.m_upstream.m_value,
-                                              age_ms(crash.m_at),
-                                              static_cast<std::uint8_t>(crash.m_weight)});
+                report.m_sightings.push_back(
+                    {known->m_kind, key.m_value, crash.m_upstream.m_value,
+                     age_ms(crash.m_at), static_cast<std::uint8_t>(crash.m_weight)});
             }
         }
-        const auto success = own_success(suspects, key);
+        const auto success = known->m_own_success;
         if (success && now - *success <= suspicion_memory &&
-            now - latest_crash(part) <= report_repetition &&
+            now - latest_crash(*known) <= report_repetition &&
             report.m_successes.size() < max_reported_successes)
         {
             report.m_successes.push_back({key.m_value, age_ms(*success)});
         }
-        const auto& quarantine = part.m_quarantine;
+        const auto& quarantine = known->m_quarantine;
         if (quarantine &&
             (to_newcomer || now - quarantine->m_since <= report_repetition) &&
             report.m_quarantines.size() < max_reported_quarantines)
         {
             report.m_quarantines.push_back(
-                {key.m_value, age_ms(quarantine->m_since),
+                {known->m_kind, key.m_value, age_ms(quarantine->m_since),
                  static_cast<std::int32_t>(whole_ms(quarantine->m_until - now).count()),
                  static_cast<std::uint8_t>(std::min(quarantine->m_count, 255U))});
         }
@@ -445,23 +510,24 @@
     return empty ? std::nullopt : std::optional{std::move(report)};
 }
 
-std::vector<part_key> apply_crash_report(crash_suspects& suspects,
-                                         const crash_report& report, time_point now)
+std::vector<suspect_key> apply_crash_report(crash_suspects& suspects,
+                                            const crash_report& report, time_point now)
 {
-    std::vector<part_key> lifted;
+    std::vector<suspect_key> lifted;
     for (const crash_sighting& sighting : report.m_sightings)
     {
         const milliseconds age{sighting.m_age_ms};
         if (age <= suspicion_memory && sighting.m_weight <= weight_of_begun_stream)
         {
             add_crash(
-                find_or_add(suspects, part_key{sighting.m_part}),
+                find_or_add(suspects, sighting.m_kind, suspect_key{sighting.m_suspect}),
                 {upstream_run{sighting.m_upstream}, now - age, sighting.m_weight, false});
         }
     }
     for (const quarantine_notice& notice : report.m_quarantines)
     {
-        suspect_part& part = find_or_add(suspects, part_key{notice.m_part});
+        suspect& part =
+            find_or_add(suspects, notice.m_kind, suspect_key{notice.m_suspect});
         const time_point since = now - milliseconds{notice.m_age_ms};
         const bool is_refuted = part.m_last_success && *part.m_last_success > since;
         const bool is_news =
@@ -469,14 +535,15 @@
         if (!is_refuted && is_news)
         {
             const milliseconds left{std::min<std::int64_t>(
-                notice.m_left_ms, whole_ms(quarantine_lengths.back()).count())};
-            part.m_quarantine = part_quarantine{since, now + left, notice.m_count, {}};
+                notice.m_left_ms,
+                whole_ms(rules_of(part.m_kind).m_quarantine_lengths.back()).count())};
+            part.m_quarantine = suspect_quarantine{since, now + left, notice.m_count, {}};
         }
     }
-    for (const part_success& success : report.m_successes)
+    for (const suspect_success& success : report.m_successes)
     {
-        const auto known = suspects.m_parts.find(part_key{success.m_part});
-        if (known == suspects.m_parts.end())
+        const auto known = suspects.m_known.find(suspect_key{success.m_suspect});
+        if (known == suspects.m_known.end())
         {
             continue;
         }
@@ -491,14 +558,23 @@
     return lifted;
 }
 
-std::size_t count_quarantines(const crash_suspects& suspects)
+bool has_suspected_requests(const crash_suspects& suspects)
 {
-    return static_cast<std::size_t>(
-        std::count_if(suspects.m_parts.begin(), suspects.m_parts.end(),
-                      [](const auto& entry)
-                      {
-                          return entry.second.m_quarantine.has_value();
-                      }));
+    return std::any_of(suspects.m_known.begin(), suspects.m_known.end(),
+                       [](const auto& entry)
+                       {
+                           return entry.second.m_kind == suspect_kind::whole_request;
+                       });
+}
+
+std::size_t count_quarantines(const crash_suspects& suspects, suspect_kind kind)
+{
+    return static_cast<std::size_t>(std::count_if(
+        suspects.m_known.begin(), suspects.m_known.end(),
+        [kind](const auto& entry)
+        {
+            return entry.second.m_kind == kind && entry.second.m_quarantine.has_value();
+        }));
 }
 
 } // namespace geraniumdoor::serving
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -138,9 +138,9 @@
 crash_report sample_crash_report()
 {
     crash_report report;
-    report.m_sightings.push_back({17, 18, 400, 2});
+    report.m_sightings.push_back({suspect_kind::whole_request, 17, 18, 400, 2});
     report.m_successes.push_back({17, 3000});
-    report.m_quarantines.push_back({19, 5000, -200, 2});
+    report.m_quarantines.push_back({suspect_kind::prompt_part, 19, 5000, -200, 2});
     return report;
 }
 
--- a/tests/serving/crash_suspects_test.cpp
+++ b/tests/serving/crash_suspects_test.cpp
@@ -22,7 +22,7 @@
 const time_point start = time_point{} + 100s;
 constexpr milliseconds exchange_time{600};
 
-std::vector<shared_part> parts_of(const std::vector<std::string>& ids)
+std::vector<request_trait> parts_of(const std::vector<std::string>& ids)
 {
     prompt text;
     for (const std::string& id : ids)
@@ -115,8 +115,8 @@
     record_success(suspects, parts_of({"first"}), start + 2500ms);
     const auto held = update_quarantines(suspects, exchange_time, start + 3s);
     cr_assert(held.size() == 1);
-    const part_key bad = held.front();
-    const time_point end = start + 3s + quarantine_lengths[0];
+    const suspect_key bad = held.front();
+    const time_point end = start + 3s + prompt_part_rules.m_quarantine_lengths[0];
     EXPECT_EQUAL(only_quarantined(suspects, parts_of({"first", "bad"})), bad);
 
     // Not before the end, one at a time, and the next host two seconds later.
@@ -133,7 +133,7 @@
     record_crash(suspects, parts_of({"first", "bad"}), upstream_run{77},
                  weight_of_begun_stream, end + 2s);
     cr_expect(not begin_trial(suspects, bad, 0, end + 30s));
-    const time_point second_end = end + 2s + quarantine_lengths[1];
+    const time_point second_end = end + 2s + prompt_part_rules.m_quarantine_lengths[1];
     cr_expect(begin_trial(suspects, bad, 0, second_end));
 
     // The next one is sound: the part is free at once.
@@ -172,7 +172,7 @@
     record_crash(newcomer, parts_of({"bad"}), upstream_run{50}, weight_of_begun_stream,
                  now + 15s);
     record_success(hosts[1], parts_of({"bad"}), now + 16s);
-    hosts[1].m_parts.begin()->second.m_crashes.back().m_at = now + 14s;
+    hosts[1].m_known.begin()->second.m_crashes.back().m_at = now + 14s;
     EXPECT_EQUAL(apply_crash_report(
                      newcomer, *make_crash_report(hosts[1], false, now + 16s), now + 16s)
                      .size(),
@@ -193,7 +193,7 @@
                      weight_of_queued_request, now);
         record_success(suspects, parts_of({"s" + std::to_string(at)}), now);
     }
-    cr_expect(suspects.m_parts.size() <= 256);
+    cr_expect(suspects.m_known.size() <= 256);
     cr_expect(suspects.m_successes.m_newer.size() + suspects.m_successes.m_older.size() <=
               4096);
     crash_report full;
@@ -202,7 +202,7 @@
     full.m_quarantines.resize(max_reported_quarantines);
     cr_expect(is_ok(encode_datagram(full)));
     update_quarantines(suspects, exchange_time, start + 200s);
-    cr_expect(suspects.m_parts.empty());
+    cr_expect(suspects.m_known.empty());
 }
 
 namespace
@@ -303,7 +303,7 @@
     {
         std::size_t m_host = 0;
         std::size_t m_engine = 0;
-        std::vector<shared_part> m_parts;
+        std::vector<request_trait> m_parts;
         bool m_crashes = false;
         bool m_is_trial = false;
         time_point m_sent{};
@@ -335,7 +335,7 @@
         }
     }
 
-    void begin(std::vector<shared_part> parts, bool crashes)
+    void begin(std::vector<request_trait> parts, bool crashes)
     {
         const std::size_t host =
             uniform_below(m_random, static_cast<std::uint32_t>(m_hosts.size()));
