--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -126,7 +126,7 @@
         const bool quarantined = is_quarantined(current);
         if (quarantined)
         {
-            current.m_reason = crashing_prompt_reason;
+            current.m_reason = quarantine_reason(current);
         }
         else if (chosen == nullptr && lacks_stream_version(current))
         {
@@ -272,9 +272,7 @@
     state.m_has_budget =
         moves || may_retry(m_state.m_retry_budget, current.m_pool,
                            count_possible_senders(m_state.m_hosts, now()), now());
-    state.m_may_crash_upstreams =
-        !moves &&
-        !may_send_again(m_state.m_crash_suspects, current.m_shared_parts, now());
+    state.m_may_crash_upstreams = !moves && !may_repeat(current);
     const next_step step = decide_next_step(outcome, state);
     const bool again = step == next_step::try_other || step == next_step::resume_other ||
                        step == next_step::prepare_again;
@@ -322,13 +320,13 @@
     case next_step::refuse:
     {
         const auto quarantine =
-            quarantine_left(m_state.m_crash_suspects, current.m_shared_parts, now());
+            quarantine_left(m_state.m_crash_suspects, current.m_traits, now());
         const auto next = send_wait(m_state.m_upstreams, current.m_pool, now(),
                                     current.m_stream_version);
         const milliseconds wait =
             std::max(declined_retry_after, next.value_or(declined_retry_after));
         co_await refuse(current, quarantine.value_or(wait),
-                        quarantine                      ? crashing_prompt_reason
+                        quarantine                      ? quarantine_reason(current)
                         : next                          ? no_upstream_takes_it_reason
                         : lacks_stream_version(current) ? no_upstream_of_version_reason
                                                         : "no_upstream_ran_it");
@@ -407,6 +405,7 @@
     const auto call = moved.m_head ? moved.m_call : make_upstream_call();
     current.m_upstream_call = call;
     current.m_upstream = id;
+    current.m_upstream_run = run_of(chosen);
     current.m_upstream_version = chosen.m_version;
     const auto tokens = current.m_metadata.m_prompt.m_prompt_tokens +
                         current.m_metadata.m_prompt.m_output_tokens;
@@ -550,6 +549,8 @@
                 .add("connection_lost", current.m_progress.m_connection_lost)
                 .add("gave_up", current.m_progress.m_gave_up)
                 .add("silent_ms", ms_between(latest_progress(current), at).count())
+                .add("run", current.m_upstream_run)
+                .add("identity", identity_of(current))
                 .add("parts", part_ids(current.m_metadata.m_prompt));
         }
     }
@@ -649,6 +650,8 @@
         const auto part = co_await current.m_upstream_call->read_part(time_left(current));
         if (!is_ok(part))
         {
+            current.m_progress.m_connection_lost =
+                error_of(part).m_kind == http_error_kind::closed;
             co_return attempt_outcome::broken;
         }
         if (current.m_first_byte_at == time_point{})
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -118,7 +118,7 @@
         }
         if (current.m_progress.m_events >= events_of_sound_stream)
         {
-            record_sound_stream(current);
+            record_sound_traits(current, current.m_traits);
         }
         if (!forwarded_bytes.empty())
         {
--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -223,8 +223,7 @@
     {
         return "time";
     }
-    if (is_quarantined(current) ||
-        !may_send_again(m_state.m_crash_suspects, current.m_shared_parts, at))
+    if (is_quarantined(current) || !may_repeat(current))
     {
         return "trust";
     }
@@ -425,7 +424,7 @@
     const auto& response = *next.m_head->m_result;
     if (!is_ok(response) && error_of(response).m_kind == http_error_kind::closed)
     {
-        record_possible_crash(current, next.m_upstream, weight_of_queued_request);
+        record_possible_crash(current, run_of(next.m_entry), weight_of_queued_request);
     }
     upstream* row = m_state.m_upstreams.m_rows.find(next.m_upstream);
     if (row == nullptr)
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -14,6 +14,7 @@
 #include <geraniumdoor/serving/engine_choice.hpp>
 #include <geraniumdoor/serving/event_stream.hpp>
 #include <geraniumdoor/serving/path_estimate.hpp>
+#include <geraniumdoor/serving/request_identity.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/steady_timer.hpp>
@@ -63,9 +64,11 @@
     /// Time at which the caller abandons the request if no byte has arrived, or no
     /// further one of a stream that is to be resumed.
     time_point m_first_byte_deadline{};
-    /// Parts of the prompt of a request to a model engine.
-    std::vector<serving::shared_part> m_shared_parts;
-    /// The request tries whether a part still crashes upstreams.
+    /// What the request has in common with others that may crash upstreams. The whole
+    /// request is among them once it has been identified.
+    std::vector<serving::request_trait> m_traits;
+    bool m_is_identified = false;
+    /// The request tries whether a suspect still crashes upstreams.
     bool m_is_trial = false;
     bool m_caller_gone = false;
     /// A response was started or sent in full, whether streamed, buffered or an error.
@@ -99,6 +102,8 @@
     std::vector<upstream_id> m_tried_upstreams;
     std::shared_ptr<http_call> m_upstream_call;
     upstream_id m_upstream;
+    /// Process of that upstream when the attempt began.
+    upstream_run m_upstream_run;
     /// Software version of that upstream.
     software_version m_upstream_version;
     /// Version that began the stream; empty before its first event.
@@ -217,19 +222,28 @@
                                              const std::vector<upstream_id>& tried) const;
     /// Selects an untried upstream, or any if none can have run the request.
     const serving::upstream* select_next_upstream(request& current) const;
-    /// Time until the request may be sent, if parts of its prompt are in quarantine.
-    /// Begins a trial with the request when one is due.
+    /// Adds the whole request to the traits. Hashes the body.
+    void identify(request& current) const;
+    void identify_if_suspected(request& current) const;
+    serving::request_identity identity_of(const request& current) const;
+    /// Time until the request may be sent, if its traits are in quarantine. Begins a
+    /// trial with the request when one is due.
     std::optional<milliseconds> quarantine_wait(request& current);
-    /// Whether a part was quarantined since the request was admitted.
-    bool is_quarantined(const request& current) const;
-    /// Order in which this host may begin a trial of a part, from zero.
-    std::size_t trial_rank(serving::part_key part) const;
-    /// Records an attempt that may have crashed its upstream, or proved the parts of the
-    /// prompt sound.
+    /// Whether a trait was quarantined since the request was admitted.
+    bool is_quarantined(request& current) const;
+    const char* quarantine_reason(const request& current) const;
+    /// Whether the request may be sent again after its upstream was lost.
+    bool may_repeat(const request& current) const;
+    /// Order in which this host may begin a trial of a suspect, from zero.
+    std::size_t trial_rank(serving::suspect_key key) const;
+    /// Records an attempt that may have crashed its upstream, or proved the request
+    /// sound.
     void record_crash_evidence(request& current, serving::attempt_outcome outcome);
-    void record_possible_crash(const request& current, const upstream_id& id,
+    void record_possible_crash(request& current, upstream_run upstream,
                                std::uint32_t weight);
-    void record_sound_stream(request& current);
+    void record_sound_answer(request& current);
+    void record_sound_traits(const request& current,
+                             const std::vector<serving::request_trait>& traits);
     boost::asio::awaitable<void> run_attempts(request& current);
     /// Sends the request to an upstream, or follows it to its successor. Returns whether
     /// another attempt is made.
