--- a/tests/standins/crashing_request_test.cpp
+++ b/tests/standins/crashing_request_test.cpp
@@ -203,7 +203,7 @@
 
 } // namespace
 
-TestSuite(crashing_request, .timeout = 90);
+TestSuite(crashing_request, .timeout = 60);
 
 // Guards against a request without a prompt that crashes each upstream which runs it, and
 // is sent to the next one whenever it comes again.
