--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -46,7 +46,10 @@
 
     def say(self, *words):
         self.add(*words)
-        print(*words, flush=True)
+        try:
+            print(*words, flush=True)
+        except BrokenPipeError:
+            pass  # the record has the line
 
 
 class Message:
