--- a/review/lib/stand.py
+++ b/review/lib/stand.py
@@ -7,6 +7,7 @@
 
 import asyncio
 import base64
+import ctypes
 import json
 import os
 import re
@@ -362,6 +363,12 @@
     return re.sub(r"\{\{([^}]+)\}\}", replace, template)
 
 
+def end_with_parent():
+    """Runs in a host's process before the program: SIGKILL when the script ends."""
+    PR_SET_PDEATHSIG = 1
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+
+
 class Host:
     """A machine with one process of the role in deploy/system.toml."""
 
@@ -405,7 +412,8 @@
         environment["GERANIUMDOOR_CONFIG"] = str(self.path)
         self.process = await asyncio.create_subprocess_exec(
             str(ROOT / command[0]), *command[1:], cwd=ROOT, env=environment,
-            stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log)
+            stdin=asyncio.subprocess.DEVNULL, stdout=log, stderr=log,
+            preexec_fn=end_with_parent)
         log.close()
         self.fleet.record.add("start", self.name, "pid", self.process.pid)
 
