Log failed reads of the store, unanswered pulls and the source of configurations

Which of the hypotheses on late configurations holds could not be read off the logs: a failed read of a reader left no line until the store counted as lost everywhere, a pull that a reader did not answer left none at all, and configuration_in_force did not say whether the store or another host had brought it. Logs only; no decision has changed.

--- a/src/edge/store_exchange.cpp
+++ b/src/edge/store_exchange.cpp
@@ -181,6 +181,11 @@
     {
         return std::nullopt;
     }
+    if (!m_pulled_host.m_value.empty())
+    {
+        log_event{"pull_unanswered"}.add("host", m_pulled_host);
+        m_state.m_metrics.add("pulls_unanswered", {});
+    }
     m_pull_deadline = now() + (has_no_data() ? whole_pull_timeout : pull_timeout);
     m_pulled_host = report.m_node;
     // apply_push records the answer as complete up to the host's change number, so every
@@ -194,6 +199,7 @@
     if (host == m_pulled_host)
     {
         m_pull_deadline = now();
+        m_pulled_host = {};
     }
 }
 
@@ -217,8 +223,10 @@
     progress.m_incarnation = from_incarnation;
     progress.m_changes = std::max(progress.m_changes, push.m_changes);
     const std::uint64_t changes_before = m_changes;
+    m_row_source = from;
     apply_changes(m_operator_table, push.m_intent);
     apply_changes(m_registry, push.m_registry);
+    m_row_source = {};
     publish(changes_before);
     for (const std::string& address : push.m_hosts)
     {
--- a/src/edge/store_rows.cpp
+++ b/src/edge/store_rows.cpp
@@ -149,6 +149,7 @@
         std::make_shared<const serving::routing_config>(value_of(std::move(config)));
     log_event{"configuration_in_force"}
         .add("version", m_state.m_routing->m_version)
+        .add("source", m_row_source)
         .add("routes", m_state.m_routing->m_routes.size())
         .add("keys", m_state.m_routing->m_api_keys.size());
     return true;
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -247,6 +247,11 @@
         return;
     }
     m_state.m_metrics.add("store_failures", {{"table", table.m_name}});
+    log_event{"store_read_failed"}
+        .add("table", table.m_name)
+        .add("reason", detail)
+        .add("took_ms", std::chrono::duration_cast<milliseconds>(at - began).count())
+        .add("failures", table.m_history.m_consecutive_failures);
     if (!table.m_copy.m_unavailable && is_overdue)
     {
         table.m_copy.m_unavailable = true;
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -121,6 +121,8 @@
     /// When the pull in progress times out, and the host that was asked.
     time_point m_pull_deadline{};
     node_id m_pulled_host;
+    /// Host whose rows are being applied; empty for rows of the store.
+    node_id m_row_source;
     /// The registry as compressed for the last pull of all rows, when it was compressed,
     /// and the number of changes that it includes.
     std::string m_packed_registry;
