Replace readers that the store does not answer at once

Callers at hosts that reach the store were answered 404 for routes that had been added and acknowledged more than configApplyMs before, for as long as 4.8 s.

Cause: a host whose read of the store failed reported 'unused' until a second read had failed, and preceded all other hosts as a reader by its weight. When the three readers were cut off from the store together, nobody read it until then: reads end after 900 and 1650 ms, so that the role moved 2.1 to 2.6 s later, and 2 s more for each round of replacements that were cut off, too.

Now a read that is not answered in the usual time makes its host 'retrying': it goes on, and up to three others join it at once. Their first read does not wait for a change. At most six such hosts are disregarded, so that an outage of the store is not asked about by the whole fleet. A refused read changes nothing, and one lost response still does not move the role.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -234,6 +234,8 @@
     reading,
     /// Its reads failed a short time ago.
     failing,
+    /// The store has not answered its last read in the usual time.
+    retrying,
 };
 
 const char* to_text(store_access access);
--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -21,6 +21,18 @@
 /// candidate again.
 inline constexpr milliseconds store_failure_hold{10000};
 
+/// Timeout of a call, in addition to the time that a long poll waits at the store. Above
+/// the 500 ms within which a slow store responds.
+inline constexpr milliseconds store_call_timeout{900};
+
+/// Time in which the store responds to a call, also when it is slow, in addition to the
+/// time that a long poll waits there.
+inline constexpr milliseconds usual_store_response{500};
+
+/// Most hosts that wait for the store's response and are replaced at once: the readers,
+/// and the hosts that have replaced them.
+inline constexpr std::ptrdiff_t max_replaced = 2 * store_reader_count;
+
 /// A host as a candidate for reading the store.
 struct reader_candidate
 {
@@ -35,6 +47,8 @@
     /// When the first of these failed reads began, and when the last one ended.
     time_point m_first_failure_began{};
     time_point m_last_failure{};
+    /// The last read ended without a response in the usual time.
+    bool m_is_unanswered = false;
 };
 
 void record_store_read(store_read_history& history, bool succeeded, time_point began,
@@ -43,16 +57,27 @@
 /// Whether the reads of a table fail, or failed within the hold time.
 bool is_failing(const store_read_history& history, time_point now);
 
+/// Returns the access that a host reports.
+/// @param is_reading its last reads succeeded, and it has been a reader since
+/// @param is_overdue a read has not been answered in the usual time
+store_access access_to_store(const store_read_history& history, bool is_reading,
+                             bool is_overdue, time_point now);
+
+/// Returns the access of a host to two tables, of which it reads both or neither.
+store_access access_to_both(store_access left, store_access right);
+
 /// Returns the pause before a read is repeated after failures. It doubles up to a limit,
 /// so that a store in trouble is not asked more often than one that works.
 milliseconds read_retry_delay(int consecutive_failures);
 
 /// Whether this host reads the store for the other hosts.
 ///
-/// Load pattern: the store is down, slow, or turns some hosts away. Readers whose reads
-/// fail are replaced, a few hosts at a time; a host whose reads succeed keeps the role
-/// until it is down or stopping, whatever the age of its last report. A reader gives way
-/// only to hosts that read already, so that a hand-over leaves no gap.
+/// Load pattern: the store is down, slow, or turns some hosts away, or all readers are
+/// cut off from it at once while the operator writes. Readers whose reads fail are
+/// replaced, a few hosts at a time; a host whose reads succeed keeps the role until it is
+/// down or stopping, whatever the age of its last report. A host that the store does not
+/// answer is joined by others at once. A reader gives way only to hosts that read
+/// already, so that a hand-over leaves no gap.
 /// @param others all other hosts that are live and not stopping
 bool is_store_reader(const reader_candidate& own,
                      std::span<const reader_candidate> others);
--- a/src/cluster/datagrams.cpp
+++ b/src/cluster/datagrams.cpp
@@ -31,6 +31,8 @@
         return "reading";
     case store_access::failing:
         return "failing";
+    case store_access::retrying:
+        return "retrying";
     }
     return "unknown";
 }
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -17,13 +17,17 @@
 {
 
 namespace asio = boost::asio;
+using serving::store_call_timeout;
 
 namespace
 {
 
+/// Interval at which a host checks whether a read is overdue.
+constexpr milliseconds overdue_check_interval{50};
+
 /// Time that a long poll for the operator table waits at the store for a change. A
 /// lost response or a dead connection is detected after this time plus
-/// store_call_timeout.
+/// usual_store_response.
 constexpr milliseconds operator_poll_wait{750};
 
 /// Pause between two long polls for the operator table. It bounds the rate of reads
@@ -45,10 +49,6 @@
 /// each entry changes about once a second. The store keeps all changes made in the pause.
 constexpr milliseconds registry_read_pause{600};
 
-/// Timeout of a call, in addition to the time that a long poll waits at the store. Above
-/// the 500 ms within which a slow store responds.
-constexpr milliseconds store_call_timeout{900};
-
 /// Time without a successful read after which the store counts as unavailable.
 constexpr milliseconds outage_threshold{1500};
 
@@ -102,6 +102,11 @@
 void store_watch::start()
 {
     m_started = now();
+    m_state.m_timers.every(overdue_check_interval,
+                           [this](time_point)
+                           {
+                               update_access();
+                           });
     asio::co_spawn(m_state.m_executor,
                    watch_table(m_operator_table, operator_poll_wait, operator_read_pause),
                    asio::detached);
@@ -142,13 +147,14 @@
 void store_watch::update_access()
 {
     const time_point at = now();
-    const bool is_reading =
-        m_operator_table.m_is_being_read && m_registry.m_is_being_read;
-    const bool fails = serving::is_failing(m_operator_table.m_history, at) ||
-                       serving::is_failing(m_registry.m_history, at);
-    const store_access access = fails        ? store_access::failing
-                                : is_reading ? store_access::reading
-                                             : store_access::unused;
+    const auto access_to = [at](const cached_table& table)
+    {
+        const bool is_overdue = table.m_overdue_at && at >= *table.m_overdue_at;
+        return serving::access_to_store(table.m_history, table.m_is_being_read,
+                                        is_overdue, at);
+    };
+    const store_access access =
+        serving::access_to_both(access_to(m_operator_table), access_to(m_registry));
     if (access == m_state.m_own_report.m_store_access)
     {
         return;
@@ -173,7 +179,10 @@
             co_await sleep_for(reader_check_interval);
             continue;
         }
-        table.m_is_being_read = co_await refresh_table(table, wait);
+        // The first read does not wait for a change, so that other hosts learn at once
+        // whether it succeeds.
+        table.m_is_being_read =
+            co_await refresh_table(table, table.m_is_being_read ? wait : milliseconds{0});
         update_access();
         apply_due_changes();
         co_await sleep_for(
@@ -186,6 +195,15 @@
 asio::awaitable<bool> store_watch::refresh_table(cached_table& table, milliseconds wait)
 {
     const time_point began = now();
+    table.m_overdue_at = began + wait + serving::usual_store_response;
+    const bool succeeded = co_await read_table(table, wait, began);
+    table.m_overdue_at.reset();
+    co_return succeeded;
+}
+
+asio::awaitable<bool> store_watch::read_table(cached_table& table, milliseconds wait,
+                                              time_point began)
+{
     if (serving::needs_whole_read(table.m_copy))
     {
         auto page = co_await m_store.read_table(table.m_name, store_call_timeout);
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <map>
+#include <optional>
 #include <string>
 
 #include <platform/store_client.hpp>
@@ -27,6 +28,8 @@
     serving::store_read_history m_history;
     /// The last read succeeded, and this host has been a reader since.
     bool m_is_being_read = false;
+    /// When the read in progress takes longer than usual; empty while there is none.
+    std::optional<time_point> m_overdue_at;
 };
 
 /// Keeps local copies of the operator table, which holds the configuration and the
@@ -75,6 +78,8 @@
     boost::asio::awaitable<void> watch_table(cached_table& table, milliseconds wait,
                                              milliseconds pause);
     boost::asio::awaitable<bool> refresh_table(cached_table& table, milliseconds wait);
+    boost::asio::awaitable<bool> read_table(cached_table& table, milliseconds wait,
+                                            time_point began);
     boost::asio::awaitable<void> maintain_addresses();
     boost::asio::awaitable<bool> read_host_addresses();
     boost::asio::awaitable<bool> write_missing_addresses();
--- a/src/serving/store_readers.cpp
+++ b/src/serving/store_readers.cpp
@@ -23,6 +23,11 @@
         return (other.m_access == store_access::reading &&
                 other.m_weight * holder_weight_factor > own.m_weight) ||
                (other.m_access == store_access::unused && other.m_weight > own.m_weight);
+    case store_access::retrying:
+        return (other.m_access == store_access::reading &&
+                other.m_weight * holder_weight_factor > own.m_weight) ||
+               (other.m_access == store_access::retrying &&
+                other.m_weight > own.m_weight);
     case store_access::failing:
         break;
     }
@@ -45,6 +50,7 @@
     }
     ++history.m_consecutive_failures;
     history.m_last_failure = ended;
+    history.m_is_unanswered = ended - began >= usual_store_response;
 }
 
 bool is_failing(const store_read_history& history, time_point now)
@@ -54,6 +60,34 @@
            now - history.m_last_failure < store_failure_hold;
 }
 
+store_access access_to_store(const store_read_history& history, bool is_reading,
+                             bool is_overdue, time_point now)
+{
+    if (is_failing(history, now))
+    {
+        return store_access::failing;
+    }
+    const bool was_unanswered =
+        history.m_is_unanswered && now - history.m_last_failure < store_failure_hold;
+    if (is_overdue || was_unanswered)
+    {
+        return store_access::retrying;
+    }
+    return is_reading ? store_access::reading : store_access::unused;
+}
+
+store_access access_to_both(store_access left, store_access right)
+{
+    for (const store_access worst : {store_access::failing, store_access::retrying})
+    {
+        if (left == worst || right == worst)
+        {
+            return worst;
+        }
+    }
+    return left == right ? left : store_access::unused;
+}
+
 milliseconds read_retry_delay(int consecutive_failures)
 {
     constexpr int max_doublings = 4;
@@ -69,7 +103,16 @@
                                      {
                                          return is_ahead(other, own);
                                      });
-    return static_cast<std::size_t>(ahead) < store_reader_count;
+    const auto retrying =
+        std::count_if(others.begin(), others.end(),
+                      [](const reader_candidate& other)
+                      {
+                          return other.m_access == store_access::retrying;
+                      });
+    // More hosts that retry mean an outage, in which others would fail, too.
+    const bool waits = own.m_access == store_access::unused;
+    const auto in_vain = waits ? std::max<std::ptrdiff_t>(0, retrying - max_replaced) : 0;
+    return static_cast<std::size_t>(ahead + in_vain) < store_reader_count;
 }
 
 bool is_store_reader(const host_table& table, const host_report& own, time_point now)
--- a/tests/serving/store_readers_test.cpp
+++ b/tests/serving/store_readers_test.cpp
@@ -37,6 +37,9 @@
         time_point m_paused_until{};
         time_point m_next_report{};
         time_point m_next_read{};
+        /// A read that the store has not answered, and when the host gives it up.
+        std::optional<time_point> m_read_began;
+        time_point m_read_ends{};
     };
 
     /// What a host last heard from another one.
@@ -125,6 +128,11 @@
         return true;
     };
     std::size_t m_reads = 0;
+    /// Whether a read of a host is lost, so that it ends with its timeout.
+    std::function<bool(std::size_t)> m_read_is_lost = [](std::size_t)
+    {
+        return false;
+    };
 
 private:
     view& view_of(std::size_t observer, std::size_t other)
@@ -143,20 +151,37 @@
         host& own = m_hosts[at];
         own.m_is_reader = decide(at);
         const store_access before = own.m_access;
-        bool read_succeeds = own.m_access == store_access::reading;
-        if (own.m_is_reader && m_now >= own.m_next_read)
+        bool read_succeeds = own.m_is_reader && own.m_access == store_access::reading;
+        if (own.m_read_began && m_now >= own.m_read_ends)
         {
-            ++m_reads;
-            read_succeeds = m_store_answers(at);
-            record_store_read(own.m_history, read_succeeds, m_now - step, m_now);
+            read_succeeds = false;
+            record_store_read(own.m_history, false, *own.m_read_began, m_now);
             own.m_next_read =
-                m_now + (read_succeeds
-                             ? milliseconds{600}
-                             : read_retry_delay(own.m_history.m_consecutive_failures));
+                m_now + read_retry_delay(own.m_history.m_consecutive_failures);
+            own.m_read_began.reset();
         }
-        own.m_access = is_failing(own.m_history, m_now)   ? store_access::failing
-                       : own.m_is_reader && read_succeeds ? store_access::reading
-                                                          : store_access::unused;
+        else if (own.m_is_reader && !own.m_read_began && m_now >= own.m_next_read)
+        {
+            ++m_reads;
+            if (m_read_is_lost(at))
+            {
+                own.m_read_began = m_now;
+                own.m_read_ends = m_now + store_call_timeout;
+            }
+            else
+            {
+                read_succeeds = m_store_answers(at);
+                record_store_read(own.m_history, read_succeeds, m_now - step, m_now);
+                own.m_next_read =
+                    m_now +
+                    (read_succeeds
+                         ? milliseconds{600}
+                         : read_retry_delay(own.m_history.m_consecutive_failures));
+            }
+        }
+        const bool overdue =
+            own.m_read_began && m_now >= *own.m_read_began + usual_store_response;
+        own.m_access = access_to_store(own.m_history, read_succeeds, overdue, m_now);
         if (own.m_access != before || m_now >= own.m_next_report)
         {
             send_report(at);
@@ -335,6 +360,29 @@
     }
 }
 
+Test(store_readers, a_store_that_does_not_answer_is_asked_by_a_few_hosts)
+{
+    for (const std::size_t size : fleet_sizes)
+    {
+        simulated_fleet fleet{size, 16};
+        fleet.run_for(settling_time);
+        fleet.m_read_is_lost = [](std::size_t)
+        {
+            return true;
+        };
+        fleet.m_reads = 0;
+        fleet.run_for(8000ms);
+        const double reads_per_s = static_cast<double>(fleet.m_reads) / 8;
+        cr_expect(reads_per_s <= 20, "%f reads a second of %zu hosts", reads_per_s, size);
+        fleet.m_read_is_lost = [](std::size_t)
+        {
+            return false;
+        };
+        fleet.run_for(2000ms);
+        cr_expect(fleet.readers().size() == store_reader_count);
+    }
+}
+
 Test(store_readers, hosts_that_the_store_turns_away_are_replaced_by_others)
 {
     for (const std::size_t size : fleet_sizes)
@@ -373,6 +421,56 @@
     cr_expect(fleet.readers().size() <= 2 * store_reader_count);
 }
 
+// Guards against configurations that come into force late: the three readers are cut off
+// from the store at once, their reads end with the timeout, and hosts that reach the
+// store wait for a second timeout before they read it.
+Test(store_readers, readers_that_are_cut_off_from_the_store_are_replaced_in_time)
+{
+    // The platform's configApplyMs, by the size of its deployments.
+    const auto configuration_time = [](std::size_t size)
+    {
+        return size < 60 ? 2000ms : 3000ms;
+    };
+    for (const std::size_t size : fleet_sizes)
+    {
+        for (const std::size_t rounds : {1U, 2U})
+        {
+            simulated_fleet fleet{size, 15};
+            fleet.run_for(settling_time);
+            // The hosts that would replace the readers may be cut off, too.
+            std::vector<std::size_t> cut_off = fleet.readers();
+            if (rounds == 2)
+            {
+                simulated_fleet twin{size, 15};
+                twin.run_for(settling_time);
+                for (const std::size_t at : cut_off)
+                {
+                    twin.m_hosts[at].m_is_up = false;
+                }
+                twin.run_for(settling_time);
+                const auto next = twin.readers();
+                cut_off.insert(cut_off.end(), next.begin(), next.end());
+            }
+            const auto is_cut_off = [&cut_off](std::size_t at)
+            {
+                return std::find(cut_off.begin(), cut_off.end(), at) != cut_off.end();
+            };
+            // The store answers the hosts that are not cut off, within one step.
+            fleet.m_read_is_lost = is_cut_off;
+            fleet.run_for(configuration_time(size));
+            const auto readers = fleet.readers();
+            const bool replaced =
+                std::any_of(readers.begin(), readers.end(),
+                            [&](std::size_t at)
+                            {
+                                return !is_cut_off(at) && fleet.m_hosts[at].m_access ==
+                                                              store_access::reading;
+                            });
+            cr_expect(replaced, "%zu hosts, %zu cut off", size, cut_off.size());
+        }
+    }
+}
+
 Test(store_readers, both_halves_of_a_partition_have_readers_and_merge)
 {
     simulated_fleet fleet{65, 14};
