Pass over readers that do not answer pulls

A host that follows the store through readers could wait for one that it hears and cannot ask: reports arrive, pulls or their answers do not (a link cut off in one direction, a reader that is slow or chokes). After its timeout of 500 ms the next report decided whom to ask, often that of the same reader, as reports come in the same order each interval. Such readers also counted as readers, so that the host did not read the store either.

Now a host that has not answered is neither asked nor relied on for two seconds, and readers that do not answer are replaced like those that are down. The decisions are free functions over row_pulls, apart from input and output.

--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumdoor/serving/host_table.hpp>
+#include <geraniumdoor/serving/row_pulls.hpp>
 
 #include <cstddef>
 #include <span>
@@ -82,8 +83,10 @@
 bool is_store_reader(const reader_candidate& own,
                      std::span<const reader_candidate> others);
 
-/// The same for the hosts of a table.
-bool is_store_reader(const host_table& table, const host_report& own, time_point now);
+/// The same for the hosts of a table. A reader whose rows do not arrive here does not
+/// count.
+bool is_store_reader(const host_table& table, const host_report& own,
+                     const row_pulls& pulls, time_point now);
 
 /// Whether another live host reads the store with success.
 bool is_store_read_elsewhere(const host_table& table, time_point now);
--- a/src/edge/store_exchange.cpp
+++ b/src/edge/store_exchange.cpp
@@ -16,18 +16,6 @@
 namespace
 {
 
-/// Time that a pull of changes may take before another host is asked. A reader may be
-/// paused, and a new configuration must not wait for it.
-constexpr milliseconds pull_timeout{500};
-
-/// The same for a pull of whole tables. A host that cannot be reached is noticed sooner,
-/// by its connection. A second pull while the answer to the first is still underway would
-/// double the load of the links, at the moment at which all hosts pull.
-constexpr milliseconds whole_pull_timeout{3000};
-
-/// Time after which a host that was busy is asked again.
-constexpr milliseconds busy_delay{300};
-
 /// Bytes that wait to be sent to other hosts above which a host declines pulls of whole
 /// tables; 400 ms on a 20 Mbit/s link. The pullers find other hosts that have the tables
 /// by then.
@@ -166,52 +154,43 @@
 std::optional<state_pull> store_watch::next_pull(const host_report& report,
                                                  bool wants_hosts)
 {
-    peer_progress& progress = m_peer_progress[report.m_node];
-    if (progress.m_incarnation != report.m_incarnation)
-    {
-        progress = {report.m_incarnation, 0};
-    }
-    const bool reads_store = report.m_store_access == store_access::reading;
-    const bool has_new_changes =
-        report.m_changes > progress.m_changes && (reads_store || has_no_data());
-    // One pull at a time: all readers return the same tables, which are large for a slow
-    // link.
-    if ((!has_new_changes && !wants_hosts) || now() < m_pull_deadline ||
-        now() < progress.m_busy_until)
+    expire_pulls();
+    const auto after =
+        serving::begin_pull(m_pulls, report, !has_no_data(), wants_hosts, now());
+    if (!after)
     {
         return std::nullopt;
     }
-    if (!m_pulled_host.m_value.empty())
-    {
-        log_event{"pull_unanswered"}.add("host", m_pulled_host);
-        m_state.m_metrics.add("pulls_unanswered", {});
-    }
-    m_pull_deadline = now() + (has_no_data() ? whole_pull_timeout : pull_timeout);
-    m_pulled_host = report.m_node;
     // apply_push records the answer as complete up to the host's change number, so every
     // pull has to request all missing rows, even if only the list of hosts is wanted.
-    return state_pull{progress.m_changes, m_operator_table.m_copy.m_version,
+    return state_pull{*after, m_operator_table.m_copy.m_version,
                       m_registry.m_copy.m_version, wants_hosts || has_no_data()};
 }
 
-void store_watch::on_peer_lost(const node_id& host)
+void store_watch::expire_pulls()
 {
-    if (host == m_pulled_host)
+    const auto silent = serving::expire_pull(m_pulls, now());
+    if (silent)
     {
-        m_pull_deadline = now();
-        m_pulled_host = {};
+        log_event{"pull_unanswered"}.add("host", *silent);
+        m_state.m_metrics.add("pulls_unanswered", {});
     }
 }
 
+void store_watch::on_peer_lost(const node_id& host)
+{
+    serving::lose_pull(m_pulls, host, now());
+}
+
 void store_watch::apply_push(const node_id& from, incarnation from_incarnation,
                              state_push push)
 {
-    on_peer_lost(from);
     if (push.m_busy)
     {
-        m_peer_progress[from].m_busy_until = now() + busy_delay;
+        serving::record_busy(m_pulls, from, now());
         return;
     }
+    serving::end_pull(m_pulls, from, now());
     const bool decompressed =
         decompress_values(push.m_intent) && decompress_values(push.m_registry);
     if (!decompressed)
@@ -219,9 +198,7 @@
         log_event{"rows_unreadable"}.add("host", from);
         return;
     }
-    peer_progress& progress = m_peer_progress[from];
-    progress.m_incarnation = from_incarnation;
-    progress.m_changes = std::max(progress.m_changes, push.m_changes);
+    serving::record_push(m_pulls, from, from_incarnation, push.m_changes);
     const std::uint64_t changes_before = m_changes;
     m_row_source = from;
     apply_changes(m_operator_table, push.m_intent);
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -105,6 +105,7 @@
     m_state.m_timers.every(overdue_check_interval,
                            [this](time_point)
                            {
+                               expire_pulls();
                                update_access();
                            });
     asio::co_spawn(m_state.m_executor,
@@ -141,7 +142,8 @@
         // The readers are heard, but their data does not arrive.
         return true;
     }
-    return serving::is_store_reader(m_state.m_hosts, m_state.m_own_report, now());
+    return serving::is_store_reader(m_state.m_hosts, m_state.m_own_report, m_pulls,
+                                    now());
 }
 
 void store_watch::update_access()
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -3,6 +3,7 @@
 #include "edge_state.hpp"
 
 #include <geraniumdoor/cluster/messages.hpp>
+#include <geraniumdoor/serving/row_pulls.hpp>
 #include <geraniumdoor/serving/store_readers.hpp>
 #include <geraniumdoor/serving/table_copy.hpp>
 
@@ -98,6 +99,8 @@
     table_changes whole_registry();
     void publish(std::uint64_t changes_before);
     void apply_due_changes();
+    /// Ends a pull that was not answered in time.
+    void expire_pulls();
     bool has_no_data() const;
     void record_read_result(cached_table& table, bool succeeded, time_point began,
                             const std::string& detail);
@@ -114,18 +117,7 @@
     /// Number of changes applied since the start.
     std::uint64_t m_changes = 0;
 
-    /// Changes that were received from a host.
-    struct peer_progress
-    {
-        incarnation m_incarnation;
-        std::uint64_t m_changes = 0;
-        /// The host declined a pull and is not asked before this time.
-        time_point m_busy_until{};
-    };
-    std::map<node_id, peer_progress> m_peer_progress;
-    /// When the pull in progress times out, and the host that was asked.
-    time_point m_pull_deadline{};
-    node_id m_pulled_host;
+    serving::row_pulls m_pulls;
     /// Host whose rows are being applied; empty for rows of the store.
     node_id m_row_source;
     /// The registry as compressed for the last pull of all rows, when it was compressed,
--- a/src/serving/store_readers.cpp
+++ b/src/serving/store_readers.cpp
@@ -115,13 +115,15 @@
     return static_cast<std::size_t>(ahead + in_vain) < store_reader_count;
 }
 
-bool is_store_reader(const host_table& table, const host_report& own, time_point now)
+bool is_store_reader(const host_table& table, const host_report& own,
+                     const row_pulls& pulls, time_point now)
 {
     std::vector<reader_candidate> others;
     others.reserve(table.m_hosts.size());
     for (const auto& [id, host] : table.m_hosts)
     {
-        if (is_live(host, now) && !host.m_report.m_stopping)
+        if (is_live(host, now) && !host.m_report.m_stopping &&
+            answers_pulls(pulls, id, now))
         {
             others.push_back({host.m_reader_weight, host.m_report.m_store_access});
         }
--- a/tests/standins/store_watch_test.cpp
+++ b/tests/standins/store_watch_test.cpp
@@ -307,6 +307,20 @@
     EXPECT_EQUAL(next->m_after, 0U);
 }
 
+// Guards against a host that waits for one reader for ever: the reader's reports arrive
+// and the pulls do not, and its report is the first one after each timeout.
+Test(store_watch, a_reader_that_does_not_answer_is_passed_over)
+{
+    watch_fixture fixture;
+    fixture.push_worker("reader-1", 10, "ready");
+    fixture.push_config("reader-1", 1, 10);
+    cr_assert(fixture.m_watch.next_pull(fixture.report_of("reader-1", 50), false));
+    std::this_thread::sleep_for(600ms);
+    cr_expect(not fixture.m_watch.next_pull(fixture.report_of("reader-1", 50), false));
+    cr_expect(
+        fixture.m_watch.next_pull(fixture.report_of("reader-2", 50), false).has_value());
+}
+
 Test(store_watch, a_lost_connection_ends_the_wait_for_an_answer)
 {
     watch_fixture fixture;
