Conclude from a current view of the registry alone that there is no other version

Callers who took streams up at a host that was cut off or had stood still during a release got a 200 whose events came from another software version than the first part.

Cause: only_version asked how long a host had observed a pool, not how current what it observed was; rows that it merely held counted as seen now. It concluded alone when nobody replied, or no host was known to be live, and replies of hosts out of step counted as much. Streams that began while their relay knew one version were not recorded elsewhere.

Now a table_view says as of when a host's copy of a table is complete: by its own reads as of when they began, or by the report of a reader whose changes have all arrived, as of when it was sent, whatever it waited in sockets. All streams are recorded at other hosts.

The earlier unit tests gave no view; they now give the one that they assumed, current and without a gap.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -262,8 +262,12 @@
     /// Changes of the operator's rows and of the registry that the host has applied since
     /// its start.
     std::uint64_t m_changes = 0;
-    /// Time since the host last read the store, in milliseconds; UINT32_MAX for never.
-    std::uint32_t m_store_age_ms = UINT32_MAX;
+    /// Time by the host's steady clock at which this report was sent.
+    std::uint64_t m_sent_ms = 0;
+    /// Age of the host's views of the operator table and of the registry when this report
+    /// was sent, in milliseconds; UINT32_MAX for none.
+    std::uint32_t m_operator_age_ms = UINT32_MAX;
+    std::uint32_t m_registry_age_ms = UINT32_MAX;
     /// Live hosts that it knows, itself included.
     std::uint16_t m_live_hosts = 1;
     /// Processor time in thousandths of a core.
@@ -284,8 +288,8 @@
     {
         archive(short_text{m_node.m_value}, m_incarnation, m_sequence,
                 short_text{m_data_centre.m_value}, m_peer, m_caller, m_ready, m_stopping,
-                m_changes, m_store_age_ms, m_live_hosts, m_processor, m_interval_ms,
-                m_store_access, m_loads, m_waits, m_queues);
+                m_changes, m_sent_ms, m_operator_age_ms, m_registry_age_ms, m_live_hosts,
+                m_processor, m_interval_ms, m_store_access, m_loads, m_waits, m_queues);
     }
 };
 
@@ -525,13 +529,15 @@
     std::uint64_t m_number = 0;
     origin_finding m_finding = origin_finding::unknown;
     std::string m_version;
+    /// Age of the registry as the host knows it, in milliseconds; UINT32_MAX for none.
+    std::uint32_t m_view_age_ms = UINT32_MAX;
 
     bool operator==(const origin_reply&) const = default;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_number, m_finding, short_text{m_version});
+        archive(m_number, m_finding, short_text{m_version}, m_view_age_ms);
     }
 };
 
--- a/include/geraniumdoor/serving/host_table.hpp
+++ b/include/geraniumdoor/serving/host_table.hpp
@@ -3,6 +3,7 @@
 #include <geraniumdoor/base/ids.hpp>
 #include <geraniumdoor/base/units.hpp>
 #include <geraniumdoor/cluster/datagrams.hpp>
+#include <geraniumdoor/serving/table_view.hpp>
 
 #include <cstdint>
 #include <map>
@@ -18,8 +19,11 @@
 struct peer_host
 {
     host_report m_report;
-    /// When the report was received.
+    /// When the host was last heard from.
     time_point m_last_heard{};
+    /// When the report was sent, by this host's clock.
+    time_point m_reported_at{};
+    message_delay m_delay;
     /// Weight of the host as a reader of the store.
     double m_reader_weight = 0;
 };
--- a/include/geraniumdoor/serving/row_pulls.hpp
+++ b/include/geraniumdoor/serving/row_pulls.hpp
@@ -77,6 +77,9 @@
 /// Ends the pull from a host that has answered.
 void end_pull(row_pulls& pulls, const node_id& host, time_point now);
 
+/// Whether all changes that a host has applied when it sent the report have arrived here.
+bool has_all_changes(const row_pulls& pulls, const host_report& report);
+
 /// Whether the rows of a host can be relied on to arrive here.
 bool answers_pulls(const row_pulls& pulls, const node_id& host, time_point now);
 
--- a/include/geraniumdoor/serving/stream_origins.hpp
+++ b/include/geraniumdoor/serving/stream_origins.hpp
@@ -4,6 +4,7 @@
 #include <geraniumdoor/base/units.hpp>
 #include <geraniumdoor/cluster/datagrams.hpp>
 #include <geraniumdoor/serving/host_table.hpp>
+#include <geraniumdoor/serving/table_view.hpp>
 #include <geraniumdoor/serving/upstreams.hpp>
 
 #include <cstddef>
@@ -58,10 +59,14 @@
     std::unordered_map<pool_id, version_history> m_pools;
     /// Longest time after its first event in which a caller may take up a stream.
     duration m_lifetime = min_stream_lifetime;
-    /// What hosts have seen before this one has started is known from the store.
-    bool m_is_complete = false;
+    /// When this host learned from the store what other hosts had seen; empty if it has
+    /// not.
+    std::optional<time_point> m_completed_at;
 };
 
+/// Whether this host knows from the store what others saw before its view began.
+bool is_complete(const stream_origins& origins, const table_view& registry);
+
 /// Extends the lifetime of streams to the longest timeout of the routes. Streams that
 /// began under an earlier configuration keep theirs.
 void extend_lifetime(stream_origins& origins, const routing_config& config);
@@ -76,9 +81,10 @@
 bool has_several_versions(const stream_origins& origins, const pool_id& pool);
 
 /// Returns the version that began every stream of the pool that may still be taken up, if
-/// this host has observed the pool for long enough, or knows from the store what was
-/// before.
+/// the host's view of the registry is current, and it has observed the pool without a gap
+/// for long enough, or knows from the store what was before.
 std::optional<software_version> only_version(const stream_origins& origins,
+                                             const table_view& registry,
                                              const pool_id& pool, time_point now);
 
 /// Records which version began a stream, unless that is known.
@@ -97,8 +103,18 @@
 
 /// Returns what this host tells another one that is asked to take up a stream.
 origin_reply answer_origin_request(const stream_origins& origins,
+                                   const table_view& registry,
                                    const origin_request& request, time_point now);
 
+/// What other hosts have said of a stream.
+struct origin_answers
+{
+    /// Number of hosts that were asked, and when.
+    std::size_t m_asked = 0;
+    time_point m_asked_at{};
+    std::vector<origin_reply> m_replies;
+};
+
 /// How the version that began a stream is known.
 enum class origin_source : std::uint8_t
 {
@@ -123,6 +139,8 @@
     origin_source m_source = origin_source::unknown;
     /// No host can tell, and none will be able to later.
     bool m_is_final = false;
+    /// Number of hosts that have replied.
+    std::size_t m_replies = 0;
 };
 
 /// Time after a host has begun to observe a pool by which those that read the store have
@@ -132,14 +150,13 @@
 /// Decides which version began a stream that a caller takes up.
 ///
 /// Load pattern: upstreams of two software versions serve during a release, what they
-/// write does not fit together, and hosts are killed meanwhile. A stream whose version
-/// nobody can tell is refused.
-/// @param replies what other hosts have answered
-/// @param asked number of hosts that were asked
-origin_decision decide_origin(const stream_origins& origins, stream_key stream,
-                              const pool_id& pool,
-                              const std::vector<origin_reply>& replies, std::size_t asked,
-                              time_point now);
+/// write does not fit together, and hosts are killed, cut off or stand still meanwhile. A
+/// stream whose version nobody can tell is refused. That no other version can have begun
+/// it is concluded from a current view of the registry alone: one of another host, or
+/// this host's own if another one has replied, or none is known.
+origin_decision decide_origin(const stream_origins& origins, const table_view& registry,
+                              stream_key stream, const pool_id& pool,
+                              const origin_answers& answers, time_point now);
 
 /// Whether an upstream of the version accepts work. Without a version, whether any does.
 bool has_upstream_of(const upstream_table& table, const pool_id& pool,
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -424,7 +424,11 @@
     own.m_interval_ms = static_cast<std::uint16_t>(
         serving::report_interval(m_state.m_hosts.m_hosts.size() + 1, has_role).count());
     own.m_waits = m_scheduler.wait_times();
-    own.m_store_age_ms = m_store.store_age_ms();
+    const time_point at = now();
+    own.m_sent_ms = static_cast<std::uint64_t>(
+        std::chrono::duration_cast<milliseconds>(at.time_since_epoch()).count());
+    own.m_operator_age_ms = serving::age_ms(m_state.m_operator_view, at);
+    own.m_registry_age_ms = serving::age_ms(m_state.m_registry_view, at);
     own.m_live_hosts =
         static_cast<std::uint16_t>(serving::count_live_hosts(m_state.m_hosts, now()));
     own.m_loads.clear();
@@ -596,6 +600,7 @@
     const time_point at = now();
     const bool is_new = serving::apply_report(m_state.m_hosts, report, at);
     m_transport.set_peer(report.m_node, report.m_peer);
+    m_store.confirm_views(m_state.m_hosts.m_hosts.at(report.m_node));
     if (is_new)
     {
         log_event{"host_live"}
@@ -737,7 +742,7 @@
 
 http_response edge_daemon::parts::admin_response(const std::string& target) const
 {
-    const host_stats stats{m_relay.active(), m_store.is_reader(), m_store.store_age_ms(),
+    const host_stats stats{m_relay.active(), m_store.is_reader(),
                            m_scheduler.queue_statuses()};
     const auto status = admin_status(m_state, stats, target, now());
     if (!status)
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -10,6 +10,7 @@
 #include <geraniumdoor/serving/routing.hpp>
 #include <geraniumdoor/serving/stage_queue.hpp>
 #include <geraniumdoor/serving/stream_origins.hpp>
+#include <geraniumdoor/serving/table_view.hpp>
 #include <geraniumdoor/serving/upstreams.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -42,6 +43,9 @@
     std::shared_ptr<const serving::routing_config> m_routing;
     serving::upstream_table m_upstreams;
     bool m_registry_loaded = false;
+    /// As of when this host's copies of the store's tables are complete.
+    serving::table_view m_operator_view;
+    serving::table_view m_registry_view;
     /// Number of times that a table of the store was found to have come back from an
     /// older copy.
     std::uint64_t m_store_returns = 0;
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -28,7 +28,7 @@
     return address.m_ip + ':' + std::to_string(address.m_port);
 }
 
-/// Age of the last read of the store; null if it was never read.
+/// Age of what a host knows of the store; null if it knows nothing.
 json::value age_to_json(std::uint32_t age_ms)
 {
     return age_ms == UINT32_MAX ? json::value{} : json::value(age_ms);
@@ -46,7 +46,8 @@
     row["ready"] = report.m_ready;
     row["stopping"] = report.m_stopping;
     row["heard_ms_ago"] = ms_since_report;
-    row["store_age_ms"] = age_to_json(report.m_store_age_ms);
+    row["store_age_ms"] =
+        age_to_json(std::max(report.m_operator_age_ms, report.m_registry_age_ms));
     row["changes"] = report.m_changes;
     return row;
 }
@@ -216,7 +217,9 @@
     body["configuration_version"] =
         state.m_routing ? state.m_routing->m_version.m_value : 0;
     body["reads_store"] = stats.m_is_store_reader;
-    body["store_age_ms"] = age_to_json(stats.m_store_age_ms);
+    body["store_age_ms"] =
+        age_to_json(std::max(serving::age_ms(state.m_operator_view, at),
+                             serving::age_ms(state.m_registry_view, at)));
     body["live_hosts"] = serving::count_live_hosts(state.m_hosts, at);
     body["upstreams"] = state.m_upstreams.m_rows.size();
     body["requests_active"] = stats.m_active_requests;
--- a/src/edge/host_status.hpp
+++ b/src/edge/host_status.hpp
@@ -33,7 +33,6 @@
     /// Whether this host currently reads the store for the others.
     bool m_is_store_reader = false;
     /// Time since the store was last read, in milliseconds; UINT32_MAX if never.
-    std::uint32_t m_store_age_ms = UINT32_MAX;
     std::vector<queue_status> m_queues;
 };
 
--- a/src/edge/origin_exchange.cpp
+++ b/src/edge/origin_exchange.cpp
@@ -35,10 +35,6 @@
     origin.m_began_here = true;
     record_origin(m_state.m_stream_origins, stream, origin);
     const time_point at = now();
-    if (only_version(m_state.m_stream_origins, origin.m_pool, at))
-    {
-        return;
-    }
     for (const node_address& host : origin_hosts(m_state.m_hosts, stream, at))
     {
         m_send(host, origin_report{{to_message(stream, origin, at)}});
@@ -52,7 +48,8 @@
     const auto hosts = origin_hosts(m_state.m_hosts, stream, at);
     if (origins.m_streams.contains(stream) || hosts.empty())
     {
-        done(decide_origin(origins, stream, pool, {}, 0, at));
+        done(decide_origin(origins, m_state.m_registry_view, stream, pool, {0, at, {}},
+                           at));
         return;
     }
     const std::uint64_t number = ++m_last_number;
@@ -60,7 +57,8 @@
     asked.m_stream = stream;
     asked.m_pool = pool;
     asked.m_done = std::move(done);
-    asked.m_asked = hosts.size();
+    asked.m_answers.m_asked = hosts.size();
+    asked.m_answers.m_asked_at = at;
     asked.m_timeout = m_state.m_timers.after(ask_timeout,
                                              [this, number](time_point)
                                              {
@@ -125,7 +123,8 @@
 
 void origin_exchange::on_request(const origin_request& request, const node_address& from)
 {
-    m_send(from, answer_origin_request(m_state.m_stream_origins, request, now()));
+    m_send(from, answer_origin_request(m_state.m_stream_origins, m_state.m_registry_view,
+                                       request, now()));
 }
 
 void origin_exchange::on_reply(const origin_reply& reply)
@@ -135,9 +134,10 @@
     {
         return;
     }
-    at->second.m_replies.push_back(reply);
+    origin_answers& answers = at->second.m_answers;
+    answers.m_replies.push_back(reply);
     if (reply.m_finding == origin_finding::recorded ||
-        at->second.m_replies.size() >= at->second.m_asked)
+        answers.m_replies.size() >= answers.m_asked)
     {
         finish(reply.m_number);
     }
@@ -153,8 +153,11 @@
     const question ended = std::move(at->second);
     m_questions.erase(at);
     m_state.m_timers.cancel(ended.m_timeout);
-    ended.m_done(decide_origin(m_state.m_stream_origins, ended.m_stream, ended.m_pool,
-                               ended.m_replies, ended.m_asked, now()));
+    origin_decision decision =
+        decide_origin(m_state.m_stream_origins, m_state.m_registry_view, ended.m_stream,
+                      ended.m_pool, ended.m_answers, now());
+    decision.m_replies = ended.m_answers.m_replies.size();
+    ended.m_done(std::move(decision));
 }
 
 } // namespace geraniumdoor::edge
--- a/src/edge/origin_exchange.hpp
+++ b/src/edge/origin_exchange.hpp
@@ -22,7 +22,7 @@
     origin_exchange(edge_state& state, datagram_sender send);
 
     /// Records the version of a stream whose first event this host is about to relay, and
-    /// tells other hosts unless the pool is known to have no other version.
+    /// tells other hosts.
     void record(serving::known_origin origin, stream_key stream);
 
     /// Calls `done` with the version that began a stream, at the latest when other hosts
@@ -46,9 +46,7 @@
         stream_key m_stream;
         pool_id m_pool;
         completion m_done;
-        std::vector<origin_reply> m_replies;
-        /// Hosts that have been asked.
-        std::size_t m_asked = 0;
+        serving::origin_answers m_answers;
         timer_id m_timeout{};
     };
 
--- a/src/edge/origin_store.cpp
+++ b/src/edge/origin_store.cpp
@@ -81,8 +81,9 @@
 {
     const bool writes =
         writes_stored_origins(m_state.m_hosts, m_state.m_own_report, now());
+    const table_view& registry = m_state.m_registry_view;
     const bool reads = m_state.m_own_report.m_store_access == store_access::reading &&
-                       !m_state.m_stream_origins.m_is_complete;
+                       !is_complete(m_state.m_stream_origins, registry);
     if (!writes && !reads)
     {
         m_versions_are_current = false;
@@ -99,6 +100,13 @@
         m_versions.clear();
         m_rows_are_older = true;
     }
+    if (m_view_began_at != registry.m_continuous_since)
+    {
+        // Other hosts may have seen what this one has missed.
+        m_view_began_at = registry.m_continuous_since;
+        m_versions_are_current = false;
+        m_streams_are_current = false;
+    }
     // Streams first: with the versions, the history counts as complete.
     if (!m_streams_are_current && !co_await read_streams())
     {
--- a/src/edge/origin_store.hpp
+++ b/src/edge/origin_store.hpp
@@ -48,6 +48,8 @@
     bool m_versions_are_current = false;
     bool m_streams_are_current = false;
     std::uint64_t m_store_returns = 0;
+    /// Since when this host's view of the registry has had no gap, when it last read.
+    time_point m_view_began_at{};
     /// The store has come back from an older copy, whose rows have not been read yet.
     bool m_rows_are_older = false;
     std::uint64_t m_last_row = 0;
--- a/src/edge/relay_versions.cpp
+++ b/src/edge/relay_versions.cpp
@@ -75,7 +75,9 @@
         .add("request", current.m_metadata.m_request)
         .add("stream", current.m_metadata.m_first_attempt)
         .add("version", decision.m_version.value_or(software_version{}))
-        .add("source", to_text(decision.m_source));
+        .add("source", to_text(decision.m_source))
+        .add("replies", decision.m_replies)
+        .add("registry_age_ms", age_ms(m_state.m_registry_view, now()));
     if (!decision.m_version)
     {
         co_await refuse(current,
--- a/src/edge/store_rows.cpp
+++ b/src/edge/store_rows.cpp
@@ -13,7 +13,7 @@
 {
 
 void store_watch::apply_page(cached_table& table, const platform::row_page& page,
-                             bool complete)
+                             bool complete, time_point as_of)
 {
     const store_version before = table.m_copy.m_version;
     const serving::merge_result merged = serving::merge_page(
@@ -52,6 +52,7 @@
         apply_row(table, change);
     }
     m_changes += before == store_version{} ? 1 : 0;
+    serving::confirm_view(view_of(table), as_of);
     publish(changes_before);
 }
 
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -214,7 +214,7 @@
                            succeeded ? "" : error_of(page).m_detail);
         if (succeeded)
         {
-            apply_page(table, value_of(page), true);
+            apply_page(table, value_of(page), true, began);
         }
         co_return succeeded;
     }
@@ -229,7 +229,7 @@
         if (is_ok(page))
         {
             record_read_result(table, true, began, "");
-            apply_page(table, value_of(page), true);
+            apply_page(table, value_of(page), true, began);
             co_return true;
         }
     }
@@ -237,7 +237,7 @@
     record_read_result(table, succeeded, began, succeeded ? "" : error_of(page).m_detail);
     if (succeeded)
     {
-        apply_page(table, value_of(page), false);
+        apply_page(table, value_of(page), false, began);
     }
     co_return succeeded;
 }
@@ -279,17 +279,30 @@
     }
 }
 
-std::uint32_t store_watch::store_age_ms() const
+serving::table_view& store_watch::view_of(const cached_table& table)
 {
-    const time_point oldest =
-        std::min(m_operator_table.m_last_success, m_registry.m_last_success);
-    if (oldest == time_point{})
+    return &table == &m_operator_table ? m_state.m_operator_view
+                                       : m_state.m_registry_view;
+}
+
+void store_watch::confirm_views(const serving::peer_host& host)
+{
+    const host_report& report = host.m_report;
+    if (report.m_store_access != store_access::reading || has_no_data() ||
+        !serving::has_all_changes(m_pulls, report))
     {
-        return UINT32_MAX;
+        return;
     }
-    const auto age = std::chrono::duration_cast<milliseconds>(now() - oldest);
-    return static_cast<std::uint32_t>(
-        std::min<std::int64_t>(age.count(), UINT32_MAX - 1));
+    const auto confirm = [&host](serving::table_view& view, std::uint32_t age)
+    {
+        const auto told = serving::view_of_age(age, host.m_reported_at);
+        if (told.m_as_of)
+        {
+            serving::confirm_view(view, *told.m_as_of);
+        }
+    };
+    confirm(m_state.m_operator_view, report.m_operator_age_ms);
+    confirm(m_state.m_registry_view, report.m_registry_age_ms);
 }
 
 void store_watch::add_address(const std::string& text)
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -68,13 +68,13 @@
     /// Whether this host is one of those that read the store at the moment.
     bool is_reader() const;
 
+    /// Notes how current the copies of this host are, if it has all rows that the host
+    /// had when it sent its last report.
+    void confirm_views(const serving::peer_host& host);
+
     /// Updates the access to the store that this host reports.
     void update_access();
 
-    /// Returns the time in milliseconds since the less recently read table was read from
-    /// the store; UINT32_MAX if one was never read.
-    std::uint32_t store_age_ms() const;
-
 private:
     boost::asio::awaitable<void> watch_table(cached_table& table, milliseconds wait,
                                              milliseconds pause);
@@ -87,7 +87,9 @@
     std::vector<platform::row_write> missing_address_rows() const;
     boost::asio::awaitable<void> sleep_for(milliseconds length);
 
-    void apply_page(cached_table& table, const platform::row_page& page, bool complete);
+    void apply_page(cached_table& table, const platform::row_page& page, bool complete,
+                    time_point as_of);
+    serving::table_view& view_of(const cached_table& table);
     void apply_changes(cached_table& table, const table_changes& changes);
     /// Stores a change and lets it take effect. Returns whether it is relevant to other
     /// hosts.
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -78,6 +78,11 @@
     }
     const bool was_live =
         is_known_live && report.m_incarnation == host.m_report.m_incarnation;
+    if (!inserted && report.m_incarnation != host.m_report.m_incarnation)
+    {
+        host.m_delay = {};
+    }
+    host.m_reported_at = sending_time(host.m_delay, report.m_sent_ms, now);
     if (inserted || host.m_report.m_processor != report.m_processor)
     {
         host.m_reader_weight = role_weight(store_reader_role, report);
--- a/src/serving/row_pulls.cpp
+++ b/src/serving/row_pulls.cpp
@@ -72,6 +72,14 @@
     progress.m_unanswered_until = std::min(progress.m_unanswered_until, now);
 }
 
+bool has_all_changes(const row_pulls& pulls, const host_report& report)
+{
+    const auto known = pulls.m_progress.find(report.m_node);
+    return known != pulls.m_progress.end() &&
+           known->second.m_incarnation == report.m_incarnation &&
+           known->second.m_changes >= report.m_changes;
+}
+
 bool answers_pulls(const row_pulls& pulls, const node_id& host, time_point now)
 {
     const auto known = pulls.m_progress.find(host);
--- a/src/serving/stored_origins.cpp
+++ b/src/serving/stored_origins.cpp
@@ -29,7 +29,7 @@
             mixed.push_back(pool);
         }
     }
-    origins.m_is_complete = true;
+    origins.m_completed_at = now;
     return mixed;
 }
 
--- a/src/serving/stream_origins.cpp
+++ b/src/serving/stream_origins.cpp
@@ -90,13 +90,25 @@
     return at != origins.m_pools.end() && at->second.m_last_seen.size() > 1;
 }
 
+bool is_complete(const stream_origins& origins, const table_view& registry)
+{
+    return origins.m_completed_at &&
+           *origins.m_completed_at >= registry.m_continuous_since;
+}
+
 std::optional<software_version> only_version(const stream_origins& origins,
+                                             const table_view& registry,
                                              const pool_id& pool, time_point now)
 {
     const auto at = origins.m_pools.find(pool);
-    if (at == origins.m_pools.end() || at->second.m_last_seen.size() != 1 ||
-        (!origins.m_is_complete &&
-         now - at->second.m_observed_since < origins.m_lifetime))
+    if (!shows_absence(registry, now) || at == origins.m_pools.end() ||
+        at->second.m_last_seen.size() != 1)
+    {
+        return std::nullopt;
+    }
+    const time_point observed_since =
+        std::max(at->second.m_observed_since, registry.m_continuous_since);
+    if (now - observed_since < origins.m_lifetime && !is_complete(origins, registry))
     {
         return std::nullopt;
     }
@@ -161,10 +173,12 @@
 }
 
 origin_reply answer_origin_request(const stream_origins& origins,
+                                   const table_view& registry,
                                    const origin_request& request, time_point now)
 {
     origin_reply reply;
     reply.m_number = request.m_number;
+    reply.m_view_age_ms = age_ms(registry, now);
     const auto known = origins.m_streams.find(stream_key{request.m_stream});
     if (known != origins.m_streams.end())
     {
@@ -177,7 +191,7 @@
     {
         reply.m_finding = origin_finding::several_versions;
     }
-    else if (const auto only = only_version(origins, pool, now))
+    else if (const auto only = only_version(origins, registry, pool, now))
     {
         reply.m_finding = origin_finding::only_version;
         reply.m_version = only->m_value;
@@ -203,10 +217,9 @@
     return "unknown";
 }
 
-origin_decision decide_origin(const stream_origins& origins, stream_key stream,
-                              const pool_id& pool,
-                              const std::vector<origin_reply>& replies, std::size_t asked,
-                              time_point now)
+origin_decision decide_origin(const stream_origins& origins, const table_view& registry,
+                              stream_key stream, const pool_id& pool,
+                              const origin_answers& answers, time_point now)
 {
     const auto own = origins.m_streams.find(stream);
     if (own != origins.m_streams.end())
@@ -216,15 +229,20 @@
                                            : origin_source::own_record};
     }
     bool has_several = has_several_versions(origins, pool);
+    const bool is_alone = answers.m_asked == 0;
+    bool is_current = shows_absence(registry, now);
     std::set<software_version> only;
-    for (const origin_reply& reply : replies)
+    for (const origin_reply& reply : answers.m_replies)
     {
         const software_version version{reply.m_version};
+        const bool shows =
+            shows_absence(view_of_age(reply.m_view_age_ms, answers.m_asked_at), now);
+        is_current |= shows;
         if (reply.m_finding == origin_finding::recorded)
         {
             return {version, origin_source::other_host};
         }
-        if (reply.m_finding == origin_finding::only_version)
+        if (reply.m_finding == origin_finding::only_version && shows)
         {
             only.insert(version);
         }
@@ -238,12 +256,14 @@
     if (has_several)
     {
         const bool is_final =
-            replies.size() >= asked &&
+            is_current && answers.m_replies.size() >= answers.m_asked &&
             now - at->second.m_observed_since >= stored_origins_read_time;
         return {std::nullopt, origin_source::unknown, is_final};
     }
     const software_version& listed = at->second.m_last_seen.begin()->first;
-    const bool is_certain = !only.empty() || only_version(origins, pool, now).has_value();
+    const bool knows_itself = (is_alone || !answers.m_replies.empty()) &&
+                              only_version(origins, registry, pool, now).has_value();
+    const bool is_certain = !only.empty() || knows_itself;
     only.insert(listed);
     if (!is_certain || only.size() > 1)
     {
--- a/tests/serving/host_table_test.cpp
+++ b/tests/serving/host_table_test.cpp
@@ -28,7 +28,7 @@
     report.m_data_centre.m_value = node.substr(0, 1);
     report.m_caller = {"10.0.0.1", 8000};
     report.m_ready = true;
-    report.m_store_age_ms = 100;
+    report.m_registry_age_ms = 100;
     report.m_interval_ms = 200;
     report.m_processor = processor;
     return report;
--- a/tests/serving/stream_fleet.hpp
+++ b/tests/serving/stream_fleet.hpp
@@ -41,6 +41,19 @@
     return table;
 }
 
+/// Lets a host observe the registry at a moment, with a view that has had no gap since it
+/// last did.
+inline std::vector<pool_id> observe(stream_origins& origins, table_view& view,
+                                    const upstream_table& upstreams, time_point now)
+{
+    while (view.m_as_of && *view.m_as_of < now)
+    {
+        confirm_view(view, std::min(now, *view.m_as_of + 1s));
+    }
+    confirm_view(view, now);
+    return observe_versions(origins, upstreams, now);
+}
+
 /// Address that stands for a host.
 inline node_address address_of(std::size_t host)
 {
@@ -66,13 +79,19 @@
     /// The registry as the host sees it, and when it was so.
     upstream_table m_upstreams;
     time_point m_seen_at{};
+    table_view m_view;
     /// The host is down until then.
     time_point m_down_until{};
     /// Delay of its view of the registry.
     milliseconds m_lag{0};
+    /// Until then neither messages nor the store reach the host, though callers do.
+    time_point m_cut_until{};
+    /// Until then the host stands still.
+    time_point m_frozen_until{};
     /// What it knows of the store's rows, as long as it is current.
     std::map<pool_id, stored_versions> m_stored;
     bool m_stored_is_current = false;
+    time_point m_view_began_at{};
     time_point m_last_stream_write{};
 };
 
@@ -118,6 +137,9 @@
     /// At times all hosts lose power and start again at different moments, now and then
     /// while the store is away. Meanwhile the upstreams of earlier versions may leave.
     power_losses,
+    /// Hosts are cut off from the store and from other hosts, or stand still, for longer
+    /// than a release takes. It comes when streams of no other version are left.
+    cut_offs,
 };
 
 /// Hosts whose messages are lost now and then and whose views of the registry lag, with
@@ -142,16 +164,23 @@
 
     fleet_counts run()
     {
-        const time_point end = start + 75s;
+        const time_point end = start + (m_fate == fleet_fate::cut_offs ? 110s : 75s);
         for (m_now = start; m_now < end; m_now += step)
         {
             exchange_reports();
             change_upstreams();
-            if (m_fate == fleet_fate::power_losses)
+            if (m_fate != fleet_fate::single_kills)
             {
                 use_store();
+            }
+            if (m_fate == fleet_fate::power_losses)
+            {
                 lose_power();
             }
+            if (m_fate == fleet_fate::cut_offs)
+            {
+                cut_off_hosts();
+            }
             kill_hosts();
             begin_streams();
             break_streams();
@@ -173,7 +202,13 @@
 
     bool is_up(std::size_t host) const
     {
-        return m_hosts[host].m_down_until <= m_now;
+        return m_hosts[host].m_down_until <= m_now &&
+               m_hosts[host].m_frozen_until <= m_now;
+    }
+
+    bool is_connected(std::size_t host) const
+    {
+        return is_up(host) && m_hosts[host].m_cut_until <= m_now;
     }
 
     void add_upstream(std::size_t version)
@@ -200,12 +235,13 @@
 
     /// Applies a message to a host unless it is lost.
     template<class Apply>
-    void deliver(const node_address& to, Apply apply)
+    void deliver(std::size_t from, const node_address& to, Apply apply)
     {
         constexpr std::uint32_t lost_per_thousand = 30;
         for (std::size_t host = 0; host < m_hosts.size(); ++host)
         {
-            if (address_of(host) == to && is_up(host) && !happens(lost_per_thousand))
+            if (address_of(host) == to && is_connected(host) && is_connected(from) &&
+                !happens(lost_per_thousand))
             {
                 apply(m_hosts[host]);
             }
@@ -218,7 +254,7 @@
         {
             for (std::size_t to = 0; to < m_hosts.size(); ++to)
             {
-                if (from == to || !is_up(from) || !is_up(to))
+                if (from == to || !is_connected(from) || !is_connected(to))
                 {
                     continue;
                 }
@@ -234,7 +270,9 @@
     {
         // A release replaces the upstreams one after the other.
         constexpr std::size_t versions = 3;
-        const bool releases = (m_now - start) % 30s > 10s;
+        const bool is_late = m_fate == fleet_fate::cut_offs;
+        const bool releases =
+            is_late ? (m_now - start) % 50s > 42s : (m_now - start) % 30s > 10s;
         if (releases && happens(60) && m_version < versions)
         {
             replace_upstream();
@@ -243,16 +281,21 @@
         {
             if (is_up(host))
             {
-                observe(m_hosts[host]);
+                observe(host);
             }
         }
     }
 
-    void observe(fleet_host& host)
+    void observe(std::size_t at)
     {
+        fleet_host& host = m_hosts[at];
         const auto next = m_registry.upper_bound(m_now - host.m_lag);
         const auto seen = next == m_registry.begin() ? next : std::prev(next);
-        if (host.m_seen_at != seen->first)
+        if (is_connected(at))
+        {
+            confirm_view(host.m_view, m_now - host.m_lag);
+        }
+        if (host.m_seen_at != seen->first && is_connected(at))
         {
             host.m_seen_at = seen->first;
             host.m_upstreams = table_of(seen->second);
@@ -266,17 +309,18 @@
         {
             if (origin.m_began_here)
             {
-                tell_holders(host, stream, origin);
+                tell_holders(at, stream, origin);
             }
         }
     }
 
-    void tell_holders(const fleet_host& from, stream_key stream, known_origin origin)
+    void tell_holders(std::size_t from, stream_key stream, known_origin origin)
     {
         origin.m_began_here = false;
-        for (const node_address& holder : origin_hosts(from.m_hosts, stream, m_now))
+        const auto holders = origin_hosts(m_hosts[from].m_hosts, stream, m_now);
+        for (const node_address& holder : holders)
         {
-            deliver(holder,
+            deliver(from, holder,
                     [&](fleet_host& host)
                     {
                         record_origin(host.m_origins, stream, origin);
@@ -291,9 +335,9 @@
         std::size_t rank = 0;
         for (std::size_t other = 0; other < host; ++other)
         {
-            rank += is_up(other) ? 1 : 0;
+            rank += is_connected(other) ? 1 : 0;
         }
-        return m_fate == fleet_fate::power_losses && rank < readers
+        return m_fate != fleet_fate::single_kills && rank < readers && is_connected(host)
                    ? store_access::reading
                    : store_access::unused;
     }
@@ -302,7 +346,7 @@
     {
         for (std::size_t host = 0; host < m_hosts.size(); ++host)
         {
-            if (is_up(host) && m_store.m_away_until <= m_now)
+            if (is_connected(host) && m_store.m_away_until <= m_now)
             {
                 use_store(host);
             }
@@ -317,8 +361,13 @@
         host_report own = report_of(at, host.m_run);
         own.m_store_access = access_of(at);
         const bool writes = writes_stored_origins(host.m_hosts, own, m_now);
-        const bool reads =
-            own.m_store_access == store_access::reading && !origins.m_is_complete;
+        const bool reads = own.m_store_access == store_access::reading &&
+                           !is_complete(origins, host.m_view);
+        if (host.m_view_began_at != host.m_view.m_continuous_since)
+        {
+            host.m_view_began_at = host.m_view.m_continuous_since;
+            host.m_stored_is_current = false;
+        }
         if (!host.m_stored_is_current && (writes || reads))
         {
             for (const stream_version& stream : m_store.m_streams)
@@ -396,6 +445,23 @@
         }
     }
 
+    /// Before a release, and now and then.
+    void cut_off_hosts()
+    {
+        const bool release_is_near = (m_now - start) % 50s == 41s;
+        for (std::size_t host = 0; host < m_hosts.size(); ++host)
+        {
+            if (!happens(release_is_near ? 400 : 2))
+            {
+                continue;
+            }
+            const time_point until = m_now + milliseconds{3000 + below(10000)};
+            auto& end =
+                happens(700) ? m_hosts[host].m_cut_until : m_hosts[host].m_frozen_until;
+            end = until;
+        }
+    }
+
     void kill_hosts()
     {
         for (std::size_t host = 0; host < m_hosts.size(); ++host)
@@ -446,11 +512,30 @@
     bool run_at(fleet_stream& stream, std::size_t host,
                 const std::optional<software_version>& version)
     {
-        const auto& view = m_hosts[host].m_upstreams;
-        const upstream* chosen =
-            choose_upstream(view, sample_pool, data_centre_id{}, {}, m_now, version);
-        const upstream_entry* entry =
-            chosen == nullptr ? nullptr : find_upstream(chosen->m_entry.m_id);
+        const upstream_entry* entry = nullptr;
+        // Load decides among the upstreams, which the simulation leaves to chance.
+        std::vector<upstream_id> tried;
+        for (const auto& [id, row] : m_hosts[host].m_upstreams.m_rows)
+        {
+            if (happens(500))
+            {
+                tried.push_back(id);
+            }
+        }
+        constexpr int max_attempts = 4;
+        for (int attempt = 0; attempt < max_attempts && entry == nullptr; ++attempt)
+        {
+            const upstream* chosen =
+                choose_upstream(m_hosts[host].m_upstreams, sample_pool, data_centre_id{},
+                                tried, m_now, version);
+            if (chosen == nullptr)
+            {
+                tried.clear();
+                continue;
+            }
+            tried.push_back(chosen->m_entry.m_id);
+            entry = find_upstream(tried.back());
+        }
         if (entry == nullptr)
         {
             return false;
@@ -470,10 +555,7 @@
         fleet_host& relay = m_hosts[host];
         const stream_key key = key_of_stream(attempt_id{stream.m_first_attempt});
         record_origin(relay.m_origins, key, origin);
-        if (!only_version(relay.m_origins, sample_pool, m_now))
-        {
-            tell_holders(relay, key, origin);
-        }
+        tell_holders(host, key, origin);
         return true;
     }
 
@@ -548,21 +630,21 @@
     {
         const stream_key key = key_of_stream(attempt_id{stream.m_first_attempt});
         fleet_host& asking = m_hosts[host];
-        std::vector<origin_reply> replies;
-        std::size_t asked = 0;
+        origin_answers answers;
+        answers.m_asked_at = m_now;
         for (const node_address& holder : origin_hosts(asking.m_hosts, key, m_now))
         {
-            ++asked;
-            deliver(
-                holder,
-                [&](const fleet_host& other)
-                {
-                    replies.push_back(answer_origin_request(
-                        other.m_origins, {1, key.m_value, sample_pool.m_value}, m_now));
-                });
+            ++answers.m_asked;
+            deliver(host, holder,
+                    [&](const fleet_host& other)
+                    {
+                        answers.m_replies.push_back(answer_origin_request(
+                            other.m_origins, other.m_view,
+                            {1, key.m_value, sample_pool.m_value}, m_now));
+                    });
         }
-        const auto decision =
-            decide_origin(asking.m_origins, key, sample_pool, replies, asked, m_now);
+        const auto decision = decide_origin(asking.m_origins, asking.m_view, key,
+                                            sample_pool, answers, m_now);
         return decision.m_version && run_at(stream, host, decision.m_version);
     }
 
--- a/tests/standins/store_watch_test.cpp
+++ b/tests/standins/store_watch_test.cpp
@@ -47,7 +47,7 @@
         report.m_node.m_value = node;
         report.m_incarnation.m_value = 1;
         report.m_changes = changes;
-        report.m_store_age_ms = 50;
+        report.m_registry_age_ms = 50;
         report.m_store_access = store_access::reading;
         return report;
     }
