Do not answer 404 or 401 from an old view of the store

Cause: that something does not exist was concluded from whatever configuration a host held. Now it is concluded from a view of the operator's table of 1.8 s at most, the same notion as for software versions; older ones get a 503 with a time to return, which is true: the request has not run. What the host does know is served as before. The long poll waits 500 ms rather than 750 ms, so that the view of a follower stays within the bound (about 2 more calls to the store per second in all).

--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -22,6 +22,9 @@
 /// Retry-after time of a refusal by a host that has no configuration yet.
 constexpr milliseconds startup_retry_after{300};
 
+/// Retry-after time of a refusal by a host whose configuration may be out of date.
+constexpr milliseconds old_view_retry_after{500};
+
 /// Interval at which a waiting request checks whether the host has its configuration.
 constexpr milliseconds startup_poll_interval{20};
 
@@ -132,8 +135,7 @@
                                  caller_request.m_target);
     if (current.m_route == nullptr)
     {
-        current.m_reason = "no route";
-        return platform::make_error_response(404, current.m_reason);
+        return reject_as_unknown(current, 404, "no route");
     }
     const std::size_t stage_count = current.m_route->m_stages.size();
     current.m_results.resize(stage_count);
@@ -147,8 +149,7 @@
         const auto key = current.m_routing->m_api_keys.find(current.m_metadata.m_api_key);
         if (key == current.m_routing->m_api_keys.end())
         {
-            current.m_reason = "unknown key";
-            return platform::make_error_response(401, current.m_reason);
+            return reject_as_unknown(current, 401, "unknown key");
         }
         current.m_workspace = key->second;
     }
@@ -173,6 +174,18 @@
     return std::nullopt;
 }
 
+http_response request_relay::reject_as_unknown(request& current, unsigned status,
+                                               const char* reason) const
+{
+    if (shows_absence(m_state.m_operator_view, now()))
+    {
+        current.m_reason = reason;
+        return platform::make_error_response(status, reason);
+    }
+    current.m_reason = "configuration may be out of date";
+    return platform::make_unavailable_response(old_view_retry_after, current.m_reason);
+}
+
 time_point request_relay::next_byte_deadline(const request& current) const
 {
     if (!is_stream(current.m_route->m_retry_safety))
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -167,6 +167,11 @@
     /// Finds the route, workspace and pool, and sets the deadlines. Returns the error
     /// response if the request is rejected.
     std::optional<http_response> route_request(request& current);
+
+    /// Returns the response to a request for something that the configuration does not
+    /// have. The operator may have added it since this host last knew the store.
+    http_response reject_as_unknown(request& current, unsigned status,
+                                    const char* reason) const;
     /// Time at which the caller abandons the request if nothing more arrives.
     time_point next_byte_deadline(const request& current) const;
     boost::asio::awaitable<void> process(request& current);
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -28,7 +28,7 @@
 /// Time that a long poll for the operator table waits at the store for a change. A
 /// lost response or a dead connection is detected after this time plus
 /// usual_store_response.
-constexpr milliseconds operator_poll_wait{750};
+constexpr milliseconds operator_poll_wait{500};
 
 /// Pause between two long polls for the operator table. It bounds the rate of reads
 /// while changes follow one another.
