Doubt which process an upstream is after a connection to it broke

Cause: what the entry says of one process was taken to hold for its successor until the next read, though all connections had just broken. Now a connection that breaks or cannot be opened puts the start of the upstream in doubt. The host connects at once; an upstream that accepts within 100 ms is the same process, as after a reset. Otherwise all hosts are told, and streams with a version go there again when a view of the registry is later than a connection that was accepted, since an upstream registers before it takes requests. New streams and other calls go there as before. A take-up that finds only upstreams in doubt is refused with a short time to return.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -421,6 +421,40 @@
     }
 };
 
+/// A connection to an upstream broke or could not be opened.
+struct start_doubt
+{
+    /// Hash of the upstream's process.
+    std::uint64_t m_upstream = 0;
+    std::uint32_t m_age_ms = 0;
+
+    bool operator==(const start_doubt&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_upstream, m_age_ms);
+    }
+};
+
+/// Most doubts in one report, so that it fits a datagram.
+constexpr std::size_t max_reported_doubts = 80;
+
+/// Processes of upstreams that may have ended, sent to all other hosts at once: callers
+/// return at any host.
+struct doubt_report
+{
+    std::vector<start_doubt> m_doubts;
+
+    bool operator==(const doubt_report&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_doubts);
+    }
+};
+
 /// Asks the host that issues the permits of an upstream for one.
 struct permit_request
 {
@@ -543,6 +577,6 @@
 
 using datagram = std::variant<ping, ping_req, ack, host_report, crash_report,
                               upstream_report, permit_request, permit_reply,
-                              origin_report, origin_request, origin_reply>;
+                              origin_report, origin_request, origin_reply, doubt_report>;
 
 } // namespace geraniumdoor
--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -4,6 +4,7 @@
 #include <geraniumdoor/config/daemon_settings.hpp>
 #include <geraniumdoor/serving/routing.hpp>
 #include <geraniumdoor/serving/send_account.hpp>
+#include <geraniumdoor/serving/table_view.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -76,6 +77,15 @@
     std::optional<time_point> m_said_leaving_at;
     /// Tells the process from its predecessors.
     upstream_run m_run;
+    /// When a connection broke or could not be opened: the process may have ended, and
+    /// another one be there under its id. Empty while there is no doubt.
+    std::optional<time_point> m_doubted_at;
+    /// When this host last saw that itself.
+    std::optional<time_point> m_doubted_here_at;
+    /// When a connection was accepted after the doubt arose.
+    std::optional<time_point> m_reached_at;
+    /// Doubts up to then have been settled.
+    time_point m_certain_at{};
     /// What bounds this host's requests to the upstream.
     send_account m_sends;
     /// Permits that this host issues to all hosts, if it is the one that does.
@@ -133,7 +143,29 @@
 bool takes_requests(const upstream_table& table, const upstream& candidate,
                     time_point now);
 
-/// Whether an upstream's software version is the one that a stream needs.
+/// Shortest time in which a process ends and another one accepts connections under its
+/// id. The platform's upstreams are back after some seconds.
+inline constexpr milliseconds min_restart_time{100};
+
+/// Records that the process of an upstream may have ended.
+void doubt_start(upstream& row, time_point at);
+
+/// Records that the process is the one that the entry describes, as of a time.
+void settle_start(upstream& row, time_point at);
+
+/// Records that the upstream accepts connections.
+void record_reached(upstream& row, time_point now);
+
+/// Ends the doubt about upstreams that were reached before the view of the registry. An
+/// upstream registers before it takes requests, so that the entry is of the process that
+/// was reached.
+void confirm_starts(upstream_table& table, const table_view& registry);
+
+/// Whether an upstream's software version is the one that a stream needs, and the process
+/// is surely the one that its entry describes.
+///
+/// Load pattern: an upstream ends, its streams break off, and it is back under its id
+/// with another version before hosts have read its entry.
 /// @param version empty for any
 bool has_version(const upstream& candidate,
                  const std::optional<software_version>& version);
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -178,6 +178,11 @@
     return message.m_wait_ms <= max_permit_wait_ms;
 }
 
+bool in_range(const doubt_report& message)
+{
+    return message.m_doubts.size() <= max_reported_doubts;
+}
+
 bool in_range(const origin_report& message)
 {
     return message.m_streams.size() <= max_reported_origins &&
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -135,6 +135,8 @@
     void on_upstream_report(const upstream_report& report);
     /// Tells all hosts at once what an upstream has said anew.
     void send_changed_notices();
+    /// Tells all hosts at once of upstreams whose process may have ended.
+    void send_doubts();
     /// Updates the list of queues that this host runs. Returns whether it has changed.
     bool update_queues();
     void send_reports();
@@ -288,6 +290,13 @@
         {
             on_upstream_report(*upstreams);
         }
+        else if (const auto* doubted = std::get_if<doubt_report>(&message))
+        {
+            for (const start_doubt& doubt : doubted->m_doubts)
+            {
+                apply_start_doubt(m_state, doubt);
+            }
+        }
         else if (const auto* request = std::get_if<permit_request>(&message))
         {
             m_permits.on_request(*request, from);
@@ -332,6 +341,10 @@
                            send_reports();
                        }
                        send_changed_notices();
+                       if (m_state.m_doubts_changed)
+                       {
+                           send_doubts();
+                       }
                    });
     m_timers.every(queue_check_interval,
                    [this](time_point)
@@ -533,6 +546,20 @@
     }
 }
 
+void edge_daemon::parts::send_doubts()
+{
+    const doubt_report doubts = make_doubt_report(m_state);
+    m_state.m_doubts_changed = false;
+    if (doubts.m_doubts.empty())
+    {
+        return;
+    }
+    for (const auto& [id, host] : m_state.m_hosts.m_hosts)
+    {
+        m_transport.send_datagram(host.m_report.m_peer, doubts);
+    }
+}
+
 void edge_daemon::parts::update_remote_loads()
 {
     struct remote_load
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -57,6 +57,8 @@
     /// A response has changed what is known of an upstream, and other hosts have not been
     /// told yet.
     bool m_notices_changed = false;
+    /// The same for upstreams whose process may have ended.
+    bool m_doubts_changed = false;
 };
 
 /// Current time of the steady clock. The time of the timer service does not advance while
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -441,6 +441,10 @@
         connected = co_await call->connect(to_tcp(address),
                                            std::min(connect_timeout, time_left(current)));
     }
+    if (upstream* row = m_state.m_upstreams.m_rows.find(id); row && is_ok(connected))
+    {
+        record_reached(*row, now());
+    }
     // The upstream may have said that it leaves while the connection was opened.
     const bool may_send = moved.m_head || (is_ok(connected) && takes_requests(id));
     if (!may_send || current.m_caller_gone)
@@ -563,14 +567,14 @@
     case attempt_outcome::not_sent:
         if (takes_requests(current.m_upstream))
         {
-            record_unreachable(*row, at);
+            note_unreachable(*row);
         }
         break;
     case attempt_outcome::wrong_upstream:
     case attempt_outcome::broken:
     case attempt_outcome::broken_stream:
     case attempt_outcome::unusable:
-        record_unreachable(*row, at);
+        note_unreachable(*row);
         break;
     case attempt_outcome::answered:
     case attempt_outcome::answered_with_fault:
--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -341,9 +341,10 @@
     }
     if (is_connected(next))
     {
+        record_reached(row, now());
         return true;
     }
-    record_unreachable(row, now());
+    note_unreachable(row);
     exclude_successor(current);
     return false;
 }
@@ -438,7 +439,7 @@
     else if (failure != attempt_outcome::declined &&
              failure != attempt_outcome::input_gone)
     {
-        record_unreachable(*row, at);
+        note_unreachable(*row);
     }
 }
 
--- a/src/edge/relay_versions.cpp
+++ b/src/edge/relay_versions.cpp
@@ -3,6 +3,9 @@
 
 #include <geraniumdoor/base/log.hpp>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include <memory>
 #include <optional>
 #include <utility>
@@ -20,6 +23,7 @@
 
 /// Retry-after time when nobody can tell which version began a stream, but somebody may
 /// later: datagrams between hosts may have been lost, or the store's rows not been read.
+/// The same when upstreams of the version may have been replaced.
 constexpr milliseconds unknown_version_retry_after{300};
 
 stream_key key_of(const relayed_request& current)
@@ -89,7 +93,8 @@
     current.m_stream_version = decision.m_version;
     if (lacks_stream_version(current))
     {
-        co_await refuse(current, time_left(current), no_upstream_of_version_reason);
+        co_await refuse(current, stream_version_wait(current),
+                        no_upstream_of_version_reason);
         co_return false;
     }
     co_return true;
@@ -111,6 +116,62 @@
     m_origins.record(origin, key_of(current));
 }
 
+void request_relay::note_unreachable(upstream& row)
+{
+    const time_point at = now();
+    record_unreachable(row, at);
+    doubt_start(row, at);
+    asio::co_spawn(m_state.m_executor, check_start(row.m_entry, at), asio::detached);
+}
+
+asio::awaitable<void> request_relay::check_start(upstream_entry entry, time_point doubted)
+{
+    const auto call = make_upstream_call();
+    const auto connected =
+        co_await call->connect(to_tcp(entry.m_address), min_restart_time);
+    call->close();
+    const time_point at = now();
+    upstream* row = m_state.m_upstreams.m_rows.find(entry.m_id);
+    if (row == nullptr || row->m_run != run_of(entry))
+    {
+        co_return;
+    }
+    if (!is_ok(connected))
+    {
+        row->m_doubted_here_at = doubted;
+        m_state.m_doubts_changed = true;
+        log_event{"upstream_start_doubted"}.add("upstream", entry.m_id);
+        co_return;
+    }
+    record_reached(*row, at);
+    // What a host reads after it stood still tells nothing about the time between.
+    if (at - doubted <= min_restart_time && shows_absence(m_state.m_registry_view, at))
+    {
+        settle_start(*row, doubted);
+    }
+}
+
+milliseconds request_relay::stream_version_wait(const request& current)
+{
+    bool in_doubt = false;
+    for (auto& [id, row] : m_state.m_upstreams.m_rows)
+    {
+        if (row.m_entry.m_pool != current.m_pool || !row.m_doubted_at ||
+            row.m_entry.m_version != current.m_stream_version ||
+            !accepts_work(m_state.m_upstreams, row))
+        {
+            continue;
+        }
+        in_doubt = true;
+        if (!row.m_reached_at)
+        {
+            asio::co_spawn(m_state.m_executor,
+                           check_start(row.m_entry, *row.m_doubted_at), asio::detached);
+        }
+    }
+    return in_doubt ? unknown_version_retry_after : time_left(current);
+}
+
 bool request_relay::lacks_stream_version(const request& current) const
 {
     return current.m_stream_version &&
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -267,6 +267,18 @@
     /// Records which version began the stream, before its first event is forwarded.
     void record_stream_origin(request& current);
 
+    /// Records that an upstream could not be reached, and finds out whether its process
+    /// may have ended.
+    void note_unreachable(serving::upstream& row);
+
+    /// Connects to an upstream that is in doubt. One that accepts sooner than another
+    /// process could is the one that its entry describes.
+    boost::asio::awaitable<void> check_start(serving::upstream_entry entry,
+                                             time_point doubted);
+
+    /// Time until a stream that no upstream can take on may be taken up again.
+    milliseconds stream_version_wait(const request& current);
+
     /// Whether upstreams of the pool accept work, but none of the stream's version.
     bool lacks_stream_version(const request& current) const;
 
--- a/src/edge/store_rows.cpp
+++ b/src/edge/store_rows.cpp
@@ -53,6 +53,7 @@
     }
     m_changes += before == store_version{} ? 1 : 0;
     serving::confirm_view(view_of(table), as_of);
+    serving::confirm_starts(m_state.m_upstreams, m_state.m_registry_view);
     publish(changes_before);
 }
 
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -303,6 +303,7 @@
     };
     confirm(m_state.m_operator_view, report.m_operator_age_ms);
     confirm(m_state.m_registry_view, report.m_registry_age_ms);
+    serving::confirm_starts(m_state.m_upstreams, m_state.m_registry_view);
 }
 
 void store_watch::add_address(const std::string& text)
--- a/src/edge/upstream_notices.cpp
+++ b/src/edge/upstream_notices.cpp
@@ -115,6 +115,34 @@
     }
 }
 
+void apply_start_doubt(edge_state& state, const start_doubt& doubt)
+{
+    if (auto* row = find_run(state.m_upstreams, upstream_run{doubt.m_upstream}))
+    {
+        doubt_start(*row, now() - milliseconds{doubt.m_age_ms});
+    }
+}
+
+doubt_report make_doubt_report(const edge_state& state)
+{
+    const time_point at = now();
+    const milliseconds repeated_for =
+        reports_of_statement * milliseconds{state.m_own_report.m_interval_ms};
+    doubt_report report;
+    for (const auto& [id, row] : state.m_upstreams.m_rows)
+    {
+        if (row.m_doubted_here_at && at - *row.m_doubted_here_at <= repeated_for &&
+            report.m_doubts.size() < max_reported_doubts)
+        {
+            const auto age =
+                std::chrono::floor<milliseconds>(at - *row.m_doubted_here_at);
+            report.m_doubts.push_back(
+                {row.m_run.m_value, static_cast<std::uint32_t>(age.count())});
+        }
+    }
+    return report;
+}
+
 limit_notice to_notice(upstream_run run, const limit_statement& statement, time_point now)
 {
     limit_notice notice;
--- a/src/edge/upstream_notices.hpp
+++ b/src/edge/upstream_notices.hpp
@@ -18,6 +18,12 @@
 /// Records that another host has heard from an upstream that it leaves.
 void apply_leaving_notice(edge_state& state, upstream_run run);
 
+/// Records that the process of an upstream may have ended, as another host has seen.
+void apply_start_doubt(edge_state& state, const start_doubt& doubt);
+
+/// Returns the doubts that arose here within the time of a few reports.
+doubt_report make_doubt_report(const edge_state& state);
+
 /// Returns the notice that tells another host of a statement.
 limit_notice to_notice(upstream_run run, const serving::limit_statement& statement,
                        time_point now);
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -136,7 +136,47 @@
 bool has_version(const upstream& candidate,
                  const std::optional<software_version>& version)
 {
-    return !version || candidate.m_entry.m_version == *version;
+    return !version ||
+           (candidate.m_entry.m_version == *version && !candidate.m_doubted_at);
+}
+
+void doubt_start(upstream& row, time_point at)
+{
+    if (at > std::max(row.m_certain_at, row.m_doubted_at.value_or(time_point{})))
+    {
+        row.m_doubted_at = at;
+        row.m_reached_at.reset();
+    }
+}
+
+void settle_start(upstream& row, time_point at)
+{
+    row.m_certain_at = std::max(row.m_certain_at, at);
+    if (row.m_doubted_at && *row.m_doubted_at <= at)
+    {
+        row.m_doubted_at.reset();
+        row.m_reached_at.reset();
+    }
+}
+
+void record_reached(upstream& row, time_point now)
+{
+    if (row.m_doubted_at && !row.m_reached_at)
+    {
+        row.m_reached_at = now;
+    }
+}
+
+void confirm_starts(upstream_table& table, const table_view& registry)
+{
+    for (auto& [id, row] : table.m_rows)
+    {
+        if (row.m_reached_at && registry.m_as_of &&
+            *registry.m_as_of >= *row.m_reached_at)
+        {
+            settle_start(row, *row.m_reached_at);
+        }
+    }
 }
 
 bool is_available(const upstream_table& table, const upstream& candidate, time_point now)
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -186,7 +186,8 @@
           datagram{permit_reply{23, false, 900}},
           datagram{origin_report{{{25, "v1", 40}, {26, "", 0}}}},
           datagram{origin_request{27, 25, "engines"}},
-          datagram{origin_reply{27, origin_finding::recorded, "v1"}}})
+          datagram{origin_reply{27, origin_finding::recorded, "v1", 40}},
+          datagram{doubt_report{{{28, 40}, {29, 0}}}}})
     {
         const std::string bytes = value_of(encode_datagram(report));
         const auto received = decode_datagram(bytes);
--- a/tests/standins/software_version_test.cpp
+++ b/tests/standins/software_version_test.cpp
@@ -230,3 +230,59 @@
     // A third of the 2.5 s that the caller waits, less the time to ask other hosts.
     cr_expect(std::stod(wait) >= 0.6, "Retry-After %s", wait.c_str());
 }
+
+// Guards against streams that go on at an engine which has come back under its id with
+// another version, before hosts have read its entry.
+Test(software_version, an_engine_that_comes_back_under_its_id_takes_no_earlier_streams)
+{
+    constexpr int hosts = 3;
+    version_story story{29280, hosts, {"v1", "v2"}};
+    worker_standin& replaced = *story.m_engines[0];
+    const auto ledger = std::make_shared<worker_ledger>();
+    for (worker_standin* engine : story.m_engines)
+    {
+        engine->m_ledger = ledger;
+        engine->m_mode = worker_mode::slow_stream;
+    }
+    story.m_cluster.run_for(1000ms);
+    constexpr int streams = 12;
+    const auto id_of = [](int stream)
+    {
+        return "r" + std::to_string(stream);
+    };
+    for (int stream = 0; stream < streams; ++stream)
+    {
+        story.m_cluster.start_request(stream % hosts, stream_of(id_of(stream)), 2500ms);
+    }
+    story.m_cluster.run_for(900ms);
+
+    // The engine ends, and registers anew before it takes connections.
+    replaced.m_restart_delay = 300ms;
+    replaced.crash(story.m_cluster.m_io.get_executor());
+    story.m_cluster.run_for(250ms);
+    replaced.m_version = "v3";
+    ++replaced.m_born;
+    story.m_cluster.set_worker_state(replaced, "ready");
+    --replaced.m_born;
+    story.m_cluster.run_for(70ms);
+
+    // Callers return at any host, some before the entry has been read.
+    for (int turn = 0; turn < 4; ++turn)
+    {
+        for (int stream = 0; stream < streams; ++stream)
+        {
+            const std::string id = id_of(stream) + "-" + std::to_string(turn);
+            story.m_cluster.start_request((stream + turn) % hosts,
+                                          take_up(id_of(stream), id), 1500ms);
+        }
+        story.m_cluster.run_for(150ms);
+    }
+    story.m_cluster.run_for(1000ms);
+    cr_expect(ledger->m_joined_streams.empty(), "%zu streams joined",
+              ledger->m_joined_streams.size());
+    // Streams of the version that is left go on.
+    cr_expect(story.count_resumed() > 0);
+    // So do new streams at the engine that is back.
+    const auto answer = story.m_cluster.send_request(0, stream_of("new"), 2500ms);
+    EXPECT_EQUAL(answer.m_status, 200U);
+}
