Tell of which start of a host a number is

Cause: jobs, questions and pulls were numbered from one in each process, so that what was made for an earlier start was taken for the answer to a later one's. A result for a job that was only announced threw, and the connection that had brought it was never read again.

Now all numbers that others refer to come from exchange_numbers, which begin with the incarnation, also when the clock was set back. Pushes repeat the number of their pull; one for an earlier start leaves out rows and is not taken. A pull names the start that counted the changes. A message whose handler fails closes its connection.

--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -508,16 +508,21 @@
 {
     /// Changes of that host that the asker has; zero when it has never asked it.
     std::uint64_t m_after = 0;
+    /// Start of that host that has counted them.
+    incarnation m_counted_by;
     /// Versions of the store as of which the asker holds the tables. A host that is asked
     /// for the first time leaves out what is older.
     store_version m_intent_version;
     store_version m_registry_version;
     bool m_wants_hosts = false;
+    /// Number that the answer repeats.
+    std::uint64_t m_number = 0;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_after, m_intent_version, m_registry_version, m_wants_hosts);
+        archive(m_after, m_counted_by, m_intent_version, m_registry_version,
+                m_wants_hosts, m_number);
     }
 };
 
@@ -549,11 +554,13 @@
     table_changes m_registry;
     /// Addresses of the live hosts, "IP:port".
     std::vector<std::string> m_hosts;
+    /// Number of the pull.
+    std::uint64_t m_number = 0;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
-        archive(m_busy, m_changes, m_intent, m_registry, m_hosts);
+        archive(m_busy, m_changes, m_intent, m_registry, m_hosts, m_number);
     }
 };
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -250,6 +250,7 @@
     , m_timer_driver{io}
 {
     m_state.m_own_report = initial_report(m_state.m_settings, started);
+    m_state.m_numbers = exchange_numbers{started};
     for (const ip_endpoint& seed : m_state.m_settings.m_seeds)
     {
         // All hosts listen for other hosts on the same port.
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "exchange_numbers.hpp"
+
 #include <geraniumdoor/base/hash.hpp>
 #include <geraniumdoor/base/timer_service.hpp>
 #include <geraniumdoor/edge/edge_settings.hpp>
@@ -51,6 +53,8 @@
     std::uint64_t m_store_returns = 0;
     serving::host_table m_hosts;
     host_report m_own_report;
+    /// Numbers of what this host asks others.
+    exchange_numbers m_numbers;
     serving::retry_budget m_retry_budget;
     serving::crash_suspects m_crash_suspects;
     serving::stream_origins m_stream_origins;
--- a/src/edge/origin_exchange.cpp
+++ b/src/edge/origin_exchange.cpp
@@ -52,7 +52,7 @@
                            at));
         return;
     }
-    const std::uint64_t number = ++m_last_number;
+    const std::uint64_t number = m_state.m_numbers.next();
     question& asked = m_questions[number];
     asked.m_stream = stream;
     asked.m_pool = pool;
--- a/src/edge/origin_exchange.hpp
+++ b/src/edge/origin_exchange.hpp
@@ -54,7 +54,6 @@
 
     edge_state& m_state;
     datagram_sender m_send;
-    std::uint64_t m_last_number = 0;
     std::map<std::uint64_t, question> m_questions;
 };
 
--- a/src/edge/send_permits.cpp
+++ b/src/edge/send_permits.cpp
@@ -47,7 +47,7 @@
         done(decision.m_granted);
         return;
     }
-    const std::uint64_t number = ++m_last_number;
+    const std::uint64_t number = m_state.m_numbers.next();
     question& asked = m_questions[number];
     asked.m_upstream = upstream;
     asked.m_done = std::move(done);
--- a/src/edge/send_permits.hpp
+++ b/src/edge/send_permits.hpp
@@ -50,7 +50,6 @@
     std::unordered_map<std::uint64_t, question> m_questions;
     /// Upstreams with an open question of ask_ahead.
     std::unordered_set<upstream_id> m_ahead;
-    std::uint64_t m_last_number = 0;
 };
 
 } // namespace geraniumdoor::edge
--- a/src/edge/stage_client.cpp
+++ b/src/edge/stage_client.cpp
@@ -115,9 +115,10 @@
 void stage_client::on_result(const node_id& from, const pieces_result& result)
 {
     const auto at = m_jobs.find(result.m_job);
-    if (at == m_jobs.end())
+    if (at == m_jobs.end() || at->second.m_announced)
     {
-        // The job was cancelled, or another host has sent its result.
+        // The job was cancelled, is of an earlier start, or another host has sent its
+        // result.
         if (!result.m_handles.empty())
         {
             log_event{"results_unwanted"}
--- a/src/edge/stage_client.hpp
+++ b/src/edge/stage_client.hpp
@@ -37,7 +37,7 @@
     /// Returns a number for a job that is submitted without an announcement.
     std::uint64_t next_job_number()
     {
-        return ++m_last_job;
+        return m_state.m_numbers.next();
     }
 
     /// Submits a stage to the host that runs the pool's queue. The completion is called
@@ -89,7 +89,6 @@
     std::map<std::uint64_t, open_job> m_jobs;
     /// Silent hosts, and when each was probed.
     std::map<node_id, time_point> m_probes;
-    std::uint64_t m_last_job = 0;
 };
 
 } // namespace geraniumdoor::edge
--- a/src/edge/store_exchange.cpp
+++ b/src/edge/store_exchange.cpp
@@ -121,8 +121,11 @@
 state_push store_watch::push_for(const state_pull& pull, std::size_t backlog_bytes)
 {
     state_push push;
-    const bool wants_all =
-        pull.m_after == 0 && pull.m_registry_version == store_version{};
+    push.m_number = pull.m_number;
+    // An earlier start of this host counted its changes from one, too.
+    const bool is_counted_here = pull.m_counted_by == m_state.m_own_report.m_incarnation;
+    const std::uint64_t after = is_counted_here ? pull.m_after : 0;
+    const bool wants_all = after == 0 && pull.m_registry_version == store_version{};
     if (wants_all && backlog_bytes > max_push_backlog)
     {
         push.m_busy = true;
@@ -132,9 +135,8 @@
     // The rows of this table are not restored after an outage, so that store versions
     // suffice to tell what is new. That avoids sending the large configuration again.
     push.m_intent = changes_of(m_operator_table, 0, pull.m_intent_version);
-    push.m_registry = wants_all
-                          ? whole_registry()
-                          : changes_of(m_registry, pull.m_after, pull.m_registry_version);
+    push.m_registry = wants_all ? whole_registry()
+                                : changes_of(m_registry, after, pull.m_registry_version);
     if (!pull.m_wants_hosts)
     {
         return push;
@@ -163,8 +165,12 @@
     }
     // apply_push records the answer as complete up to the host's change number, so every
     // pull has to request all missing rows, even if only the list of hosts is wanted.
-    return state_pull{*after, m_operator_table.m_copy.m_version,
-                      m_registry.m_copy.m_version, wants_hosts || has_no_data()};
+    return state_pull{*after,
+                      report.m_incarnation,
+                      m_operator_table.m_copy.m_version,
+                      m_registry.m_copy.m_version,
+                      wants_hosts || has_no_data(),
+                      m_state.m_numbers.next()};
 }
 
 void store_watch::expire_pulls()
@@ -185,6 +191,12 @@
 void store_watch::apply_push(const node_id& from, incarnation from_incarnation,
                              state_push push)
 {
+    if (!m_state.m_numbers.is_own(push.m_number))
+    {
+        // It leaves out rows that the earlier start of this host had.
+        log_event{"rows_of_earlier_start"}.add("host", from);
+        return;
+    }
     if (push.m_busy)
     {
         serving::record_busy(m_pulls, from, now());
--- a/src/net/node_links.cpp
+++ b/src/net/node_links.cpp
@@ -5,6 +5,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <exception>
 #include <utility>
 
 namespace geraniumdoor
@@ -152,8 +153,19 @@
         {
             co_return frame_end::malformed;
         }
-        m_callbacks.m_on_message(link->m_peer, link->m_peer_incarnation,
-                                 value_of(std::move(received)));
+        try
+        {
+            m_callbacks.m_on_message(link->m_peer, link->m_peer_incarnation,
+                                     value_of(std::move(received)));
+        }
+        catch (const std::exception& error)
+        {
+            // A connection that nobody reads would look sound to the peer.
+            log_event{"peer_message_failed"}
+                .add("node", link->m_peer)
+                .add("reason", error.what());
+            co_return frame_end::malformed;
+        }
     }
     co_return frame_end::closed;
 }
--- a/tests/standins/store_watch_test.cpp
+++ b/tests/standins/store_watch_test.cpp
@@ -239,11 +239,11 @@
     watch_fixture fixture;
     fixture.push_worker("reader-1", 10, "ready");
     fixture.push_config("reader-1", 1, 10);
-    const state_push all = fixture.m_watch.push_for({0, {}, {}, false}, 0);
+    const state_push all = fixture.m_watch.push_for({0, {}, {}, {}, false, 0}, 0);
     EXPECT_EQUAL(all.m_intent.m_rows.size(), 1U);
     EXPECT_EQUAL(all.m_registry.m_rows.size(), 1U);
     const state_push none =
-        fixture.m_watch.push_for({all.m_changes, {10}, {10}, false}, 0);
+        fixture.m_watch.push_for({all.m_changes, {}, {10}, {10}, false, 0}, 0);
     cr_expect(none.m_intent.m_rows.empty());
     cr_expect(none.m_registry.m_rows.empty());
 }
@@ -291,8 +291,9 @@
     watch_fixture reader;
     reader.push_worker("store", 10, "ready");
     cr_expect(reader.m_watch.push_for({}, full_link_bytes).m_busy);
-    cr_expect(not reader.m_watch.push_for({1, {}, {9}, false}, full_link_bytes).m_busy,
-              "changes are small");
+    cr_expect(
+        not reader.m_watch.push_for({1, {}, {}, {9}, false, 0}, full_link_bytes).m_busy,
+        "changes are small");
 
     // The puller does not take it for an answer, and asks another host at once.
     watch_fixture puller;
