Pass on statuses that Boost.Beast does not list

It goes through as it came now. 1xx of any number is an interim response, and a number outside 200 to 599 no answer, for requests and for stages alike.

--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -1,3 +1,5 @@
+#include "http_status.hpp"
+
 #include <geraniumdoor/net/http_call.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -126,12 +128,15 @@
         m_parser->skip(m_request.method() == http::verb::head);
         const auto [error, size] =
             co_await http::async_read_header(m_stream, m_buffer, *m_parser, use_tuple);
-        const bool interim = !error && http::to_status_class(m_parser->get().result()) ==
-                                           http::status_class::informational;
-        if (!interim)
+        const unsigned status = m_parser->get().result_int();
+        if (error || is_final_status(status))
         {
             co_return error;
         }
+        if (!is_interim_status(status))
+        {
+            co_return make_error_code(http::error::bad_status);
+        }
         interim_bytes += size;
         if (interim_bytes > m_limits.m_header_bytes)
         {
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,3 +1,5 @@
+#include "http_status.hpp"
+
 #include <geraniumdoor/base/log.hpp>
 #include <geraniumdoor/net/http_client.hpp>
 
@@ -173,12 +175,15 @@
         const auto [error, size] =
             co_await http::async_read_header(stream, buffer, *parser, use_tuple);
         received += size;
-        const bool interim = !error && http::to_status_class(parser->get().result()) ==
-                                           http::status_class::informational;
-        if (!interim)
+        const unsigned status = parser->get().result_int();
+        if (error || is_final_status(status))
         {
             co_return error;
         }
+        if (!is_interim_status(status))
+        {
+            co_return make_error_code(http::error::bad_status);
+        }
         interim_bytes += size;
     }
     co_return make_error_code(http::error::header_limit);
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -1,5 +1,7 @@
 #include "http_exchange.hpp"
 
+#include "http_status.hpp"
+
 #include <geraniumdoor/base/invariant.hpp>
 
 #include <boost/asio/as_tuple.hpp>
@@ -48,7 +50,9 @@
 
 http::response<http::empty_body> make_head(unsigned status, const http_fields& fields)
 {
-    http::response<http::empty_body> message{http::int_to_status(status), 11};
+    http::response<http::empty_body> message;
+    message.version(11);
+    set_status(message, status);
     for (const auto& [name, value] : fields)
     {
         message.insert(name, value);
@@ -105,7 +109,9 @@
 asio::awaitable<void> beast_exchange::respond(http_response response)
 {
     mark_answered();
-    http::response<http::string_body> message{http::int_to_status(response.m_status), 11};
+    http::response<http::string_body> message;
+    message.version(11);
+    set_status(message, response.m_status);
     for (const auto& [name, value] : response.m_fields)
     {
         message.insert(name, value);
