Test engines that come back under their id at four moments

The test of one moment passed before the fix when all hosts happened to read the registry as the engine came back. With four moments 19 streams are joined without the fix, and none with it.

--- a/tests/standins/software_version_test.cpp
+++ b/tests/standins/software_version_test.cpp
@@ -246,38 +246,43 @@
     }
     story.m_cluster.run_for(1000ms);
     constexpr int streams = 12;
-    const auto id_of = [](int stream)
+    for (int round = 0; round < 4; ++round)
     {
-        return "r" + std::to_string(stream);
-    };
-    for (int stream = 0; stream < streams; ++stream)
-    {
-        story.m_cluster.start_request(stream % hosts, stream_of(id_of(stream)), 2500ms);
-    }
-    story.m_cluster.run_for(900ms);
+        const auto id_of = [round](int stream)
+        {
+            return "r" + std::to_string(round) + "-" + std::to_string(stream);
+        };
+        for (int stream = 0; stream < streams; ++stream)
+        {
+            story.m_cluster.start_request(stream % hosts, stream_of(id_of(stream)),
+                                          2500ms);
+        }
+        // The hosts read the registry at another moment of each round.
+        story.m_cluster.run_for(700ms + 150ms * round);
 
-    // The engine ends, and registers anew before it takes connections.
-    replaced.m_restart_delay = 300ms;
-    replaced.crash(story.m_cluster.m_io.get_executor());
-    story.m_cluster.run_for(250ms);
-    replaced.m_version = "v3";
-    ++replaced.m_born;
-    story.m_cluster.set_worker_state(replaced, "ready");
-    --replaced.m_born;
-    story.m_cluster.run_for(70ms);
+        // The engine ends, and registers anew before it takes connections.
+        replaced.m_restart_delay = 300ms;
+        replaced.crash(story.m_cluster.m_io.get_executor());
+        story.m_cluster.run_for(250ms);
+        replaced.m_version = "v" + std::to_string(round + 3);
+        ++replaced.m_born;
+        story.m_cluster.set_worker_state(replaced, "ready");
+        --replaced.m_born;
+        story.m_cluster.run_for(70ms);
 
-    // Callers return at any host, some before the entry has been read.
-    for (int turn = 0; turn < 4; ++turn)
-    {
-        for (int stream = 0; stream < streams; ++stream)
+        // Callers return at any host, some before the entry has been read.
+        for (int turn = 0; turn < 4; ++turn)
         {
-            const std::string id = id_of(stream) + "-" + std::to_string(turn);
-            story.m_cluster.start_request((stream + turn) % hosts,
-                                          take_up(id_of(stream), id), 1500ms);
+            for (int stream = 0; stream < streams; ++stream)
+            {
+                const std::string id = id_of(stream) + "-" + std::to_string(turn);
+                story.m_cluster.start_request((stream + turn) % hosts,
+                                              take_up(id_of(stream), id), 1500ms);
+            }
+            story.m_cluster.run_for(150ms);
         }
-        story.m_cluster.run_for(150ms);
+        story.m_cluster.run_for(2000ms);
     }
-    story.m_cluster.run_for(1000ms);
     cr_expect(ledger->m_joined_streams.empty(), "%zu streams joined",
               ledger->m_joined_streams.size());
     // Streams of the version that is left go on.
