Answer all requests that wait when a host stops

Cause: the process ended with whatever was in progress; nothing bounded what it accepted by the time that it had left. Now all waits of a request end 0.3 s before the end of the stop: it is refused, or fails if an upstream may have run it. The forecast of a new request is compared with that time, so that one that cannot be served is refused at once. Streams that arrive later than three seconds after the stop began, when no caller uses the address any more, are refused rather than cut off.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -47,6 +47,10 @@
 /// Part of the shutdown timeout that is kept in reserve.
 constexpr milliseconds shutdown_reserve{700};
 
+/// Time before the end of a stop in which requests that still wait are answered, so that
+/// the answers are read.
+constexpr milliseconds last_answers_time{300};
+
 constexpr milliseconds shutdown_check_interval{100};
 
 /// Interval at which a host checks whether it should run a queue.
@@ -817,6 +821,10 @@
     }
     m_on_stopped = std::move(on_stopped);
     m_shutdown_started = now();
+    m_state.m_stopping_since = m_shutdown_started;
+    m_state.m_answers_due_at = m_shutdown_started +
+                               m_state.m_settings.m_shutdown_timeout - shutdown_reserve -
+                               last_answers_time;
     m_state.m_own_report.m_stopping = true;
     m_callers.begin_drain();
     send_reports();
@@ -844,6 +852,10 @@
         m_callers.stop_accepting();
         m_callers.close_idle();
     }
+    if (now() >= *m_state.m_answers_due_at)
+    {
+        m_relay.end_waits();
+    }
     const bool idle = m_relay.active() == 0 && m_scheduler.open_job_count() == 0;
     const bool over = since >= m_state.m_settings.m_shutdown_timeout - shutdown_reserve;
     if (!idle && !over)
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -20,6 +20,7 @@
 
 #include <map>
 #include <memory>
+#include <optional>
 
 namespace geraniumdoor::edge
 {
@@ -53,6 +54,11 @@
     std::uint64_t m_store_returns = 0;
     serving::host_table m_hosts;
     host_report m_own_report;
+    /// When requests that wait have to be answered because this host stops; empty while
+    /// it does not.
+    std::optional<time_point> m_answers_due_at;
+    /// When it began to stop.
+    std::optional<time_point> m_stopping_since;
     /// Numbers of what this host asks others.
     exchange_numbers m_numbers;
     serving::retry_budget m_retry_budget;
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -25,6 +25,13 @@
 /// Retry-after time of a refusal by a host whose configuration may be out of date.
 constexpr milliseconds old_view_retry_after{500};
 
+/// Time after a host began to stop from which it takes no streams, which it might have to
+/// cut off. Callers use an address for three times its TTL of a second.
+constexpr milliseconds late_stream_time{3000};
+
+/// Retry-after time of a refusal by a host that stops.
+constexpr milliseconds stopping_retry_after{200};
+
 /// Interval at which a waiting request checks whether the host has its configuration.
 constexpr milliseconds startup_poll_interval{20};
 
@@ -50,6 +57,7 @@
     request current{exchange, m_state.m_executor};
     current.m_arrived_at = now();
     ++m_active;
+    m_requests.insert(&current);
     exchange.on_peer_closed(
         [&current]
         {
@@ -85,6 +93,7 @@
     {
         handle_caller_gone(current);
     }
+    m_requests.erase(&current);
     --m_active;
 }
 
@@ -186,19 +195,57 @@
     return platform::make_unavailable_response(old_view_retry_after, current.m_reason);
 }
 
+time_point request_relay::end_of_stop(const request& current) const
+{
+    if (!m_state.m_answers_due_at)
+    {
+        return time_point::max();
+    }
+    // A response that has begun may go on to the end of the process.
+    return current.m_retry_state.m_stream_begun ? time_point::max()
+                                                : *m_state.m_answers_due_at;
+}
+
+void request_relay::end_waits()
+{
+    for (request* const waiting : m_requests)
+    {
+        if (waiting->m_any_response_started)
+        {
+            continue;
+        }
+        waiting->m_first_byte_deadline =
+            std::min(waiting->m_first_byte_deadline, *m_state.m_answers_due_at);
+        if (waiting->m_upstream_call)
+        {
+            waiting->m_upstream_call->close();
+        }
+        waiting->m_wake_timer.cancel();
+    }
+}
+
 time_point request_relay::next_byte_deadline(const request& current) const
 {
+    const time_point last = std::min(current.m_deadline, end_of_stop(current));
     if (!is_stream(current.m_route->m_retry_safety))
     {
-        return current.m_deadline;
+        return last;
     }
     const time_point heard = std::max(current.m_arrived_at, current.m_last_event_at);
-    return std::min(current.m_deadline, heard + caller_stream_timeout(*current.m_route) -
-                                            response_delivery_margin);
+    return std::min(last, heard + caller_stream_timeout(*current.m_route) -
+                              response_delivery_margin);
 }
 
 asio::awaitable<void> request_relay::process(request& current)
 {
+    const bool is_late =
+        m_state.m_stopping_since &&
+        current.m_arrived_at >= *m_state.m_stopping_since + late_stream_time;
+    if (is_late && is_stream(current.m_route->m_retry_safety))
+    {
+        co_await refuse(current, stopping_retry_after, "host_stops");
+        co_return;
+    }
     if (const auto wait = quarantine_wait(current))
     {
         co_await refuse(current, *wait, quarantine_reason(current));
@@ -263,7 +310,7 @@
     }
     current.m_any_response_started = true;
     const milliseconds retry_after =
-        retry_after_delay(until_capacity, time_left(current));
+        retry_after_delay(until_capacity, ms_between(now(), current.m_deadline));
     log_request(current, "refused", 503);
     co_await current.m_exchange.respond(
         platform::make_unavailable_response(retry_after, reason));
@@ -271,7 +318,7 @@
 
 milliseconds request_relay::time_left(const request& current) const
 {
-    return ms_between(now(), current.m_deadline);
+    return ms_between(now(), std::min(current.m_deadline, end_of_stop(current)));
 }
 
 void request_relay::log_request(const request& current, const char* outcome,
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -21,6 +21,7 @@
 
 #include <memory>
 #include <string>
+#include <unordered_set>
 #include <vector>
 
 #include <platform/exchange.hpp>
@@ -153,6 +154,10 @@
         return m_active;
     }
 
+    /// Ends the waits of all requests whose response has not begun, because the host
+    /// stops: they are refused, or fail if an upstream may have run them.
+    void end_waits();
+
 private:
     using request = relayed_request;
 
@@ -173,6 +178,8 @@
     http_response reject_as_unknown(request& current, unsigned status,
                                     const char* reason) const;
     /// Time at which the caller abandons the request if nothing more arrives.
+    /// When a request has to be answered because the host stops.
+    time_point end_of_stop(const request& current) const;
     time_point next_byte_deadline(const request& current) const;
     boost::asio::awaitable<void> process(request& current);
     boost::asio::awaitable<void> reject(request& current, http_response response);
@@ -391,6 +398,8 @@
     origin_exchange& m_origins;
     time_point m_started;
     std::size_t m_active = 0;
+    /// Requests in progress.
+    std::unordered_set<request*> m_requests;
     /// Moving average of the time to the first byte in each pool, in milliseconds.
     std::unordered_map<pool_id, double> m_mean_first_byte_ms;
 };
