Do not count an offer without a head as a run of a stream

A stream that a silent upstream had resumed could not go on elsewhere afterwards, because the offer to a successor counted as a run of it. A stream begins to run with its head; an offer that was withdrawn before is an attempt that has not run.

--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -458,7 +458,13 @@
     }
     takeover ended = std::exchange(current.m_takeover, {});
     log_search_end(current, ended, "resumed");
-    if (ended.m_head)
+    const bool is_accepted = ended.m_head && ended.m_head->m_ended;
+    if (ended.m_head && !is_accepted && is_stream(current.m_retry_state.m_retry_safety))
+    {
+        // A stream begins to run with its head.
+        ++current.m_retry_state.m_not_run_attempts;
+    }
+    else if (ended.m_head)
     {
         // The successor may have begun to run it.
         ++current.m_retry_state.m_possible_runs;
