Read the store again at hosts whose failures an outage explains

In a simulation of hosts and a store, configurations came into force late at hosts that reach the store: after an outage all hosts counted as failing for ten seconds, so that they did not take over when the readers were cut off; and a failing host deferred to hosts whose reads were lost just then.

Now a host forgets failures of before another host was seen to recover from its own, which shows that the store was away and is back. A host that the store turns away alone stays out of the way as before. A failing host defers to hosts that read, or do not try, and else goes by weight.

--- a/include/geraniumdoor/serving/host_table.hpp
+++ b/include/geraniumdoor/serving/host_table.hpp
@@ -32,6 +32,8 @@
 struct host_table
 {
     std::map<node_id, peer_host> m_hosts;
+    /// When another host whose reads of the store had failed was last seen to read again.
+    time_point m_store_recovered_at{};
     /// Addresses of hosts from the settings and the platform; some may be out of date.
     std::vector<node_address> m_known_addresses;
 };
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -149,6 +149,10 @@
 void store_watch::update_access()
 {
     const time_point at = now();
+    for (cached_table* table : {&m_operator_table, &m_registry})
+    {
+        serving::end_outage(table->m_history, m_state.m_hosts);
+    }
     const auto access_to = [at](const cached_table& table)
     {
         const bool is_overdue = table.m_overdue_at && at >= *table.m_overdue_at;
--- a/src/serving/host_table.cpp
+++ b/src/serving/host_table.cpp
@@ -78,6 +78,11 @@
     }
     const bool was_live =
         is_known_live && report.m_incarnation == host.m_report.m_incarnation;
+    if (!inserted && host.m_report.m_store_access == store_access::failing &&
+        report.m_store_access == store_access::reading)
+    {
+        table.m_store_recovered_at = now;
+    }
     if (!inserted && report.m_incarnation != host.m_report.m_incarnation)
     {
         host.m_delay = {};
--- a/src/serving/store_readers.cpp
+++ b/src/serving/store_readers.cpp
@@ -31,7 +31,8 @@
     case store_access::failing:
         break;
     }
-    return other.m_access != store_access::failing || other.m_weight > own.m_weight;
+    return other.m_access == store_access::reading ||
+           other.m_access == store_access::unused || other.m_weight > own.m_weight;
 }
 
 } // namespace
@@ -53,6 +54,15 @@
     history.m_is_unanswered = ended - began >= usual_store_response;
 }
 
+void end_outage(store_read_history& history, const host_table& table)
+{
+    if (history.m_consecutive_failures > 0 &&
+        history.m_last_failure < table.m_store_recovered_at)
+    {
+        history = {};
+    }
+}
+
 bool is_failing(const store_read_history& history, time_point now)
 {
     return history.m_consecutive_failures >= min_failed_reads &&
