--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -55,8 +55,8 @@
 void record_store_read(store_read_history& history, bool succeeded, time_point began,
                        time_point ended);
 
-/// Forgets failures of before another host recovered from its own: the store was away, and
-/// is back. A host that the store turned away alone stays out of the way for longer.
+/// Forgets failures of before another host recovered from its own: the store was away,
+/// and is back. A host that the store turned away alone stays out of the way for longer.
 void end_outage(store_read_history& history, const host_table& table);
 
 /// Whether the reads of a table fail, or failed within the hold time.
