Account for all that a stopping host owes

Payments that could not end in time were passed on, ran, and got a 504 at the end of the stop.

Cause: the process ended when the relay had no request and no stage job was open. A request that was being read, lay in the kernel's buffer or came with the connection accepted last counted for nothing, nor did questions to the directory and messages to other hosts. Whether a connection is kept was decided when the request was read, so that it could close after an answer that had not said so. Ruled out: that such requests are lost in the relay; the hosts' logs do not have them.

Now serving/planned_stop.hpp has the times of a stop, the account of what is owed, and the rule for what is taken. A connection counts from the first byte of a request until its peer has closed after the last answer. An answer says "Connection: close" if the stop has begun when the answer begins. A close ends one direction and reads until the peer closes, within limits of time and bytes. Calls that usually take longer than the host has left are refused at once. The entry daemon counts connections in the same way.

--- a/include/geraniumdoor/net/http_server.hpp
+++ b/include/geraniumdoor/net/http_server.hpp
@@ -79,13 +79,19 @@
     /// Limits of requests that have not begun to arrive.
     void set_limits(http_limits limits);
 
-    /// Answers further requests with "Connection: close". Idle connections stay open, and
-    /// new ones are still served.
+    /// Answers that have not begun say "Connection: close" from now on. Idle connections
+    /// stay open, and new ones are still served.
     void begin_drain();
 
-    /// Closes the connections that carry no request. One that is on its way is lost.
+    /// Closes the connections that wait for another request, and new ones on which none
+    /// has arrived for a second. A request that is on its way to such a connection is
+    /// left unread. Call it again for those that become idle later.
     void close_idle();
 
+    /// Answers the requests that have not arrived completely with 503 and closes their
+    /// connections, as well as those without a request.
+    void refuse_incomplete();
+
     /// Closes the listening socket. Running exchanges go on.
     void stop_accepting();
 
@@ -97,6 +103,11 @@
     /// Number of exchanges that are not answered yet.
     std::size_t active_count() const;
 
+    /// Connections on which the peer is owed an answer, or may still read one: from the
+    /// first byte of a request until the peer has closed after the last answer. Counts
+    /// new connections for a second, in which the peer may be about to send.
+    std::size_t owed_count() const;
+
 private:
     struct state;
 
--- a/include/geraniumdoor/net/node_transport.hpp
+++ b/include/geraniumdoor/net/node_transport.hpp
@@ -100,6 +100,9 @@
     /// Bytes that wait for connections.
     std::size_t queued_bytes() const;
 
+    /// Number of peers with messages that were not handed to a socket completely.
+    std::size_t unsent_peer_count() const;
+
 private:
     struct state;
 
--- a/src/daemon/entry_node_stop.cpp
+++ b/src/daemon/entry_node_stop.cpp
@@ -40,8 +40,7 @@
         return;
     }
     drain_inputs inputs;
-    inputs.m_active_exchanges =
-        static_cast<std::uint32_t>(m_caller_server.active_count());
+    inputs.m_active_exchanges = static_cast<std::uint32_t>(m_caller_server.owed_count());
     inputs.m_own_calls = static_cast<std::uint32_t>(calls_in_progress(m_dispatcher));
     inputs.m_lease_transferred = is_stopped(m_ownership);
     const std::size_t unsent_results = m_transport.queued_bytes() > 0 ? 1 : 0;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -40,17 +40,6 @@
 /// Minimum number of addresses in an answer, if there are that many.
 constexpr std::size_t min_addresses = 3;
 
-/// Time after SIGTERM at which the listener for callers stops accepting and idle
-/// connections are closed.
-constexpr milliseconds drain_delay{4000};
-
-/// Part of the shutdown timeout that is kept in reserve.
-constexpr milliseconds shutdown_reserve{700};
-
-/// Time before the end of a stop in which requests that still wait are answered, so that
-/// the answers are read.
-constexpr milliseconds last_answers_time{300};
-
 constexpr milliseconds shutdown_check_interval{100};
 
 /// Interval at which a host checks whether it should run a queue.
@@ -152,6 +141,10 @@
     std::uint32_t cold_quota_for(const serving::upstream& row) const;
     void begin_stop(std::function<void()> on_stopped);
     void check_shutdown();
+    /// What this host still owes to callers and other hosts.
+    serving::owed_work owed_work() const;
+    void close_listeners(serving::stop_phase phase);
+    void log_owed(const char* event, const serving::owed_work& owed) const;
     asio::awaitable<void> serve_admin(http_exchange& exchange);
     http_response admin_response(const std::string& target) const;
     asio::awaitable<void> serve_directory(http_exchange& exchange);
@@ -177,8 +170,7 @@
     time_point m_last_report{};
     time_point m_last_notice_report{};
     time_point m_last_host_list_request{};
-    time_point m_shutdown_started{};
-    bool m_accepting_stopped = false;
+    serving::stop_phase m_stop_phase = serving::stop_phase::serving;
     std::function<void()> m_on_stopped;
 };
 
@@ -820,18 +812,15 @@
         return;
     }
     m_on_stopped = std::move(on_stopped);
-    m_shutdown_started = now();
-    m_state.m_stopping_since = m_shutdown_started;
-    m_state.m_answers_due_at = m_shutdown_started +
-                               m_state.m_settings.m_shutdown_timeout - shutdown_reserve -
-                               last_answers_time;
+    m_state.m_stop =
+        serving::make_stop_schedule(now(), m_state.m_settings.m_shutdown_timeout);
     m_state.m_own_report.m_stopping = true;
-    m_callers.begin_drain();
+    for (http_server* const server : {&m_callers, &m_directory, &m_admin, &m_metrics})
+    {
+        server->begin_drain();
+    }
     send_reports();
-    log_event{"stopping"}
-        .add("host", m_state.m_own_report.m_node)
-        .add("requests", m_relay.active())
-        .add("jobs", m_scheduler.open_job_count());
+    log_owed("stopping", owed_work());
     m_timers.every(shutdown_check_interval,
                    [this](time_point)
                    {
@@ -839,35 +828,76 @@
                    });
 }
 
-void edge_daemon::parts::check_shutdown()
+serving::owed_work edge_daemon::parts::owed_work() const
+{
+    serving::owed_work owed;
+    owed.m_caller_connections = m_callers.owed_count();
+    owed.m_requests = m_relay.active();
+    owed.m_jobs = m_scheduler.open_job_count();
+    owed.m_unsent_peers = m_transport.unsent_peer_count();
+    owed.m_service_connections =
+        m_directory.owed_count() + m_admin.owed_count() + m_metrics.owed_count();
+    return owed;
+}
+
+void edge_daemon::parts::log_owed(const char* event, const serving::owed_work& owed) const
+{
+    log_event{event}
+        .add("host", m_state.m_own_report.m_node)
+        .add("phase", serving::to_text(m_stop_phase))
+        .add("connections", owed.m_caller_connections)
+        .add("requests", owed.m_requests)
+        .add("jobs", owed.m_jobs)
+        .add("unsent_peers", owed.m_unsent_peers)
+        .add("service_connections", owed.m_service_connections);
+}
+
+void edge_daemon::parts::close_listeners(serving::stop_phase phase)
 {
-    const duration since = now() - m_shutdown_started;
-    if (since < drain_delay)
+    if (phase == serving::stop_phase::serving)
     {
         return;
     }
-    if (!m_accepting_stopped)
+    m_callers.stop_accepting();
+    m_callers.close_idle();
+    if (phase == serving::stop_phase::closing)
     {
-        m_accepting_stopped = true;
-        m_callers.stop_accepting();
-        m_callers.close_idle();
+        for (http_server* const server : {&m_directory, &m_admin, &m_metrics})
+        {
+            server->stop_accepting();
+            server->close_idle();
+        }
     }
-    if (now() >= *m_state.m_answers_due_at)
+}
+
+void edge_daemon::parts::check_shutdown()
+{
+    if (m_stop_phase == serving::stop_phase::ended)
     {
-        m_relay.end_waits();
+        return;
     }
-    const bool idle = m_relay.active() == 0 && m_scheduler.open_job_count() == 0;
-    const bool over = since >= m_state.m_settings.m_shutdown_timeout - shutdown_reserve;
-    if (!idle && !over)
+    const serving::owed_work owed = owed_work();
+    const auto phase = serving::next_phase(*m_state.m_stop, m_stop_phase, owed, now());
+    const bool has_changed = phase != m_stop_phase;
+    m_stop_phase = phase;
+    if (phase == serving::stop_phase::ended)
     {
+        log_owed("stopped", owed);
+        m_store.stop();
+        m_origin_store.stop();
+        m_on_stopped();
         return;
     }
-    log_event{"stopped"}
-        .add("host", m_state.m_own_report.m_node)
-        .add("requests", m_relay.active());
-    m_store.stop();
-    m_origin_store.stop();
-    m_on_stopped();
+    if (has_changed)
+    {
+        log_owed("stopping", owed);
+    }
+    close_listeners(phase);
+    if (now() >= m_state.m_stop->m_answers_due_at)
+    {
+        m_callers.refuse_incomplete();
+        m_relay.end_waits();
+    }
 }
 
 edge_daemon::edge_daemon(asio::io_context& io, edge_settings settings,
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -8,6 +8,7 @@
 #include <geraniumdoor/metrics/metric_registry.hpp>
 #include <geraniumdoor/serving/crash_suspects.hpp>
 #include <geraniumdoor/serving/host_table.hpp>
+#include <geraniumdoor/serving/planned_stop.hpp>
 #include <geraniumdoor/serving/retry_budget.hpp>
 #include <geraniumdoor/serving/routing.hpp>
 #include <geraniumdoor/serving/stage_queue.hpp>
@@ -54,11 +55,8 @@
     std::uint64_t m_store_returns = 0;
     serving::host_table m_hosts;
     host_report m_own_report;
-    /// When requests that wait have to be answered because this host stops; empty while
-    /// it does not.
-    std::optional<time_point> m_answers_due_at;
-    /// When it began to stop.
-    std::optional<time_point> m_stopping_since;
+    /// Times of the planned stop; empty until one begins.
+    std::optional<serving::stop_schedule> m_stop;
     /// Numbers of what this host asks others.
     exchange_numbers m_numbers;
     serving::retry_budget m_retry_budget;
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -558,7 +558,16 @@
                 .add("parts", part_ids(current.m_metadata.m_prompt));
         }
     }
-    if (row == nullptr || current.m_caller_gone)
+    if (current.m_caller_gone)
+    {
+        return;
+    }
+    const bool is_complete = outcome == attempt_outcome::answered;
+    if (is_complete || current.m_progress.m_gave_up)
+    {
+        record_duration(current, at - began, is_complete);
+    }
+    if (row == nullptr)
     {
         return;
     }
@@ -597,6 +606,23 @@
     }
 }
 
+void request_relay::record_duration(const request& current, duration taken,
+                                    bool is_complete)
+{
+    constexpr std::size_t max_removed_routes = 100;
+    if (m_state.m_routing &&
+        m_durations.size() > m_state.m_routing->m_routes.size() + max_removed_routes)
+    {
+        m_durations.clear();
+    }
+    duration_estimate& estimate = m_durations[current.m_route->m_name];
+    // Of a call that was given up only a lower bound is known.
+    if (is_complete || to_ms(taken) > estimate.m_mean_ms)
+    {
+        serving::record_duration(estimate, taken);
+    }
+}
+
 std::optional<attempt_outcome>
 request_relay::failure_of_head(const request& current, const upstream_id& id,
                                time_point sent_at, const http_answer_head& head)
--- a/src/edge/relay_stages.cpp
+++ b/src/edge/relay_stages.cpp
@@ -179,7 +179,8 @@
         .add("answer_ms", first_token_time.count())
         .add("first_byte_ms", on_time.m_first_byte.count())
         .add("goal_ms", ms_between(now(), current.m_target_time).count());
-    if (now() + on_time.m_first_byte <= current.m_target_time)
+    const time_point latest = std::min(current.m_target_time, end_of_stop(current));
+    if (now() + on_time.m_first_byte <= latest)
     {
         return std::nullopt;
     }
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -25,10 +25,6 @@
 /// Retry-after time of a refusal by a host whose configuration may be out of date.
 constexpr milliseconds old_view_retry_after{500};
 
-/// Time after a host began to stop from which it takes no streams, which it might have to
-/// cut off. Callers use an address for three times its TTL of a second.
-constexpr milliseconds late_stream_time{3000};
-
 /// Retry-after time of a refusal by a host that stops.
 constexpr milliseconds stopping_retry_after{200};
 
@@ -197,13 +193,50 @@
 
 time_point request_relay::end_of_stop(const request& current) const
 {
-    if (!m_state.m_answers_due_at)
+    if (!m_state.m_stop)
     {
         return time_point::max();
     }
     // A response that has begun may go on to the end of the process.
     return current.m_retry_state.m_stream_begun ? time_point::max()
-                                                : *m_state.m_answers_due_at;
+                                                : m_state.m_stop->m_answers_due_at;
+}
+
+bool request_relay::is_taken_during_stop(const request& current) const
+{
+    if (!m_state.m_stop)
+    {
+        return true;
+    }
+    return is_taken(*m_state.m_stop,
+                    {is_stream(current.m_route->m_retry_safety), current.m_arrived_at,
+                     expected_time(current), current.m_deadline},
+                    now());
+}
+
+milliseconds request_relay::expected_time(const request& current) const
+{
+    const std::string& route = current.m_route->m_name;
+    const auto known = m_durations.find(route);
+    if (known != m_durations.end())
+    {
+        // What may not be repeated is better refused than cut off.
+        const double deviations = is_retryable(current.m_route->m_retry_safety) ? 2 : 4;
+        return upper_estimate(known->second, deviations);
+    }
+    // Nothing has ended yet; what is in progress takes at least as long as it has taken.
+    milliseconds longest{0};
+    for (const request* const other : m_requests)
+    {
+        const bool is_sent = other->m_route != nullptr &&
+                             other->m_route->m_name == route &&
+                             other->m_last_sent_at != time_point{};
+        if (is_sent)
+        {
+            longest = std::max(longest, ms_between(other->m_last_sent_at, now()));
+        }
+    }
+    return longest;
 }
 
 void request_relay::end_waits()
@@ -215,7 +248,7 @@
             continue;
         }
         waiting->m_first_byte_deadline =
-            std::min(waiting->m_first_byte_deadline, *m_state.m_answers_due_at);
+            std::min(waiting->m_first_byte_deadline, m_state.m_stop->m_answers_due_at);
         if (waiting->m_upstream_call)
         {
             waiting->m_upstream_call->close();
@@ -238,10 +271,7 @@
 
 asio::awaitable<void> request_relay::process(request& current)
 {
-    const bool is_late =
-        m_state.m_stopping_since &&
-        current.m_arrived_at >= *m_state.m_stopping_since + late_stream_time;
-    if (is_late && is_stream(current.m_route->m_retry_safety))
+    if (!is_taken_during_stop(current))
     {
         co_await refuse(current, stopping_retry_after, "host_stops");
         co_return;
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -11,6 +11,7 @@
 #include <geraniumdoor/net/http_server.hpp>
 #include <geraniumdoor/serving/attempt_rules.hpp>
 #include <geraniumdoor/serving/crash_suspects.hpp>
+#include <geraniumdoor/serving/duration_estimate.hpp>
 #include <geraniumdoor/serving/engine_choice.hpp>
 #include <geraniumdoor/serving/event_stream.hpp>
 #include <geraniumdoor/serving/path_estimate.hpp>
@@ -177,9 +178,15 @@
     /// have. The operator may have added it since this host last knew the store.
     http_response reject_as_unknown(request& current, unsigned status,
                                     const char* reason) const;
-    /// Time at which the caller abandons the request if nothing more arrives.
     /// When a request has to be answered because the host stops.
     time_point end_of_stop(const request& current) const;
+    /// Whether a request that has just arrived is taken although the host stops.
+    bool is_taken_during_stop(const request& current) const;
+    /// Time that calls on the route usually take at their upstreams; zero if none was
+    /// made.
+    milliseconds expected_time(const request& current) const;
+    void record_duration(const request& current, duration taken, bool is_complete);
+    /// Time at which the caller abandons the request if nothing more arrives.
     time_point next_byte_deadline(const request& current) const;
     boost::asio::awaitable<void> process(request& current);
     boost::asio::awaitable<void> reject(request& current, http_response response);
@@ -400,6 +407,8 @@
     std::size_t m_active = 0;
     /// Requests in progress.
     std::unordered_set<request*> m_requests;
+    /// Durations of calls by the name of their route, from the sending to the last byte.
+    std::unordered_map<std::string, serving::duration_estimate> m_durations;
     /// Moving average of the time to the first byte in each pool, in milliseconds.
     std::unordered_map<pool_id, double> m_mean_first_byte_ms;
 };
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -81,11 +81,13 @@
 } // namespace
 
 beast_exchange::beast_exchange(beast::tcp_stream& stream, http_request request,
-                               bool keep_alive, const http_limits& limits)
+                               bool keep_alive, const http_limits& limits,
+                               const bool& draining)
     : m_stream{stream}
     , m_request{std::move(request)}
     , m_keep_alive{keep_alive}
     , m_limits{limits}
+    , m_draining{draining}
 {
 }
 
@@ -108,7 +110,7 @@
 
 asio::awaitable<void> beast_exchange::respond(http_response response)
 {
-    mark_answered();
+    begin_response();
     http::response<http::string_body> message;
     message.version(11);
     set_status(message, response.m_status);
@@ -135,6 +137,7 @@
 asio::awaitable<void> beast_exchange::begin_answer(unsigned status, http_fields fields,
                                                    std::optional<std::uint64_t> length)
 {
+    begin_response();
     m_left = length;
     auto message = make_head(status, fields);
     if (length)
@@ -152,6 +155,7 @@
 asio::awaitable<void> beast_exchange::begin_unframed_answer(unsigned status,
                                                             http_fields fields)
 {
+    begin_response();
     m_unframed = true;
     m_keep_alive = false;
     auto message = make_head(status, fields);
@@ -161,7 +165,6 @@
 
 asio::awaitable<void> beast_exchange::write_head(http::response<http::empty_body> message)
 {
-    mark_answered();
     m_streaming = true;
     http::response_serializer<http::empty_body> serializer{message};
     m_stream.expires_after(m_limits.m_receive_timeout);
@@ -238,10 +241,11 @@
     watch_peer(m_stream.socket(), m_watch);
 }
 
-void beast_exchange::mark_answered()
+void beast_exchange::begin_response()
 {
     require_invariant(!m_answered, "one_answer_per_request", m_request.m_target);
     m_answered = true;
+    m_keep_alive = m_keep_alive && !m_draining;
 }
 
 void beast_exchange::note_written(beast::error_code error)
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -14,8 +14,10 @@
 class beast_exchange : public http_exchange
 {
 public:
+    /// @param draining whether the server stops, in which case no further request may
+    /// follow on the connection; read when the answer begins
     beast_exchange(boost::beast::tcp_stream& stream, http_request request,
-                   bool keep_alive, const http_limits& limits);
+                   bool keep_alive, const http_limits& limits, const bool& draining);
     ~beast_exchange() override;
     beast_exchange(const beast_exchange&) = delete;
     beast_exchange& operator=(const beast_exchange&) = delete;
@@ -50,7 +52,8 @@
     boost::asio::awaitable<void>
     write_head(boost::beast::http::response<boost::beast::http::empty_body> message);
     boost::asio::awaitable<void> write_bytes(std::string bytes);
-    void mark_answered();
+    /// Begins the answer and decides whether the connection may be kept after it.
+    void begin_response();
     void note_written(boost::beast::error_code error);
     void end_watch();
 
@@ -58,6 +61,7 @@
     http_request m_request;
     bool m_keep_alive;
     http_limits m_limits;
+    const bool& m_draining;
     bool m_answered = false;
     bool m_streaming = false;
     /// Bytes that are left of an answer with a length.
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -11,6 +11,7 @@
 #include <boost/beast/http.hpp>
 
 #include <algorithm>
+#include <chrono>
 #include <exception>
 #include <optional>
 #include <unordered_set>
@@ -62,15 +63,85 @@
            count(http::field::host) <= 1;
 }
 
+enum class connection_phase : std::uint8_t
+{
+    /// No byte of a request has arrived since the connection was accepted.
+    fresh,
+    /// Waits for another request.
+    idle,
+    /// A request has arrived in part.
+    receiving,
+    /// A request is being answered.
+    answering,
+    /// Waits for the peer to close.
+    closing,
+};
+
 struct connection
 {
     explicit connection(tcp::socket socket) : m_stream{std::move(socket)} {}
 
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
-    bool m_idle = true;
+    connection_phase m_phase = connection_phase::fresh;
+    time_point m_accepted_at = std::chrono::steady_clock::now();
+    /// An answer was written after which the connection carries no other request.
+    bool m_answered_last = false;
 };
 
+/// Time in which a peer that has connected is expected to send its request.
+constexpr milliseconds first_request_time{1000};
+
+/// Time for a peer to read the last answer and to close.
+constexpr milliseconds linger_time{1000};
+
+/// Bytes that are read from a peer meanwhile; one that goes on sending is cut off.
+constexpr std::size_t max_linger_bytes = std::size_t{256} * 1024;
+
+/// The time for a peer that waits for no answer.
+constexpr milliseconds idle_linger_time{250};
+
+/// Whether the peer has sent bytes that were not read yet.
+bool has_unread_bytes(connection& peer)
+{
+    beast::error_code ignored;
+    return peer.m_buffer.size() > 0 || peer.m_stream.socket().available(ignored) > 0;
+}
+
+/// Whether nothing is expected from the peer. A new connection is expected to carry a
+/// request soon.
+bool is_idle(connection& peer)
+{
+    const bool awaits_first =
+        peer.m_phase == connection_phase::fresh &&
+        std::chrono::steady_clock::now() - peer.m_accepted_at < first_request_time;
+    const bool waits =
+        peer.m_phase == connection_phase::idle || peer.m_phase == connection_phase::fresh;
+    return waits && !awaits_first && !has_unread_bytes(peer);
+}
+
+/// Closes the connection in a way that does not destroy an answer which the peer has yet
+/// to read, as a close with unread input would: ends the own side and waits for the peer
+/// to close, within limits of time and bytes.
+asio::awaitable<void> close_gracefully(connection& peer)
+{
+    peer.m_phase = connection_phase::closing;
+    beast::error_code error;
+    peer.m_stream.socket().shutdown(tcp::socket::shutdown_send, error);
+    peer.m_stream.expires_after(peer.m_answered_last ? linger_time : idle_linger_time);
+    // What follows the last answer is ignored. A request that crosses the close of an
+    // idle connection is left unread, so that the peer learns that nobody read it.
+    std::size_t left = peer.m_answered_last ? max_linger_bytes : 1;
+    char ignored[4096];
+    while (!error && left > 0)
+    {
+        const auto [read_error, size] = co_await peer.m_stream.async_read_some(
+            asio::buffer(ignored, std::min(left, sizeof(ignored))), use_tuple);
+        error = read_error;
+        left -= size;
+    }
+}
+
 unsigned status_for(beast::error_code error)
 {
     if (error == http::error::body_limit)
@@ -95,15 +166,17 @@
 /// Refused connections that are told why at the same time; more are closed at once.
 constexpr std::size_t max_refusals = 64;
 
-http::response<http::string_body> too_many_connections()
+/// Refuses a request that has not been read.
+http::response<http::string_body>
+make_refusal(const std::string& code, const std::string& text, seconds retry_after)
 {
     http::response<http::string_body> message{http::status::service_unavailable, 11};
     message.set(http::field::content_type, "application/json");
-    message.set(http::field::retry_after, "1");
+    message.set(http::field::retry_after, std::to_string(retry_after.count()));
     message.keep_alive(false);
-    message.body() = "{\"error\":{\"code\":\"overloaded\",\"field\":\"\",\"message\":"
-                     "\"this host has too many connections\",\"ran\":\"not_run\","
-                     "\"retry_after_ms\":1000}}";
+    message.body() = R"({"error":{"code":")" + code + R"(","field":"","message":")" +
+                     text + R"(","ran":"not_run","retry_after_ms":)" +
+                     std::to_string(milliseconds{retry_after}.count()) + "}}";
     message.prepare_payload();
     return message;
 }
@@ -115,7 +188,8 @@
 {
     beast::tcp_stream stream{std::move(socket)};
     stream.expires_after(refusal_timeout);
-    const auto message = too_many_connections();
+    const auto message =
+        make_refusal("overloaded", "this host has too many connections", seconds{1});
     const auto [write_error, written] =
         co_await http::async_write(stream, message, use_tuple);
     beast::error_code error = write_error;
@@ -133,6 +207,16 @@
     --*refusals;
 }
 
+/// Answers a request that has not arrived completely, because the server stops.
+asio::awaitable<void> send_stopping(connection& peer)
+{
+    // Another host serves the request at once.
+    const auto message = make_refusal("stopping", "this host stops", seconds{0});
+    peer.m_answered_last = true;
+    peer.m_stream.expires_after(linger_time);
+    co_await http::async_write(peer.m_stream, message, use_tuple);
+}
+
 asio::awaitable<void> send_parse_error(connection& peer, unsigned status,
                                        beast::error_code error)
 {
@@ -143,6 +227,7 @@
         "{\"error\":{\"code\":\"bad_request\",\"field\":\"http\",\"message\":\"" +
         error.message() + "\",\"ran\":\"not_run\",\"retry_after_ms\":0}}";
     message.prepare_payload();
+    peer.m_answered_last = true;
     co_await http::async_write(peer.m_stream, message, use_tuple);
 }
 
@@ -181,6 +266,8 @@
     std::size_t m_active = 0;
     std::shared_ptr<std::size_t> m_refusals = std::make_shared<std::size_t>(0);
     bool m_draining = false;
+    /// Requests that have not arrived completely are refused.
+    bool m_refusing = false;
     bool m_closed = false;
 };
 
@@ -247,6 +334,10 @@
     {
         open = co_await serve_one(*peer);
     }
+    if (!m_closed)
+    {
+        co_await close_gracefully(*peer);
+    }
     beast::error_code ignored;
     peer->m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
     m_connections.erase(peer);
@@ -254,18 +345,20 @@
 
 asio::awaitable<bool> http_server::state::wait_for_request(connection& peer)
 {
-    if (peer.m_buffer.size() != 0)
+    constexpr std::size_t read_size = 4096;
+    beast::error_code error;
+    while (peer.m_buffer.size() == 0 && !error)
     {
-        co_return true;
+        peer.m_stream.expires_after(m_limits.m_idle_timeout);
+        const auto [read_error, size] = co_await peer.m_stream.async_read_some(
+            peer.m_buffer.prepare(read_size), use_tuple);
+        peer.m_buffer.commit(size);
+        // A request may have arrived while close_idle cancelled the wait.
+        const bool has_arrived = read_error == asio::error::operation_aborted &&
+                                 !m_closed && has_unread_bytes(peer);
+        error = has_arrived ? beast::error_code{} : read_error;
     }
-    constexpr std::size_t read_size = 4096;
-    peer.m_idle = true;
-    peer.m_stream.expires_after(m_limits.m_idle_timeout);
-    const auto [error, size] = co_await peer.m_stream.async_read_some(
-        peer.m_buffer.prepare(read_size), use_tuple);
-    peer.m_idle = false;
-    peer.m_buffer.commit(size);
-    co_return !error && size != 0;
+    co_return !error;
 }
 
 asio::awaitable<beast::error_code>
@@ -305,6 +398,8 @@
     {
         co_return false;
     }
+    peer.m_phase = connection_phase::receiving;
+    peer.m_answered_last = false;
     request_parser parser;
     parser.header_limit(static_cast<std::uint32_t>(m_limits.m_header_bytes));
     parser.body_limit(m_limits.m_body_bytes);
@@ -312,6 +407,11 @@
     peer.m_buffer.max_size(
         std::max(m_limits.m_header_bytes + read_bytes, peer.m_buffer.size()));
     const beast::error_code error = co_await read_request(peer, parser);
+    if (error == asio::error::operation_aborted && m_refusing)
+    {
+        co_await send_stopping(peer);
+        co_return false;
+    }
     if (error)
     {
         const unsigned status = status_for(error);
@@ -327,16 +427,20 @@
         co_return false;
     }
     peer.m_stream.expires_never();
-    const bool keep_alive = parser.get().keep_alive() && !m_draining;
+    peer.m_phase = connection_phase::answering;
+    const bool keep_alive = parser.get().keep_alive();
     const bool reusable =
         co_await run_handler(peer, to_request(parser.release()), keep_alive);
-    co_return reusable && !m_draining;
+    peer.m_phase = connection_phase::idle;
+    peer.m_answered_last = !reusable;
+    co_return reusable;
 }
 
 asio::awaitable<bool>
 http_server::state::run_handler(connection& peer, http_request request, bool keep_alive)
 {
-    beast_exchange exchange{peer.m_stream, std::move(request), keep_alive, m_limits};
+    beast_exchange exchange{peer.m_stream, std::move(request), keep_alive, m_limits,
+                            m_draining};
     ++m_active;
     std::string fault;
     try
@@ -400,11 +504,21 @@
 {
     for (const auto& peer : m_state->m_connections)
     {
-        // A request that has arrived and was not read yet is served.
-        beast::error_code ignored;
-        const bool has_bytes =
-            peer->m_buffer.size() > 0 || peer->m_stream.socket().available(ignored) > 0;
-        if (peer->m_idle && !has_bytes)
+        if (is_idle(*peer))
+        {
+            peer->m_stream.cancel();
+        }
+    }
+}
+
+void http_server::refuse_incomplete()
+{
+    m_state->m_refusing = true;
+    for (const auto& peer : m_state->m_connections)
+    {
+        const bool ends = peer->m_phase != connection_phase::answering &&
+                          peer->m_phase != connection_phase::closing;
+        if (ends)
         {
             peer->m_stream.cancel();
         }
@@ -439,4 +553,14 @@
     return m_state->m_active;
 }
 
+std::size_t http_server::owed_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_state->m_connections.begin(), m_state->m_connections.end(),
+                      [](const std::shared_ptr<connection>& peer)
+                      {
+                          return !is_idle(*peer);
+                      }));
+}
+
 } // namespace geraniumdoor
--- a/src/net/node_links.cpp
+++ b/src/net/node_links.cpp
@@ -249,7 +249,9 @@
         if (!link->m_queue.empty())
         {
             const std::string batch = take_batch(*link);
+            link->m_is_writing = true;
             const bool written = co_await write_bytes(link->m_socket, batch);
+            link->m_is_writing = false;
             m_bytes_sent += batch.size();
             if (!written)
             {
--- a/src/net/node_transport.cpp
+++ b/src/net/node_transport.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
+#include <algorithm>
 #include <utility>
 
 namespace geraniumdoor
@@ -323,4 +324,15 @@
     return bytes;
 }
 
+std::size_t node_transport::unsent_peer_count() const
+{
+    return static_cast<std::size_t>(
+        std::count_if(m_state->m_outgoing.begin(), m_state->m_outgoing.end(),
+                      [](const auto& entry)
+                      {
+                          const outgoing_link& link = *entry.second;
+                          return !link.m_queue.empty() || link.m_is_writing;
+                      }));
+}
+
 } // namespace geraniumdoor
--- a/src/net/node_transport_state.hpp
+++ b/src/net/node_transport_state.hpp
@@ -52,6 +52,8 @@
     /// Frames of which no byte has left.
     std::deque<std::string> m_queue;
     std::size_t m_queued_bytes = 0;
+    /// Frames were taken from the queue and are being written.
+    bool m_is_writing = false;
 };
 
 /// Connection that a peer opened.
--- a/tests/standins/planned_stop_test.cpp
+++ b/tests/standins/planned_stop_test.cpp
@@ -1,6 +1,15 @@
 #include "edge_cluster.hpp"
 
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
+
+#include <memory>
 #include <string>
+#include <string_view>
 #include <vector>
 
 // clang-format off: this header stays last.
@@ -23,10 +32,295 @@
     R"("timeoutMs":20000,"targetLatencyMs":5000,"service":"engine","maxAttempts":1,)"
     R"("gapAimMs":300,"stages":[{"service":"stage","after":[],"bytes":8000}]})";
 
+/// Calls that may take longer than a stop.
+const char* const long_routes =
+    R"({"name":"pay","host":"a.example","prefix":"/pay/","routeType":"non_idempotent",)"
+    R"("timeoutMs":20000,"targetLatencyMs":9000,"service":"plain","maxAttempts":1},)"
+    R"({"name":"read","host":"a.example","prefix":"/read/","routeType":"idempotent",)"
+    R"("timeoutMs":20000,"targetLatencyMs":9000,"service":"plain","maxAttempts":2})";
+
+/// Connection of a caller, which reads until the host closes.
+class caller_connection
+{
+public:
+    caller_connection(edge_cluster& cluster,
+                      const boost::asio::ip::tcp::endpoint& endpoint)
+        : m_received{std::make_shared<received>(cluster.m_io)}
+    {
+        m_received->m_socket.connect(endpoint);
+        boost::asio::co_spawn(cluster.m_io, read_all(m_received), boost::asio::detached);
+    }
+
+    void send(std::string_view bytes)
+    {
+        boost::system::error_code ignored;
+        boost::asio::write(m_received->m_socket,
+                           boost::asio::buffer(bytes.data(), bytes.size()), ignored);
+    }
+
+    bool closed() const
+    {
+        return m_received->m_closed;
+    }
+
+    const std::string& bytes() const
+    {
+        return m_received->m_bytes;
+    }
+
+    bool answered_with(std::string_view status) const
+    {
+        return bytes().starts_with("HTTP/1.1 " + std::string{status});
+    }
+
+    bool answered() const
+    {
+        return answered_with("200") || answered_with("503");
+    }
+
+    bool announced_close() const
+    {
+        return bytes().find("Connection: close\r\n") != std::string::npos;
+    }
+
+private:
+    struct received
+    {
+        explicit received(boost::asio::io_context& io) : m_socket{io} {}
+
+        boost::asio::ip::tcp::socket m_socket;
+        std::string m_bytes;
+        bool m_closed = false;
+    };
+
+    static boost::asio::awaitable<void> read_all(std::shared_ptr<received> target)
+    {
+        constexpr auto use_tuple = boost::asio::as_tuple(boost::asio::use_awaitable);
+        co_await boost::asio::async_read(
+            target->m_socket, boost::asio::dynamic_buffer(target->m_bytes), use_tuple);
+        target->m_closed = true;
+        boost::system::error_code ignored;
+        target->m_socket.close(ignored);
+    }
+
+    std::shared_ptr<received> m_received;
+};
+
+std::string head_of(const std::string& target, const std::string& id,
+                    std::size_t body_size)
+{
+    return "POST " + target + id +
+           " HTTP/1.1\r\nHost: a.example\r\nCredential: key\r\nDeadline-Ms: 15000\r\n"
+           "Attempt-Id: " +
+           id + "\r\nContent-Length: " + std::to_string(body_size) + "\r\n\r\n";
+}
+
+/// Hosts with one plain upstream, and callers whose connections were opened before.
+struct kept_connections
+{
+    explicit kept_connections(std::uint16_t first_port)
+        : m_cluster{first_port, 1}, m_worker{m_cluster.add_worker("w0", "plain")}
+    {
+        m_cluster.set_config(long_routes, 1);
+        m_cluster.start();
+    }
+
+    std::unique_ptr<caller_connection> connect()
+    {
+        return std::make_unique<caller_connection>(m_cluster,
+                                                   m_cluster.caller_endpoint(0));
+    }
+
+    void begin_stop()
+    {
+        m_began = std::chrono::steady_clock::now();
+        m_cluster.begin_stop(0,
+                             [this]
+                             {
+                                 m_stopped = true;
+                             });
+    }
+
+    milliseconds since_stop() const
+    {
+        return std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() -
+                                                        m_began);
+    }
+
+    void run_until_stopped()
+    {
+        while (!m_stopped && since_stop() < grace_period)
+        {
+            m_cluster.run_for(20ms);
+        }
+        cr_expect(m_stopped);
+    }
+
+    edge_cluster m_cluster;
+    worker_standin& m_worker;
+    time_point m_began{};
+    bool m_stopped = false;
+};
+
 } // namespace
 
 TestSuite(planned_stop, .timeout = 60);
 
+// Guards against requests that are being sent when the host stops accepting, and end
+// without an answer together with the idle process.
+Test(planned_stop, requests_that_are_being_sent_are_answered)
+{
+    kept_connections story{29600};
+    struct sender
+    {
+        std::unique_ptr<caller_connection> m_connection;
+        std::string m_id;
+        milliseconds m_begins_at{0};
+        std::size_t m_parts_sent = 0;
+    };
+    constexpr std::size_t parts = 4;
+    constexpr milliseconds between_parts{150};
+    const std::string part(100, 'x');
+    std::vector<sender> senders;
+    for (int at = 0; at < 12; ++at)
+    {
+        senders.push_back({story.connect(), "r" + std::to_string(at),
+                           milliseconds{2900} + at * milliseconds{130}});
+    }
+    // This one never sends all of its request.
+    const auto incomplete = story.connect();
+    story.m_cluster.run_for(50ms);
+    story.begin_stop();
+    bool half_sent = false;
+    while (!story.m_stopped && story.since_stop() < grace_period)
+    {
+        for (sender& each : senders)
+        {
+            const std::size_t due_parts = static_cast<std::size_t>(std::max<std::int64_t>(
+                0, (story.since_stop() - each.m_begins_at) / between_parts + 1));
+            // A caller begins no request on a connection that the host has closed.
+            const bool may_begin = each.m_parts_sent > 0 || !each.m_connection->closed();
+            if (story.since_stop() >= each.m_begins_at && may_begin &&
+                each.m_parts_sent < std::min(due_parts, parts))
+            {
+                const bool pays = each.m_begins_at.count() % 260 == 0;
+                each.m_connection->send((each.m_parts_sent == 0
+                                             ? head_of(pays ? "/pay/" : "/read/",
+                                                       each.m_id, part.size() * parts)
+                                             : "") +
+                                        part);
+                ++each.m_parts_sent;
+            }
+        }
+        if (!half_sent && story.since_stop() >= 3500ms)
+        {
+            half_sent = true;
+            incomplete->send(head_of("/pay/", "half", 100) + part.substr(0, 50));
+        }
+        story.m_cluster.run_for(10ms);
+    }
+    cr_expect(story.m_stopped);
+    int begun = 0;
+    for (const sender& each : senders)
+    {
+        if (each.m_parts_sent > 0)
+        {
+            ++begun;
+            cr_expect(each.m_connection->answered(),
+                      "%s, begun %d ms after the stop: '%s'", each.m_id.c_str(),
+                      static_cast<int>(each.m_begins_at.count()),
+                      each.m_connection->bytes().c_str());
+            cr_expect(each.m_connection->announced_close());
+        }
+    }
+    cr_expect(begun >= 8, "%d", begun);
+    cr_expect(incomplete->answered_with("503"), "'%s'", incomplete->bytes().c_str());
+    for (const http_request& request : story.m_worker.m_seen)
+    {
+        cr_expect(request.m_target != "/pay/half");
+    }
+}
+
+// Guards against a connection that the listener accepted last, and that the process ends
+// before its caller has sent a request.
+Test(planned_stop, a_connection_accepted_last_is_waited_for)
+{
+    kept_connections story{29640};
+    story.begin_stop();
+    story.m_cluster.run_for(3900ms);
+    const auto last = story.connect();
+    story.m_cluster.run_for(600ms);
+    cr_expect(not story.m_stopped);
+    last->send(head_of("/pay/", "last", 0));
+    story.run_until_stopped();
+    cr_expect(last->answered_with("200"), "'%s'", last->bytes().c_str());
+    cr_expect(last->announced_close());
+    cr_expect(story.since_stop() < 6000ms);
+}
+
+// Guards against a connection that closes after an answer which had said that it stays
+// open: its caller may be sending the next request.
+Test(planned_stop, a_connection_closes_only_after_an_answer_that_says_so)
+{
+    kept_connections story{29680};
+    story.m_worker.m_delay = 300ms;
+    const auto connection = story.connect();
+    connection->send(head_of("/read/", "a", 0));
+    story.m_cluster.run_for(100ms);
+    story.begin_stop();
+    story.m_cluster.run_for(600ms);
+    cr_expect(connection->answered_with("200"), "'%s'", connection->bytes().c_str());
+    EXPECT_EQUAL(connection->announced_close(), connection->closed());
+    cr_expect(connection->closed());
+    story.run_until_stopped();
+}
+
+// Guards against payments that are passed on, run, and get a 504 at the end of the stop,
+// although the host knows how long they take.
+Test(planned_stop, a_payment_that_would_outlast_the_host_is_refused_at_once)
+{
+    kept_connections story{29720};
+    story.m_worker.m_delay = 2500ms;
+    const auto first = story.connect();
+    first->send(head_of("/pay/", "first", 0));
+    story.m_cluster.run_for(2700ms);
+    cr_expect(first->answered_with("200"));
+    const auto late = story.connect();
+    const auto quick = story.connect();
+    story.m_cluster.run_for(20ms);
+    story.begin_stop();
+    story.m_cluster.run_for(3700ms);
+    late->send(head_of("/pay/", "late", 0));
+    story.m_worker.m_delay = 0ms;
+    quick->send(head_of("/read/", "quick", 0));
+    story.m_cluster.run_for(200ms);
+    cr_expect(late->answered_with("503"), "'%s'", late->bytes().c_str());
+    cr_expect(late->bytes().find("Retry-After: ") != std::string::npos);
+    cr_expect(quick->answered_with("200"), "'%s'", quick->bytes().c_str());
+    for (const http_request& request : story.m_worker.m_seen)
+    {
+        cr_expect(request.m_target != "/pay/late");
+    }
+    story.run_until_stopped();
+}
+
+// Guards against a question to the directory that is being sent when the idle process
+// ends.
+Test(planned_stop, a_question_to_the_directory_is_answered)
+{
+    kept_connections story{29760};
+    story.begin_stop();
+    story.m_cluster.run_for(3900ms);
+    caller_connection asking{story.m_cluster, story.m_cluster.directory_endpoint(0)};
+    asking.send("GET /resolve?name=a.example&region=r1&zone=z1 HTTP/1.1\r\n");
+    story.m_cluster.run_for(600ms);
+    cr_expect(not story.m_stopped);
+    asking.send("Host: a.example\r\n\r\n");
+    story.run_until_stopped();
+    cr_expect(asking.answered(), "'%s'", asking.bytes().c_str());
+    cr_expect(asking.announced_close());
+}
+
 // Guards against requests that wait for their stages when the host stops, and end without
 // an answer together with the process.
 Test(planned_stop, requests_that_wait_are_answered_before_the_process_ends)
