Send results of stages again when a connection breaks

Cause: a host sends on the connections that it opened, so that each direction falls silent by itself. The host that waits noticed the loss of its own direction after a second and sent its jobs again. The queue's host noticed the loss of the direction back, but did nothing with the results that it had written there, and the reader of that connection notices nothing. Ruled out by the logs: lost jobs (sent again within 50 ms), and a queue's host that cannot reach the waiting one (it got other results).

result_delivery keeps results for 2 s, twice the time in which a silent connection is closed, and sends them again when a connection with their host breaks or none opens. A result that arrives twice is ignored, as the number of a job belongs to one start of a host.

Evidence: result_delivery/a_host_sends_a_result_again_* failed with the reaction to a lost connection taken out.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -3,6 +3,7 @@
 #include "origin_exchange.hpp"
 #include "origin_store.hpp"
 #include "request_relay.hpp"
+#include "result_delivery.hpp"
 #include "send_permits.hpp"
 #include "stage_client.hpp"
 #include "stage_scheduler.hpp"
@@ -66,6 +67,9 @@
 /// time; the work is then sent to another host.
 constexpr milliseconds peer_ack_timeout{1000};
 
+/// Time in which a silent connection to another host is closed, with a margin.
+constexpr milliseconds result_retention = 2 * peer_ack_timeout;
+
 node_address to_node_address(const ip_endpoint& endpoint)
 {
     return {endpoint.m_address.to_string(), endpoint.m_port};
@@ -158,6 +162,7 @@
     send_permits m_permits;
     origin_exchange m_origins;
     origin_store m_origin_store;
+    result_delivery m_results;
     stage_scheduler m_scheduler;
     stage_client m_stages;
     store_watch m_store;
@@ -195,10 +200,16 @@
                     m_transport.send_datagram(host, message);
                 }}
     , m_origin_store{m_state, m_origins}
+    , m_results{m_state,
+                [this](const node_id& host, node_message message)
+                {
+                    m_transport.send(host, std::move(message));
+                },
+                result_retention}
     , m_scheduler{m_state, m_permits,
                   [this](const node_id& host, pieces_result result)
                   {
-                      m_transport.send(host, std::move(result));
+                      m_results.send(host, std::move(result));
                   },
                   [this](const node_id& host, pieces_forecast forecast)
                   {
@@ -266,11 +277,13 @@
     calls.m_on_lost = [this](const node_id& peer, incarnation)
     {
         m_stages.on_connection_lost(peer);
+        m_results.on_connection_lost(peer);
         m_store.on_peer_lost(peer);
     };
     calls.m_on_not_sent = [this](const node_id& peer, const node_message& message)
     {
         m_stages.on_not_sent(peer, message);
+        m_results.on_not_sent(peer, message);
         m_store.on_peer_lost(peer);
     };
     calls.m_on_datagram = [this](const datagram& message, const node_address& from)
@@ -325,6 +338,7 @@
     m_admin.start();
     start_metrics();
     m_directory.start();
+    m_results.start();
     m_scheduler.start();
     m_stages.start();
     m_store.start();
--- a/tests/standins/edge_cluster.cpp
+++ b/tests/standins/edge_cluster.cpp
@@ -28,7 +28,7 @@
 } // namespace
 
 edge_cluster::edge_cluster(std::uint16_t first_port, int hosts)
-    : m_client{m_io.get_executor(), {}}, m_first_port{first_port}
+    : m_client{m_io.get_executor(), {}}, m_store_port{first_port}, m_first_port{first_port}
 {
     m_hosts.resize(static_cast<std::size_t>(hosts));
 }
@@ -72,7 +72,7 @@
     settings.m_metrics_endpoint = endpoint(4);
     settings.m_directory_endpoint = endpoint(2);
     settings.m_peer_endpoint = endpoint(3);
-    settings.m_store_endpoint = {platform_address(), m_first_port};
+    settings.m_store_endpoint = {platform_address(), m_store_port};
     settings.m_max_open_files = 300;
     settings.m_retry_limits = m_retry_limits;
     return settings;
--- a/tests/standins/edge_cluster.hpp
+++ b/tests/standins/edge_cluster.hpp
@@ -66,6 +66,8 @@
     store_standin m_store;
     std::vector<std::unique_ptr<worker_standin>> m_workers;
     http_client m_client;
+    /// Port at which hosts that start afterwards reach the store.
+    std::uint16_t m_store_port;
     /// Limits of retries, for hosts that start afterwards.
     serving::retry_limits m_retry_limits;
 
