Suspect the stages of requests that crash upstreams

Cause: the queue repeated a piece at another upstream, up to four times, and knew nothing of it when the request came again. Only attempts at the upstream of the request itself were evidence.

Now a stage of a request is a suspect like a whole request, in the same table and report. A call holds pieces of several requests, so that its crash gives each half of the weight; a stage that was at two such crashes, or alone at one, has calls of its own, one at a time, which clear the sound ones. Hosts refuse a request in quarantine before its stages, and the queue's host refuses jobs that were on their way.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -300,6 +300,8 @@
     prompt_part,
     /// A request with this caller, path and body.
     whole_request,
+    /// The pieces of one stage of such a request.
+    request_stage,
 };
 
 /// A request with a suspect was at an upstream that closed its connections.
--- a/include/geraniumdoor/cluster/messages.hpp
+++ b/include/geraniumdoor/cluster/messages.hpp
@@ -395,12 +395,17 @@
     /// Bytes for each piece that cross data centres when it is made elsewhere.
     std::uint64_t m_cross_bytes = 0;
     std::uint64_t m_result_bytes = 0;
+    /// Hash that the pieces have in common with those of the same request sent again.
+    std::uint64_t m_suspect = 0;
+    /// The request tries whether its pieces still crash upstreams.
+    bool m_is_trial = false;
 
     template<class Archive>
     void serialize(Archive& archive)
     {
         archive(m_job, m_pool, m_request, m_stage, m_pieces, m_key, m_inputs, m_due_ms,
-                m_deadline_ms, m_rank, m_preferred, m_cross_bytes, m_result_bytes);
+                m_deadline_ms, m_rank, m_preferred, m_cross_bytes, m_result_bytes,
+                m_suspect, m_is_trial);
     }
 };
 
--- a/include/geraniumdoor/serving/crash_suspects.hpp
+++ b/include/geraniumdoor/serving/crash_suspects.hpp
@@ -33,6 +33,9 @@
 /// The request as a whole, as it is sent again.
 request_trait whole_request(request_identity identity);
 
+/// The pieces of one of its stages.
+request_trait stage_of_request(request_identity identity, stage_index stage);
+
 /// A stream that has brought this number of events has not crashed its upstream by
 /// beginning to write.
 inline constexpr std::uint32_t events_of_sound_stream = 4;
@@ -75,6 +78,9 @@
     milliseconds{1000},
     {seconds{5}, seconds{120}, seconds{600}}};
 
+/// Pieces of several requests share a call, so that its crash says little of each. Those
+/// that were at two crashes have calls of their own, one at a time, which clear the sound
+/// ones. The cause is quarantined after two crashes of shared calls and two of its own.
 const suspicion_rules& rules_of(suspect_kind kind);
 
 const char* to_text(suspect_kind kind);
@@ -132,7 +138,7 @@
     time_point m_newer_since{};
 };
 
-/// What this host knows of suspects: parts of prompts, and whole requests.
+/// What this host knows of suspects: parts of prompts, whole requests, and their stages.
 ///
 /// Load patterns: requests that come at any host, no two alike, hold one part that
 /// crashes each upstream which begins to write an answer on it; or one request comes
@@ -198,9 +204,17 @@
 std::vector<suspect_key> apply_crash_report(crash_suspects& suspects,
                                             const crash_report& report, time_point now);
 
-/// Whether a whole request is suspected, so that requests need to be identified.
+/// Whether a whole request or a stage of one is suspected, so that requests need to be
+/// identified.
 bool has_suspected_requests(const crash_suspects& suspects);
 
+/// Whether a crash of an upstream may be due to the suspect.
+bool is_suspected(const crash_suspects& suspects, suspect_key key);
+
+/// Whether the pieces of a suspect go in calls of their own: they were at two crashes, or
+/// alone at one.
+bool goes_alone(const crash_suspects& suspects, suspect_key key);
+
 /// Number of suspects of a kind in quarantine.
 std::size_t count_quarantines(const crash_suspects& suspects, suspect_kind kind);
 
--- a/include/geraniumdoor/serving/stage_queue.hpp
+++ b/include/geraniumdoor/serving/stage_queue.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumdoor/base/ids.hpp>
 #include <geraniumdoor/base/units.hpp>
+#include <geraniumdoor/serving/crash_suspects.hpp>
 #include <geraniumdoor/serving/routing.hpp>
 #include <geraniumdoor/serving/send_account.hpp>
 
@@ -67,6 +68,12 @@
     /// Size of the result of each piece.
     std::uint64_t m_result_bytes = 0;
     time_point m_arrived{};
+    /// What the pieces have in common with those of the same request sent again.
+    request_trait m_trait;
+    /// The pieces may crash upstreams, and go in calls of their own.
+    bool m_is_suspected = false;
+    /// The request tries whether they still do.
+    bool m_is_trial = false;
 };
 
 /// State of an upstream that runs pieces, as known to the queue host.
@@ -159,7 +166,8 @@
 /// Under overload, jobs that can still meet their latency target go before those that
 /// cannot, and higher priorities before lower ones. Late jobs leave part of the memory
 /// for results to the others, because their results occupy it while they wait at a later
-/// stage.
+/// stage. A suspected job shares no call, and has one call at a time: each costs the
+/// upstream if the suspicion is right.
 std::vector<piece_ref> next_call(const stage_queue& queue, const upstream_id& upstream,
                                  time_point now);
 
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -132,7 +132,7 @@
 
 bool in_range(suspect_kind kind)
 {
-    return kind <= suspect_kind::whole_request;
+    return kind <= suspect_kind::request_stage;
 }
 
 bool in_range(const crash_report& message)
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -755,7 +755,8 @@
         m_state.m_metrics.set("requests_active", {},
                               static_cast<double>(m_relay.active()));
         for (const suspect_kind kind :
-             {suspect_kind::prompt_part, suspect_kind::whole_request})
+             {suspect_kind::prompt_part, suspect_kind::whole_request,
+              suspect_kind::request_stage})
         {
             m_state.m_metrics.set("suspects_in_quarantine",
                                   {{"kind", serving::to_text(kind)}},
--- a/src/edge/relay_stages.cpp
+++ b/src/edge/relay_stages.cpp
@@ -359,6 +359,9 @@
     }
     pieces.m_rank = combined_priority(current);
     pieces.m_result_bytes = stage_config.m_result_bytes;
+    pieces.m_suspect =
+        stage_of_request(identity_of(current), pieces.m_stage).m_key.m_value;
+    pieces.m_is_trial = current.m_is_trial;
     set_placement(current, stage, pieces);
     return pieces;
 }
--- a/src/edge/relay_suspects.cpp
+++ b/src/edge/relay_suspects.cpp
@@ -46,7 +46,15 @@
     if (!current.m_is_identified)
     {
         current.m_is_identified = true;
-        current.m_traits.push_back(whole_request(identity_of(current)));
+        const request_identity identity = identity_of(current);
+        current.m_traits.push_back(whole_request(identity));
+        for (std::uint32_t at = 0; at < current.m_route->m_stages.size(); ++at)
+        {
+            if (piece_count(current, at) > 0)
+            {
+                current.m_traits.push_back(stage_of_request(identity, stage_index{at}));
+            }
+        }
     }
 }
 
@@ -71,7 +79,7 @@
                     [&known](const request_trait& trait)
                     {
                         const auto at = known.find(trait.m_key);
-                        return trait.m_kind == suspect_kind::whole_request &&
+                        return trait.m_kind != suspect_kind::prompt_part &&
                                at != known.end() && at->second.m_quarantine;
                     });
     return is_whole ? crashing_request_reason : crashing_prompt_reason;
@@ -130,7 +138,14 @@
                                           std::uint32_t weight)
 {
     identify(current);
-    record_crash(m_state.m_crash_suspects, current.m_traits, upstream, weight, now());
+    // The stages have ended; the hosts that run their queues judge them.
+    std::vector<request_trait> traits = current.m_traits;
+    std::erase_if(traits,
+                  [](const request_trait& trait)
+                  {
+                      return trait.m_kind == suspect_kind::request_stage;
+                  });
+    record_crash(m_state.m_crash_suspects, traits, upstream, weight, now());
     m_state.m_metrics.add("suspected_crashes", {});
 }
 
--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -126,11 +126,18 @@
                      ? error_of(pieces).m_detail
                      : std::string{geraniumdoor::to_text(error_of(answer).m_kind)});
         requeue_pieces(state, ended, !declined && !wrong_upstream);
+        const bool is_lost = !is_ok(answer) && error_of(answer).m_sent &&
+                             error_of(answer).m_kind == http_error_kind::closed;
+        if (is_lost)
+        {
+            record_possible_crash(state, ended);
+        }
         refresh_upstreams(pool, state);
         dispatch_calls(pool, state);
         return;
     }
     upstream_state.m_consecutive_failures = 0;
+    record_sound_call(ended);
     const milliseconds normal =
         expected_call_time(state.m_queue, ended.m_pieces.size(), 1);
     const double slowness =
@@ -203,6 +210,77 @@
     }
 }
 
+void stage_scheduler::record_possible_crash(pool_state& state, const call& ended)
+{
+    auto& suspects = m_state.m_crash_suspects;
+    const std::uint32_t weight =
+        ended.m_traits.size() == 1 ? weight_of_begun_stream : weight_of_queued_request;
+    record_crash(suspects, ended.m_traits, ended.m_run, weight, now());
+    m_state.m_metrics.add("suspected_crashes", {});
+    std::vector<job_id> hopeless;
+    for (const auto& [id, job] : state.m_queue.m_jobs)
+    {
+        const bool is_involved = std::any_of(ended.m_traits.begin(), ended.m_traits.end(),
+                                             [&job = job](const request_trait& trait)
+                                             {
+                                                 return trait.m_key == job.m_trait.m_key;
+                                             });
+        if (is_involved && !may_send_again(suspects, {job.m_trait}, now()))
+        {
+            hopeless.push_back(id);
+        }
+    }
+    for (const job_id& id : hopeless)
+    {
+        finish_job(state, id, {0, pieces_outcome::failed, {}, 0});
+    }
+}
+
+void stage_scheduler::record_sound_call(const call& ended)
+{
+    auto& suspects = m_state.m_crash_suspects;
+    for (const request_trait& trait : ended.m_traits)
+    {
+        if (!is_suspected(suspects, trait.m_key))
+        {
+            continue;
+        }
+        for (const suspect_key key : record_success(suspects, {trait}, now()))
+        {
+            log_event{"suspect_lifted"}.add("key", key);
+        }
+    }
+}
+
+void stage_scheduler::update_suspects(pool_state& state)
+{
+    const auto& suspects = m_state.m_crash_suspects;
+    if (!has_suspected_requests(suspects))
+    {
+        for (auto& [id, job] : state.m_queue.m_jobs)
+        {
+            job.m_is_suspected = false;
+        }
+        return;
+    }
+    std::vector<std::pair<job_id, milliseconds>> refused;
+    for (auto& [id, job] : state.m_queue.m_jobs)
+    {
+        job.m_is_suspected = goes_alone(suspects, job.m_trait.m_key);
+        const auto wait = quarantine_left(suspects, {job.m_trait}, now());
+        if (wait && !job.m_is_trial)
+        {
+            refused.emplace_back(id, *wait);
+        }
+    }
+    for (const auto& [id, wait] : refused)
+    {
+        finish_job(
+            state, id,
+            {0, pieces_outcome::refused, {}, static_cast<std::uint32_t>(wait.count())});
+    }
+}
+
 void stage_scheduler::record_result(pool_state& state, const upstream_id& upstream,
                                     const piece_ref& ref, const std::string& handle,
                                     std::uint64_t bytes)
--- a/src/edge/stage_scheduler.cpp
+++ b/src/edge/stage_scheduler.cpp
@@ -159,6 +159,8 @@
     job.m_transfer_bytes = request.m_cross_bytes;
     job.m_result_bytes = request.m_result_bytes;
     job.m_arrived = at;
+    job.m_trait = {suspect_key{request.m_suspect}, {}, suspect_kind::request_stage};
+    job.m_is_trial = request.m_is_trial;
     const time_point end = predicted_end(state->m_queue, job, at);
     if (end > job.m_deadline)
     {
@@ -224,6 +226,7 @@
 
 void stage_scheduler::dispatch_calls(const pool_id& pool, pool_state& state)
 {
+    update_suspects(state);
     const time_point at = now();
     std::vector<upstream_id> idle;
     for (auto& [id, upstream_state] : state.m_queue.m_upstreams)
@@ -291,9 +294,23 @@
     upstream_state.m_call_started = at;
     upstream_state.m_busy_until = at + expected;
     auto request = platform::encode_pieces(items, upstream);
-    state.m_calls[upstream] =
-        call{upstream, std::move(pieces), std::move(result_bytes), false};
     auto* row = m_state.m_upstreams.m_rows.find(upstream);
+    call begun{upstream, std::move(pieces),    std::move(result_bytes),
+               false,    run_of(row->m_entry), {}};
+    for (const piece_ref& ref : begun.m_pieces)
+    {
+        const request_trait& trait = state.m_queue.m_jobs.at(ref.m_job).m_trait;
+        const bool is_new = std::none_of(begun.m_traits.begin(), begun.m_traits.end(),
+                                         [&trait](const request_trait& other)
+                                         {
+                                             return other.m_key == trait.m_key;
+                                         });
+        if (is_new)
+        {
+            begun.m_traits.push_back(trait);
+        }
+    }
+    state.m_calls[upstream] = std::move(begun);
     record_send(row->m_sends, at);
     asio::co_spawn(
         m_state.m_executor,
--- a/src/edge/stage_scheduler.hpp
+++ b/src/edge/stage_scheduler.hpp
@@ -74,6 +74,10 @@
         std::vector<std::uint64_t> m_result_bytes;
         /// The pieces were queued again because the call is overdue.
         bool m_hedged = false;
+        /// Process of the upstream when the call began.
+        upstream_run m_run;
+        /// One for each request of the call.
+        std::vector<serving::request_trait> m_traits;
     };
 
     /// A result that an upstream still stores.
@@ -111,6 +115,12 @@
                      const result<http_response, http_error>& answer, milliseconds took,
                      milliseconds expected);
     void requeue_pieces(pool_state& state, const call& ended, bool failed);
+    /// Records that the upstream closed its connection during the call. Ends the jobs
+    /// that are not worth another crash.
+    void record_possible_crash(pool_state& state, const call& ended);
+    void record_sound_call(const call& ended);
+    /// Marks the jobs whose pieces go alone, and refuses those in quarantine.
+    void update_suspects(pool_state& state);
     void record_result(pool_state& state, const upstream_id& upstream,
                        const serving::piece_ref& ref, const std::string& handle,
                        std::uint64_t bytes);
--- a/src/serving/crash_suspects.cpp
+++ b/src/serving/crash_suspects.cpp
@@ -290,14 +290,30 @@
     return {suspect_key{identity.m_value}, {}, suspect_kind::whole_request};
 }
 
+request_trait stage_of_request(request_identity identity, stage_index stage)
+{
+    const std::string name =
+        std::to_string(identity.m_value) + '/' + std::to_string(stage.m_value);
+    return {suspect_key{stable_hash(name)}, {}, suspect_kind::request_stage};
+}
+
 const suspicion_rules& rules_of(suspect_kind kind)
 {
-    return kind == suspect_kind::whole_request ? whole_request_rules : prompt_part_rules;
+    return kind == suspect_kind::prompt_part ? prompt_part_rules : whole_request_rules;
 }
 
 const char* to_text(suspect_kind kind)
 {
-    return kind == suspect_kind::whole_request ? "whole_request" : "prompt_part";
+    switch (kind)
+    {
+    case suspect_kind::prompt_part:
+        return "prompt_part";
+    case suspect_kind::whole_request:
+        return "whole_request";
+    case suspect_kind::request_stage:
+        return "request_stage";
+    }
+    return "unknown";
 }
 
 void record_crash(crash_suspects& suspects, const std::vector<request_trait>& traits,
@@ -563,10 +579,23 @@
     return std::any_of(suspects.m_known.begin(), suspects.m_known.end(),
                        [](const auto& entry)
                        {
-                           return entry.second.m_kind == suspect_kind::whole_request;
+                           return entry.second.m_kind != suspect_kind::prompt_part;
                        });
 }
 
+bool is_suspected(const crash_suspects& suspects, suspect_key key)
+{
+    return suspects.m_known.contains(key);
+}
+
+bool goes_alone(const crash_suspects& suspects, suspect_key key)
+{
+    const auto known = suspects.m_known.find(key);
+    return known != suspects.m_known.end() &&
+           (known->second.m_quarantine ||
+            weight_of(known->second) >= 2 * weight_of_queued_request);
+}
+
 std::size_t count_quarantines(const crash_suspects& suspects, suspect_kind kind)
 {
     return static_cast<std::size_t>(std::count_if(
--- a/src/serving/stage_queue.cpp
+++ b/src/serving/stage_queue.cpp
@@ -140,6 +140,23 @@
     }
 }
 
+/// Whether an upstream has pieces of the suspect, of this request or of another one.
+bool is_running(const stage_queue& queue, suspect_key suspect)
+{
+    const auto runs = [](const piece& part)
+    {
+        return part.m_active_calls > 0;
+    };
+    return std::any_of(queue.m_jobs.begin(), queue.m_jobs.end(),
+                       [&](const auto& entry)
+                       {
+                           const stage_job& job = entry.second;
+                           return job.m_trait.m_key == suspect &&
+                                  std::any_of(job.m_pieces.begin(), job.m_pieces.end(),
+                                              runs);
+                       });
+}
+
 /// Returns the pieces per second that the usable upstreams complete with full calls.
 double throughput(const stage_queue& queue, time_point now)
 {
@@ -304,6 +321,15 @@
         {
             continue;
         }
+        if (entry.m_job->m_is_suspected)
+        {
+            if (!call.empty() || is_running(queue, entry.m_job->m_trait.m_key))
+            {
+                continue;
+            }
+            take_pieces(call, entry, available_pieces);
+            return call;
+        }
         const bool fits_whole = entry.m_waiting <= available_pieces;
         if (!fits_whole && !call.empty())
         {
--- a/tests/serving/stage_queue_test.cpp
+++ b/tests/serving/stage_queue_test.cpp
@@ -221,3 +221,49 @@
         });
     cr_expect(holds);
 }
+
+// Guards against pieces that crash an upstream and take the pieces of other requests, or
+// further upstreams, with them.
+Test(stage_queue, a_suspected_job_has_one_call_at_a_time_to_itself)
+{
+    stage_queue queue = sample_queue(3);
+    for (const char* host : {"first", "again"})
+    {
+        stage_job& job = add_job(queue, host, 3);
+        job.m_trait.m_key = suspect_key{7};
+        job.m_is_suspected = true;
+        job.m_due = sample_now;
+    }
+    add_job(queue, "sound", 2);
+    add_job(queue, "other", 2);
+    const auto jobs_of = [](const std::vector<piece_ref>& call)
+    {
+        std::set<std::string> names;
+        for (const piece_ref& ref : call)
+        {
+            names.insert(ref.m_job.m_host.m_value);
+        }
+        return names;
+    };
+    const auto start = [&queue](const std::vector<piece_ref>& call, const char* upstream)
+    {
+        for (const piece_ref& ref : call)
+        {
+            piece& part = queue.m_jobs.at(ref.m_job).m_pieces[ref.m_piece];
+            part.m_state = piece_state::running;
+            ++part.m_active_calls;
+        }
+        queue.m_upstreams[upstream_id{upstream}].m_busy_until = sample_now + 200ms;
+    };
+    std::set<std::set<std::string>> calls;
+    for (const char* upstream : {"w0", "w1"})
+    {
+        const auto call = next_call(queue, upstream_id{upstream}, sample_now);
+        calls.insert(jobs_of(call));
+        start(call, upstream);
+    }
+    const bool sound_share = calls.contains({"sound", "other"});
+    cr_expect(sound_share);
+    cr_expect(calls.contains({"first"}) != calls.contains({"again"}));
+    cr_expect(next_call(queue, upstream_id{"w2"}, sample_now).empty());
+}
