Refuse fewer calls during a stop while their time is hardly known

With 5 s of work and four calls measured, a stopping host refused all payments and reads from the first moment, though those of the first 1.5 s would have ended in time (trial with a real process; no caller was cut off, and no refused call had run). The first sample gave a deviation of half of the time, which four samples do not forget, and streams had the margin of payments, although most of a stream has reached its caller when it is cut off.

The first deviation is a quarter of the time now, and four deviations are added for calls that may not be repeated alone, two for others.

--- a/include/geraniumdoor/serving/duration_estimate.hpp
+++ b/include/geraniumdoor/serving/duration_estimate.hpp
@@ -23,7 +23,7 @@
     const double sample_ms = to_ms(measured);
     if (!estimate.m_is_known)
     {
-        estimate = {true, sample_ms, sample_ms / 2};
+        estimate = {true, sample_ms, sample_ms / 4};
         return;
     }
     const double error_ms = sample_ms - estimate.m_mean_ms;
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -220,8 +220,11 @@
     const auto known = m_durations.find(route);
     if (known != m_durations.end())
     {
-        // What may not be repeated is better refused than cut off.
-        const double deviations = is_retryable(current.m_route->m_retry_safety) ? 2 : 4;
+        // A call that may not be repeated is better refused than cut off. Most of a
+        // stream has reached its caller when it is cut off.
+        const bool is_call_at_most_once =
+            current.m_route->m_retry_safety == retry_safety::at_most_once;
+        const double deviations = is_call_at_most_once ? 4 : 2;
         return upper_estimate(known->second, deviations);
     }
     // Nothing has ended yet; what is in progress takes at least as long as it has taken.
