Let more hosts go on reading while the reads of all hosts fail

Cause: three hosts go on reading a store that answers nobody, those with the highest weights. When it is back and just these are cut off, nobody else asks it for up to 10 s.

Now five hosts go on while the reads of all of them fail.

--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -34,6 +34,9 @@
 /// and the hosts that have replaced them.
 inline constexpr std::ptrdiff_t max_replaced = 2 * store_reader_count;
 
+/// Most hosts that read the store while the reads of all hosts fail.
+inline constexpr std::size_t max_failing_readers = store_reader_count + 2;
+
 /// A host as a candidate for reading the store.
 struct reader_candidate
 {
@@ -81,8 +84,9 @@
 /// cut off from it at once while the operator writes. Readers whose reads fail are
 /// replaced, a few hosts at a time; a host whose reads succeed keeps the role until it is
 /// down or stopping, whatever the age of its last report. A host that the store does not
-/// answer is joined by others at once. A reader gives way only to hosts that read
-/// already, so that a hand-over leaves no gap.
+/// answer is joined by others at once. When the reads of all hosts fail, more of them go
+/// on than usual: those with the highest weights may be cut off. A reader gives way only
+/// to hosts that read already, so that a hand-over leaves no gap.
 /// @param others all other hosts that are live and not stopping
 bool is_store_reader(const reader_candidate& own,
                      std::span<const reader_candidate> others);
--- a/tests/serving/configuration_fleet_test.cpp
+++ b/tests/serving/configuration_fleet_test.cpp
@@ -42,15 +42,26 @@
     cr_expect(checks > 0);
 }
 
-// Seeds of a longer run in which a host was late: several cuts and outages overlap, so
-// that all hosts count as failing, or one that has just started waits for a reader that
-// it cannot hear.
-Test(configuration_fleet, a_change_is_in_force_in_time_when_troubles_overlap)
+// Seeds of a longer run in which a host was late: the reads of all hosts fail, and those
+// that go on reading are cut off from the store when it is back.
+Test(configuration_fleet,
+     a_change_is_in_force_in_time_after_the_reads_of_all_hosts_failed)
 {
     int checks = 0;
     for (const std::uint32_t seed :
-         {1308U, 1630U, 2298U, 2512U, 2604U, 2925U, 2969U, 3163U, 3351U, 3372U, 3686U,
-          4918U, 5393U, 5798U, 5993U})
+         {1630U, 2604U, 2925U, 3351U, 3686U, 4918U, 5798U, 5993U})
+    {
+        is_in_time(seed, checks);
+    }
+    cr_expect(checks > 0);
+}
+
+// More seeds of that run: a host that has just started waits for a reader that it cannot
+// hear, or several cuts and outages overlap (5393).
+Test(configuration_fleet, a_change_is_in_force_in_time_when_troubles_overlap)
+{
+    int checks = 0;
+    for (const std::uint32_t seed : {1308U, 2298U, 2512U, 2969U, 3163U, 3372U, 5393U})
     {
         is_in_time(seed, checks);
     }
