--- a/tests/standins/edge_cluster.cpp
+++ b/tests/standins/edge_cluster.cpp
@@ -28,7 +28,9 @@
 } // namespace
 
 edge_cluster::edge_cluster(std::uint16_t first_port, int hosts)
-    : m_client{m_io.get_executor(), {}}, m_store_port{first_port}, m_first_port{first_port}
+    : m_client{m_io.get_executor(), {}}
+    , m_store_port{first_port}
+    , m_first_port{first_port}
 {
     m_hosts.resize(static_cast<std::size_t>(hosts));
 }
