Answer a job that is submitted again with the result that it has

Callers saw: refusals of requests with stages for seconds after connections between hosts had fallen silent, at the stages with the largest results.

Cause: a host that loses its connection to a queue's host submits its open jobs again. The queue's host forgets a job when it has sent its result; one whose result was on its way was made once more. The second set of results belonged to nobody and filled the memory of the upstreams until it expired.

result_delivery/a_job_that_is_submitted_again_* failed with the call taken out (two calls of the upstream, one expected) and passes now.

--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -687,7 +687,10 @@
     }
     else if (const auto* request = std::get_if<pieces_request>(&message))
     {
-        m_scheduler.on_request(peer, peer_incarnation, *request);
+        if (!m_results.send_result_again(peer, request->m_job))
+        {
+            m_scheduler.on_request(peer, peer_incarnation, *request);
+        }
     }
     else if (const auto* result = std::get_if<pieces_result>(&message))
     {
--- a/src/edge/result_delivery.cpp
+++ b/src/edge/result_delivery.cpp
@@ -71,6 +71,19 @@
     m_send(host, std::move(message));
 }
 
+bool result_delivery::send_result_again(const node_id& host, std::uint64_t job)
+{
+    for (kept_message& kept : m_kept)
+    {
+        if (kept.m_host == host && is_result_of(kept.m_message, job))
+        {
+            kept.m_is_lost = true;
+            return true;
+        }
+    }
+    return false;
+}
+
 void result_delivery::on_connection_lost(const node_id& host)
 {
     for (kept_message& kept : m_kept)
--- a/tests/standins/result_delivery_test.cpp
+++ b/tests/standins/result_delivery_test.cpp
@@ -210,6 +210,24 @@
     host.wait_for<pieces_result>(2);
 }
 
+// Guards against stages that are made twice, whose first results fill the memory of the
+// upstreams until they expire: a host that has lost a connection submits its jobs again,
+// also those whose result is on its way.
+Test(result_delivery, a_job_that_is_submitted_again_gets_the_result_that_it_has)
+{
+    one_real_host story{29940};
+    test_host host{story.m_cluster, story.m_first_port, false};
+    host.submit();
+    host.wait_for<pieces_result>(1);
+    EXPECT_EQUAL(story.m_stage.m_calls, 1);
+    host.submit();
+    host.wait_for<pieces_result>(2);
+    const auto results = host.all<pieces_result>();
+    cr_assert(results.size() == 2);
+    cr_expect(results[0].m_handles == results[1].m_handles);
+    EXPECT_EQUAL(story.m_stage.m_calls, 1);
+}
+
 // Guards against results that nobody releases: the message was on a silent connection,
 // and they fill the memory of the upstreams until they expire.
 Test(result_delivery, a_host_releases_results_again_when_its_connection_breaks)
@@ -292,4 +310,5 @@
     fixture.pass(80ms);
     EXPECT_EQUAL(fixture.m_sent.size(), 1U);
     cr_expect(std::holds_alternative<pieces_cancel>(fixture.m_sent.front().second));
+    cr_expect(not fixture.m_delivery.send_result_again(waiting, 1));
 }
