Give up all kept connections when one of them was silent

Upstreams of stages saw: results that were kept until they expired, after the connections to them had fallen silent.

Cause: a release goes over a kept connection. On a silent one it ended after its limit of a second and was not repeated, and the client took the next kept connection, of the same age, for the next release.

Change: the client closes the other kept connections with a peer when one of them has timed out, and a release that may have been lost on a kept connection is sent once more on a new one. Releasing twice has no effect.

--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -487,8 +487,16 @@
         return !platform::has_notice(response.m_status, response.m_fields);
     };
     const time_point began = now();
-    const auto answer =
+    auto answer =
         co_await m_http.send(to_tcp(address), platform::encode_release(handles), options);
+    const bool may_be_lost = !is_ok(answer) && error_of(answer).m_sent;
+    if (may_be_lost && !options.m_fresh_connection)
+    {
+        // A kept connection may be silent. A release has no effect the second time.
+        options.m_fresh_connection = true;
+        answer = co_await m_http.send(to_tcp(address), platform::encode_release(handles),
+                                      options);
+    }
     if (is_ok(answer) && value_of(answer).m_status != wrong_upstream_status)
     {
         apply_notice(m_state, upstream, value_of(answer).m_status,
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -246,6 +246,7 @@
 
     stream_ptr take_idle(const tcp::endpoint& endpoint);
     void keep_idle(const tcp::endpoint& endpoint, stream_ptr stream);
+    void close_idle(const tcp::endpoint& endpoint);
     asio::awaitable<exchange_end>
     exchange(beast::tcp_stream& stream, bool connected, const tcp::endpoint& endpoint,
              const http::request<http::string_body>& message,
@@ -283,6 +284,14 @@
     }
 }
 
+void http_client::state::close_idle(const tcp::endpoint& endpoint)
+{
+    for (const stream_ptr& stream : std::exchange(m_idle[endpoint], {}))
+    {
+        stream->close();
+    }
+}
+
 asio::awaitable<exchange_end> http_client::state::exchange(
     beast::tcp_stream& stream, bool connected, const tcp::endpoint& endpoint,
     const http::request<http::string_body>& message,
@@ -356,6 +365,11 @@
     if (end.m_error)
     {
         stream->close();
+        if (connected && end.m_error == beast::error::timeout)
+        {
+            // What silenced this connection may have silenced the others as well.
+            self->close_idle(endpoint);
+        }
         co_return make_error(end.m_error, end.m_sent, options);
     }
     if (end.m_has_extra_bytes)
