Show stops with a head in two parts and with stages of other hosts

The account of a stop had no run for a head that arrives in two parts around the moment at which the listener closes, nor for a result that is owed to another host. Both pass as they are: the request is answered with 200 and Connection: close, and the host ends after it has sent the result of a job that came 0.1 s before its listener closed. A head that takes longer than the configured time ends its connection as at other times.

--- a/tests/standins/planned_stop_test.cpp
+++ b/tests/standins/planned_stop_test.cpp
@@ -187,11 +187,16 @@
         senders.push_back({story.connect(), "r" + std::to_string(at),
                            milliseconds{2900} + at * milliseconds{130}});
     }
-    // This one never sends all of its request.
-    const auto incomplete = story.connect();
+    // These never send all of their requests, and the last one sends its head in two
+    // parts.
+    const auto half_body = story.connect();
+    const auto half_head = story.connect();
+    const auto slow_head = story.connect();
+    const std::string head = head_of("/pay/", "slow", 0);
     story.m_cluster.run_for(50ms);
     story.begin_stop();
     bool half_sent = false;
+    bool rest_sent = false;
     while (!story.m_stopped && story.since_stop() < grace_period)
     {
         for (sender& each : senders)
@@ -215,7 +220,14 @@
         if (!half_sent && story.since_stop() >= 3500ms)
         {
             half_sent = true;
-            incomplete->send(head_of("/pay/", "half", 100) + part.substr(0, 50));
+            half_body->send(head_of("/pay/", "half", 100) + part.substr(0, 50));
+            half_head->send(head.substr(0, 40));
+            slow_head->send(head.substr(0, 40));
+        }
+        if (!rest_sent && story.since_stop() >= 5000ms)
+        {
+            rest_sent = true;
+            slow_head->send(head.substr(40));
         }
         story.m_cluster.run_for(10ms);
     }
@@ -234,7 +246,11 @@
         }
     }
     cr_expect(begun >= 8, "%d", begun);
-    cr_expect(incomplete->answered_with("503"), "'%s'", incomplete->bytes().c_str());
+    cr_expect(half_body->answered_with("503"), "'%s'", half_body->bytes().c_str());
+    // The time for a head was over before the stop.
+    cr_expect(half_head->closed());
+    cr_expect(slow_head->answered_with("200"), "'%s'", slow_head->bytes().c_str());
+    cr_expect(slow_head->announced_close());
     for (const http_request& request : story.m_worker.m_seen)
     {
         cr_expect(request.m_target != "/pay/half");
--- a/tests/standins/result_delivery_test.cpp
+++ b/tests/standins/result_delivery_test.cpp
@@ -251,6 +251,31 @@
     }
 }
 
+// Guards against a stopping host that ends with the stages of other hosts.
+Test(result_delivery, a_host_that_stops_sends_the_results_of_the_jobs_that_it_has)
+{
+    one_real_host story{30050};
+    test_host host{story.m_cluster, story.m_first_port, false};
+    bool stopped = false;
+    story.m_cluster.begin_stop(0,
+                               [&stopped]
+                               {
+                                   stopped = true;
+                               });
+    story.m_cluster.run_for(3900ms);
+    story.m_stage.m_delay = 500ms;
+    host.submit();
+    story.m_cluster.run_for(300ms);
+    cr_expect(not stopped);
+    host.wait_for<pieces_result>(1);
+    cr_expect(not stopped);
+    EXPECT_EQUAL(host.all<pieces_result>().size(), 1U);
+    cr_assert(not host.all<pieces_result>().empty());
+    cr_expect(host.all<pieces_result>().front().m_outcome == pieces_outcome::done);
+    story.m_cluster.run_for(1000ms);
+    cr_expect(stopped);
+}
+
 Test(result_delivery, results_that_a_broken_connection_may_have_lost_are_sent_again)
 {
     delivery_fixture fixture;
