--- a/src/edge/result_delivery.hpp
+++ b/src/edge/result_delivery.hpp
@@ -32,8 +32,8 @@
     /// Sends a message of any kind; only those about results are kept.
     void send(const node_id& host, node_message message);
 
-    /// Sends the result of a job again, soon, if it is still kept. A host that submits the
-    /// job once more has not got it.
+    /// Sends the result of a job again, soon, if it is still kept. A host that submits
+    /// the job once more has not got it.
     /// @return whether the job has a kept result
     bool send_result_again(const node_id& host, std::uint64_t job);
 
