Let a host that has just started read the store before it counts

Cause: it had pulled the tables from a reader whose answers did not arrive, in a cut of one direction, and read the store itself after 3 s: too late by the time of the read.

Change: it does so half a second earlier, by the time that a read usually takes. 65 hosts that start together have their data after 1.4 s. The simulation and the product share the constant.

--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -30,6 +30,15 @@
 /// time that a long poll waits there.
 inline constexpr milliseconds usual_store_response{500};
 
+/// Time after its start in which a host is expected to have the configuration; the
+/// platform's contactMs.
+inline constexpr milliseconds follow_time{3000};
+
+/// Time after its start at which a host that has received no data from the readers reads
+/// the store itself, early enough for a read that takes the usual time. Above the 1.4 s
+/// after which 65 hosts that start together have all data.
+inline constexpr milliseconds startup_peer_timeout = follow_time - usual_store_response;
+
 /// Most hosts that wait for the store's response and are replaced at once: the readers,
 /// and the hosts that have replaced them.
 inline constexpr std::ptrdiff_t max_replaced = 2 * store_reader_count;
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -38,10 +38,6 @@
 /// it first learns of the other hosts from the addresses that it was given.
 constexpr milliseconds startup_discovery_time{60};
 
-/// Time after the start at which a host that received no data from the readers reads the
-/// store itself. Above the 1.4 s after which 65 hosts that start together have all data.
-constexpr milliseconds startup_peer_timeout{3000};
-
 /// Interval at which a host that does not read the store checks whether it should.
 constexpr milliseconds reader_check_interval{50};
 
@@ -136,7 +132,7 @@
     {
         return false;
     }
-    if (has_no_data() && since_start > startup_peer_timeout &&
+    if (has_no_data() && since_start > serving::startup_peer_timeout &&
         serving::is_store_read_elsewhere(m_state.m_hosts, now()))
     {
         // The readers are heard, but their data does not arrive.
--- a/tests/serving/configuration_fleet.hpp
+++ b/tests/serving/configuration_fleet.hpp
@@ -459,7 +459,7 @@
                 others.push_back({other.m_reader_weight, other.m_report.m_store_access});
             }
         }
-        const bool is_late = !has_data(at) && since > 3000ms;
+        const bool is_late = !has_data(at) && since > startup_peer_timeout;
         return is_late || is_store_reader({own.m_weight, own.m_access}, others);
     }
 
--- a/tests/serving/configuration_fleet_test.cpp
+++ b/tests/serving/configuration_fleet_test.cpp
@@ -56,14 +56,22 @@
     cr_expect(checks > 0);
 }
 
-// More seeds of that run: a host that has just started waits for a reader that it cannot
-// hear, or several cuts and outages overlap (5393).
-Test(configuration_fleet, a_change_is_in_force_in_time_when_troubles_overlap)
+// More seeds of that run: a host that has just started waits for the tables of a reader
+// whose answers do not arrive.
+Test(configuration_fleet, a_change_is_in_force_in_time_at_a_host_that_has_just_started)
 {
     int checks = 0;
-    for (const std::uint32_t seed : {1308U, 2298U, 2512U, 2969U, 3163U, 3372U, 5393U})
+    for (const std::uint32_t seed : {1308U, 2298U, 2512U, 2969U, 3163U, 3372U})
     {
         is_in_time(seed, checks);
     }
     cr_expect(checks > 0);
 }
+
+// Another seed of that run, in which several cuts and outages overlap.
+Test(configuration_fleet, a_change_is_in_force_in_time_when_troubles_overlap)
+{
+    int checks = 0;
+    is_in_time(5393, checks);
+    cr_expect(checks > 0);
+}
