Judge a failed read of the store by when it began

Cause: two hosts had read during an outage; one of the reads ended without a response 0.2 s after others had found the store back. A failure from before the recovery of others is forgotten, but this one ended after it, so that both counted as waiting for the store for 10 s more. When the three readers were cut off, they left the reading to them. The trace shows their access as "retrying" from 12.7 s to 18.0 s without a read in progress.

Change: a failed read is explained by an outage if it began before others recovered.

--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -60,6 +60,7 @@
     /// When the first of these failed reads began, and when the last one ended.
     time_point m_first_failure_began{};
     time_point m_last_failure{};
+    time_point m_last_failure_began{};
     /// The last read ended without a response in the usual time.
     bool m_is_unanswered = false;
 };
@@ -67,8 +68,9 @@
 void record_store_read(store_read_history& history, bool succeeded, time_point began,
                        time_point ended);
 
-/// Forgets failures of before another host recovered from its own: the store was away,
-/// and is back. A host that the store turned away alone stays out of the way for longer.
+/// Forgets failures of reads that began before another host recovered from its own: the
+/// store was away, and is back. A host that the store turned away alone stays out of the
+/// way for longer.
 void end_outage(store_read_history& history, const host_table& table);
 
 /// Whether the reads of a table fail, or failed within the hold time.
--- a/src/serving/store_readers.cpp
+++ b/src/serving/store_readers.cpp
@@ -51,13 +51,14 @@
     }
     ++history.m_consecutive_failures;
     history.m_last_failure = ended;
+    history.m_last_failure_began = began;
     history.m_is_unanswered = ended - began >= usual_store_response;
 }
 
 void end_outage(store_read_history& history, const host_table& table)
 {
     if (history.m_consecutive_failures > 0 &&
-        history.m_last_failure < table.m_store_recovered_at)
+        history.m_last_failure_began < table.m_store_recovered_at)
     {
         history = {};
     }
--- a/tests/serving/configuration_fleet_test.cpp
+++ b/tests/serving/configuration_fleet_test.cpp
@@ -68,7 +68,8 @@
     cr_expect(checks > 0);
 }
 
-// Another seed of that run, in which several cuts and outages overlap.
+// Another seed of that run: all readers are cut off from the store, and the other hosts
+// leave the reading to them because of reads that an earlier outage had cut off.
 Test(configuration_fleet, a_change_is_in_force_in_time_when_troubles_overlap)
 {
     int checks = 0;
