Read the store at a host that counts as failing when no other one reads

Cause: the host had been cut off and was a candidate again after 10 s. When the readers were cut off, and then the host that had replaced them, it went on waiting, because the last reader still counted as waiting for the store and not as failing. The trace has the access of all five hosts.

Change: more hosts go on reading while all others fail or wait, not only while all fail. In a fleet with a host that reads, or one that could take over, nothing changes.

configuration_fleet/..._when_the_last_reader_is_cut_off failed before and passes now, as do the other tests of the suite and of store_readers.

--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -43,7 +43,7 @@
 /// and the hosts that have replaced them.
 inline constexpr std::ptrdiff_t max_replaced = 2 * store_reader_count;
 
-/// Most hosts that read the store while the reads of all hosts fail.
+/// Most hosts that read the store while the reads of all hosts fail or wait.
 inline constexpr std::size_t max_failing_readers = store_reader_count + 2;
 
 /// A host as a candidate for reading the store.
--- a/src/serving/store_readers.cpp
+++ b/src/serving/store_readers.cpp
@@ -123,14 +123,16 @@
     // More hosts that retry mean an outage, in which others would fail, too.
     const bool waits = own.m_access == store_access::unused;
     const auto in_vain = waits ? std::max<std::ptrdiff_t>(0, retrying - max_replaced) : 0;
-    const bool all_fail = own.m_access == store_access::failing &&
-                          std::all_of(others.begin(), others.end(),
-                                      [](const reader_candidate& other)
-                                      {
-                                          return other.m_access == store_access::failing;
-                                      });
+    const bool nobody_reads =
+        own.m_access == store_access::failing &&
+        std::all_of(others.begin(), others.end(),
+                    [](const reader_candidate& other)
+                    {
+                        return other.m_access == store_access::failing ||
+                               other.m_access == store_access::retrying;
+                    });
     // Those ahead may be cut off from a store that is back for others.
-    const std::size_t readers = all_fail ? max_failing_readers : store_reader_count;
+    const std::size_t readers = nobody_reads ? max_failing_readers : store_reader_count;
     return static_cast<std::size_t>(ahead + in_vain) < readers;
 }
 
--- a/tests/serving/configuration_fleet_test.cpp
+++ b/tests/serving/configuration_fleet_test.cpp
@@ -68,7 +68,16 @@
     cr_expect(checks > 0);
 }
 
-// Another seed of that run: all readers are cut off from the store, and the other hosts
+// A seed of another run: all readers are cut off twice, and a host that reaches the store
+// again waits until the last of them counts as failing.
+Test(configuration_fleet, a_change_is_in_force_in_time_when_the_last_reader_is_cut_off)
+{
+    int checks = 0;
+    is_in_time(4258, checks);
+    cr_expect(checks > 0);
+}
+
+// Another seed of the first run: all readers are cut off from the store, and the other hosts
 // leave the reading to them because of reads that an earlier outage had cut off.
 Test(configuration_fleet, a_change_is_in_force_in_time_when_troubles_overlap)
 {
