--- a/tests/standins/edge_cluster.cpp
+++ b/tests/standins/edge_cluster.cpp
@@ -1,5 +1,7 @@
 #include "edge_cluster.hpp"
 
+#include <geraniumdoor/base/log.hpp>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -149,8 +151,17 @@
 
 void edge_cluster::run_for(milliseconds length)
 {
+    constexpr milliseconds usual_lateness{100};
+    const auto due = std::chrono::steady_clock::now() + length;
     m_io.restart();
     m_io.run_for(length);
+    const auto lateness =
+        std::chrono::duration_cast<milliseconds>(std::chrono::steady_clock::now() - due);
+    if (lateness > usual_lateness)
+    {
+        // Tells failures of hosts from those of a machine that did not run the test.
+        log_event{"test_loop_late"}.add("late_ms", lateness.count());
+    }
 }
 
 std::shared_ptr<std::optional<http_response>>
