Show that a stopping entry daemon answers requests that are being sent

The daemon counts connections of callers in its account of a stop since, and no run of its own showed that. A caller now opens a connection every 100 ms, sends half of a body and the rest 0.4 s later, until the listener has closed; each request gets its whole answer.

The connection of a caller that the tests of both daemons use is in a header of its own.

--- a/tests/daemon/serving_test.cpp
+++ b/tests/daemon/serving_test.cpp
@@ -1,6 +1,9 @@
+#include "caller_connection.hpp"
 #include "serving_world.hpp"
 
 #include <chrono>
+#include <memory>
+#include <vector>
 
 // clang-format off: this header stays last.
 #include "testing.hpp"
@@ -70,6 +73,35 @@
     }
 };
 
+/// A caller that sends half of a request's body, and the rest 400 ms later.
+struct slow_sender
+{
+    slow_sender(serving_world& world, int input)
+        : m_body{"{\"input\":" + std::to_string(input) + "}"}
+        , m_connection{world.m_io, world.caller_endpoint(0)}
+    {
+        m_connection.send("POST /v1/pipelines/find HTTP/1.1\r\nHost: a\r\n"
+                          "X-Workspace: riders\r\nContent-Type: application/json\r\n"
+                          "Content-Length: " +
+                          std::to_string(m_body.size()) + "\r\n\r\n" +
+                          m_body.substr(0, 4));
+    }
+
+    void send_rest_when_due()
+    {
+        if (!m_rest_sent && std::chrono::steady_clock::now() >= m_began + 400ms)
+        {
+            m_rest_sent = true;
+            m_connection.send(m_body.substr(4));
+        }
+    }
+
+    std::string m_body;
+    caller_connection m_connection;
+    time_point m_began = std::chrono::steady_clock::now();
+    bool m_rest_sent = false;
+};
+
 std::int64_t now_unix_s()
 {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
@@ -255,3 +287,50 @@
     requests.run(2000ms);
     requests.expect_whole();
 }
+
+// Guards against requests that are being sent when a daemon closes its listener, and end
+// without an answer.
+Test(serving, requests_that_are_being_sent_during_a_stop_are_answered)
+{
+    serving_world world{25800};
+    world.start();
+    bool stopped = false;
+    bool listens = true;
+    std::vector<std::unique_ptr<slow_sender>> senders;
+    world.m_daemons[0]->begin_stop(
+        [&]
+        {
+            stopped = true;
+        });
+    time_point next{};
+    const auto step = [&]
+    {
+        const auto now = std::chrono::steady_clock::now();
+        if (listens && now >= next)
+        {
+            next = now + 100ms;
+            try
+            {
+                const int input = 2000 + static_cast<int>(senders.size());
+                senders.push_back(std::make_unique<slow_sender>(world, input));
+            }
+            catch (const boost::system::system_error&)
+            {
+                listens = false;
+            }
+        }
+        for (const auto& each : senders)
+        {
+            each->send_rest_when_due();
+        }
+        return stopped;
+    };
+    cr_expect(world.run_until(step, 40s));
+    cr_expect(not listens);
+    cr_expect(senders.size() >= 10, "%zu", senders.size());
+    for (const auto& each : senders)
+    {
+        cr_expect(each->m_connection.answered_with("200"), "%s: '%s'",
+                  each->m_body.c_str(), each->m_connection.bytes().c_str());
+    }
+}
--- a/tests/daemon/serving_world.cpp
+++ b/tests/daemon/serving_world.cpp
@@ -199,11 +199,17 @@
     }
     request.m_body = "{\"input\":" + std::to_string(input) + "}";
     auto answer = std::make_shared<caller_answer>();
-    const auto port = static_cast<std::uint16_t>(m_port + daemon_port + 3 * daemon);
-    asio::co_spawn(m_io, fetch(port, std::move(request), answer), asio::detached);
+    asio::co_spawn(m_io,
+                   fetch(caller_endpoint(daemon).port(), std::move(request), answer),
+                   asio::detached);
     return answer;
 }
 
+asio::ip::tcp::endpoint serving_world::caller_endpoint(std::size_t daemon) const
+{
+    return {loopback, static_cast<std::uint16_t>(m_port + daemon_port + 3 * daemon)};
+}
+
 caller_answer serving_world::ask(std::size_t daemon, const std::string& pipeline,
                                  int input, const std::string& key, bool streamed)
 {
--- a/tests/daemon/serving_world.hpp
+++ b/tests/daemon/serving_world.hpp
@@ -59,6 +59,8 @@
     caller_answer operate(std::size_t daemon, const std::string& target,
                           const std::string& body);
 
+    boost::asio::ip::tcp::endpoint caller_endpoint(std::size_t daemon) const;
+
     /// Closes the table service, or opens it with the rows that it had.
     void open_table(bool open);
 
--- a/tests/standins/planned_stop_test.cpp
+++ b/tests/standins/planned_stop_test.cpp
@@ -1,12 +1,6 @@
+#include "caller_connection.hpp"
 #include "edge_cluster.hpp"
 
-#include <boost/asio/as_tuple.hpp>
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/use_awaitable.hpp>
-#include <boost/asio/write.hpp>
-
 #include <memory>
 #include <string>
 #include <string_view>
@@ -39,73 +33,6 @@
     R"({"name":"read","host":"a.example","prefix":"/read/","routeType":"idempotent",)"
     R"("timeoutMs":20000,"targetLatencyMs":9000,"service":"plain","maxAttempts":2})";
 
-/// Connection of a caller, which reads until the host closes.
-class caller_connection
-{
-public:
-    caller_connection(edge_cluster& cluster,
-                      const boost::asio::ip::tcp::endpoint& endpoint)
-        : m_received{std::make_shared<received>(cluster.m_io)}
-    {
-        m_received->m_socket.connect(endpoint);
-        boost::asio::co_spawn(cluster.m_io, read_all(m_received), boost::asio::detached);
-    }
-
-    void send(std::string_view bytes)
-    {
-        boost::system::error_code ignored;
-        boost::asio::write(m_received->m_socket,
-                           boost::asio::buffer(bytes.data(), bytes.size()), ignored);
-    }
-
-    bool closed() const
-    {
-        return m_received->m_closed;
-    }
-
-    const std::string& bytes() const
-    {
-        return m_received->m_bytes;
-    }
-
-    bool answered_with(std::string_view status) const
-    {
-        return bytes().starts_with("HTTP/1.1 " + std::string{status});
-    }
-
-    bool answered() const
-    {
-        return answered_with("200") || answered_with("503");
-    }
-
-    bool announced_close() const
-    {
-        return bytes().find("Connection: close\r\n") != std::string::npos;
-    }
-
-private:
-    struct received
-    {
-        explicit received(boost::asio::io_context& io) : m_socket{io} {}
-
-        boost::asio::ip::tcp::socket m_socket;
-        std::string m_bytes;
-        bool m_closed = false;
-    };
-
-    static boost::asio::awaitable<void> read_all(std::shared_ptr<received> target)
-    {
-        constexpr auto use_tuple = boost::asio::as_tuple(boost::asio::use_awaitable);
-        co_await boost::asio::async_read(
-            target->m_socket, boost::asio::dynamic_buffer(target->m_bytes), use_tuple);
-        target->m_closed = true;
-        boost::system::error_code ignored;
-        target->m_socket.close(ignored);
-    }
-
-    std::shared_ptr<received> m_received;
-};
-
 std::string head_of(const std::string& target, const std::string& id,
                     std::size_t body_size)
 {
@@ -127,7 +54,7 @@
 
     std::unique_ptr<caller_connection> connect()
     {
-        return std::make_unique<caller_connection>(m_cluster,
+        return std::make_unique<caller_connection>(m_cluster.m_io,
                                                    m_cluster.caller_endpoint(0));
     }
 
@@ -327,7 +254,7 @@
     kept_connections story{29760};
     story.begin_stop();
     story.m_cluster.run_for(3900ms);
-    caller_connection asking{story.m_cluster, story.m_cluster.directory_endpoint(0)};
+    caller_connection asking{story.m_cluster.m_io, story.m_cluster.directory_endpoint(0)};
     asking.send("GET /resolve?name=a.example&region=r1&zone=z1 HTTP/1.1\r\n");
     story.m_cluster.run_for(600ms);
     cr_expect(not story.m_stopped);
