--- a/tests/serving/configuration_fleet_test.cpp
+++ b/tests/serving/configuration_fleet_test.cpp
@@ -77,8 +77,8 @@
     cr_expect(checks > 0);
 }
 
-// Another seed of the first run: all readers are cut off from the store, and the other hosts
-// leave the reading to them because of reads that an earlier outage had cut off.
+// Another seed of the first run: all readers are cut off from the store, and the other
+// hosts leave the reading to them because of reads that an earlier outage had cut off.
 Test(configuration_fleet, a_change_is_in_force_in_time_when_troubles_overlap)
 {
     int checks = 0;
--- a/tests/standins/silent_stream_test.cpp
+++ b/tests/standins/silent_stream_test.cpp
@@ -76,8 +76,8 @@
     worker_standin& other = first.m_seen.empty() ? first : second;
     other.m_script.clear();
     other.m_delay = 0ms;
-    // A successor that is offered the stream meanwhile has no inputs before the break. One
-    // that had begun it, too, would use up the upstreams that the route allows.
+    // A successor that is offered the stream meanwhile has no inputs before the break.
+    // One that had begun it, too, would use up the upstreams that the route allows.
     stage.m_delay = 900ms;
     cluster.run_for(3500ms);
     EXPECT_EQUAL(other.m_seen.size(), 1U);
