Pass on nothing that a stopping host can't finish, at whatever moment

Callers saw: a payment that had arrived while the host could finish it waited for its stages, was passed on when the host had 2.5 s left for a call that usually takes 1.5 s or more, ran, and got a 504 at the end of the stop.

Cause: whether a request is taken during a stop was asked once, when it arrives. Time passes after that: for stages, and for upstreams that decline.

Change: the same rule is asked before each send, as long as the request has run nowhere, so that the refusal is true.

planned_stop/a_payment_whose_stages_took_too_long_* failed before (504, and the upstream had run it) and passes now, with 503 and nothing run. planned_stop/answers_that_have_begun_are_whole is new as well and passed before: a stream, a read and a payment that are underway when the listener closes.

--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -122,6 +122,12 @@
             again = co_await attempt_at(current, current.m_takeover.m_entry);
             continue;
         }
+        // Its stages, or upstreams that declined it, may have taken long.
+        const bool refused = co_await refuse_when_stopping(current);
+        if (refused)
+        {
+            co_return;
+        }
         const upstream* chosen = select_next_upstream(current);
         const bool quarantined = is_quarantined(current);
         if (quarantined)
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -214,6 +214,17 @@
                     now());
 }
 
+asio::awaitable<bool> request_relay::refuse_when_stopping(request& current)
+{
+    const bool is_refused =
+        current.m_retry_state.m_possible_runs == 0 && !is_taken_during_stop(current);
+    if (is_refused)
+    {
+        co_await refuse(current, stopping_retry_after, "host_stops");
+    }
+    co_return is_refused;
+}
+
 milliseconds request_relay::expected_time(const request& current) const
 {
     const std::string& route = current.m_route->m_name;
@@ -274,9 +285,9 @@
 
 asio::awaitable<void> request_relay::process(request& current)
 {
-    if (!is_taken_during_stop(current))
+    const bool refused = co_await refuse_when_stopping(current);
+    if (refused)
     {
-        co_await refuse(current, stopping_retry_after, "host_stops");
         co_return;
     }
     if (const auto wait = quarantine_wait(current))
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -180,8 +180,11 @@
                                     const char* reason) const;
     /// When a request has to be answered because the host stops.
     time_point end_of_stop(const request& current) const;
-    /// Whether a request that has just arrived is taken although the host stops.
+    /// Whether a request may be passed on now although the host stops.
     bool is_taken_during_stop(const request& current) const;
+    /// Refuses a request that has not run and would outlast the host.
+    /// @return whether it was refused
+    boost::asio::awaitable<bool> refuse_when_stopping(request& current);
     /// Time that calls on the route usually take at their upstreams; zero if none was
     /// made.
     milliseconds expected_time(const request& current) const;
--- a/tests/standins/planned_stop_test.cpp
+++ b/tests/standins/planned_stop_test.cpp
@@ -247,6 +247,89 @@
     story.run_until_stopped();
 }
 
+// Guards against a payment that waits for its stages until the host can no longer finish
+// it, and is passed on all the same.
+Test(planned_stop, a_payment_whose_stages_took_too_long_is_not_passed_on)
+{
+    kept_connections story{29520};
+    worker_standin& stage = story.m_cluster.add_worker("s0", "stage");
+    story.m_cluster.set_config(
+        R"({"name":"pay","host":"a.example","prefix":"/pay/","routeType":"non_idempotent",)"
+        R"("timeoutMs":20000,"targetLatencyMs":9000,"service":"plain","maxAttempts":1,)"
+        R"("stages":[{"service":"stage","after":[],"bytes":8000}]})",
+        2);
+    story.m_cluster.run_for(1000ms);
+    const auto pay_with_stage = [&story](const std::string& id)
+    {
+        http_request request = sample_post("/pay/" + id, id, 15000);
+        request.m_fields.emplace_back("Pieces", "3");
+        request.m_fields.emplace_back("Piece-Key", "k");
+        return story.m_cluster.start_request(0, request, 16s);
+    };
+    story.m_worker.m_delay = 1500ms;
+    const auto first = pay_with_stage("first");
+    story.m_cluster.run_for(1800ms);
+    cr_assert(first->has_value());
+    EXPECT_EQUAL((*first)->m_status, 200U);
+    story.begin_stop();
+    story.m_cluster.run_for(2000ms);
+    stage.m_pieces_status = 503;
+    stage.m_retry_after = "2.2";
+    story.m_worker.m_delay = 3000ms;
+    const auto late = pay_with_stage("late");
+    story.m_cluster.run_for(500ms);
+    stage.m_pieces_status = 200;
+    stage.m_retry_after.clear();
+    story.m_cluster.run_for(1500ms);
+    cr_expect(not late->has_value());
+    story.run_until_stopped();
+    cr_assert(late->has_value());
+    EXPECT_EQUAL((*late)->m_status, 503U);
+    for (const http_request& request : story.m_worker.m_seen)
+    {
+        cr_expect(request.m_target != "/pay/late");
+    }
+}
+
+// Guards against answers that are cut off in the middle when the listener closes.
+Test(planned_stop, answers_that_have_begun_are_whole)
+{
+    edge_cluster cluster{29560, 1};
+    cluster.add_worker("w0", "plain").m_delay = 1200ms;
+    cluster.add_worker("s0", "stage");
+    cluster.add_worker("e0", "engine").m_mode = worker_mode::slow_stream;
+    cluster.set_config(sample_routes(), 1);
+    cluster.start();
+    bool stopped = false;
+    cluster.begin_stop(0,
+                       [&stopped]
+                       {
+                           stopped = true;
+                       });
+    cluster.run_for(2800ms);
+    const auto stream =
+        cluster.start_request(0, sample_stream("/stream/s", "s", 4000), 5s);
+    cluster.run_for(700ms);
+    const auto read = cluster.start_request(0, sample_get("/read/r", "r", 4000), 5s);
+    const auto payment = cluster.start_request(0, sample_post("/pay/p", "p", 4000), 5s);
+    cluster.run_for(600ms);
+    // The listener has closed.
+    cr_expect(not stream->has_value());
+    cr_expect(not read->has_value());
+    const auto began = std::chrono::steady_clock::now();
+    while (!stopped && std::chrono::steady_clock::now() - began < grace_period)
+    {
+        cluster.run_for(20ms);
+    }
+    cr_expect(stopped);
+    for (const auto& answer : {stream, read, payment})
+    {
+        cr_assert(answer->has_value());
+        EXPECT_EQUAL((*answer)->m_status, 200U);
+    }
+    cr_expect((*stream)->m_body.find("id: 4\n") != std::string::npos);
+}
+
 // Guards against a question to the directory that is being sent when the idle process
 // ends.
 Test(planned_stop, a_question_to_the_directory_is_answered)
