Roll-outs between software versions on an operator's order

Cause: nothing read the operator's orders to move a service to another software version, so that a bad version would have got all its share of traffic at once, and no state was written.

Change: hosts count the answers of the ordered version by route and group of upstreams, exchange the counts, and enter the phases of the order by the same function of the sums (serving/rollouts, serving/rollout_judgement; docs/design/rollouts.md). The choice of upstreams, the stage queues and the takeover of streams keep to the phase. One host writes the state to the store under a condition. Versions that appear without an order are held back for two seconds where the settings bound the exposure.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -577,8 +577,66 @@
     }
 };
 
-using datagram = std::variant<ping, ping_req, ack, host_report, crash_report,
-                              upstream_report, permit_request, permit_reply,
-                              origin_report, origin_request, origin_reply, doubt_report>;
+/// Answers of one route from a group of upstreams during a roll-out.
+struct reported_count
+{
+    std::uint32_t m_route = 0;
+    std::uint8_t m_group = 0;
+    std::uint32_t m_answers = 0;
+    std::uint32_t m_faults = 0;
+    std::uint32_t m_slow = 0;
+
+    bool operator==(const reported_count&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(m_route, m_group, m_answers, m_faults, m_slow);
+    }
+};
+
+/// Most counts and versions in one report, so that it fits a datagram.
+constexpr std::size_t max_reported_counts = 40;
+constexpr std::size_t max_reported_unproven = 2;
+
+/// Last phase of a roll-out, as a number.
+constexpr std::uint8_t max_rollout_phase = 6;
+
+/// What a host knows of an order to move a pool to another software version. The counts
+/// only grow, and a report replaces the earlier ones of its process.
+struct rollout_report
+{
+    node_id m_node;
+    incarnation m_incarnation;
+    std::uint32_t m_sequence = 0;
+    std::string m_pool;
+    std::string m_version;
+    /// Version of the store's row of the order.
+    std::uint64_t m_order = 0;
+    std::uint8_t m_phase = 0;
+    /// Time since the order.
+    std::uint32_t m_age_ms = 0;
+    bool m_had_others = false;
+    /// Requests that the host has in progress at upstreams of other versions.
+    std::uint32_t m_in_progress_elsewhere = 0;
+    std::vector<reported_count> m_counts;
+    /// Versions that earlier orders did not prove.
+    std::vector<std::string> m_unproven;
+
+    bool operator==(const rollout_report&) const = default;
+
+    template<class Archive>
+    void serialize(Archive& archive)
+    {
+        archive(short_text{m_node.m_value}, m_incarnation, m_sequence, short_text{m_pool},
+                short_text{m_version}, m_order, m_phase, m_age_ms, m_had_others,
+                m_in_progress_elsewhere, m_counts, m_unproven);
+    }
+};
+
+using datagram =
+    std::variant<ping, ping_req, ack, host_report, crash_report, upstream_report,
+                 permit_request, permit_reply, origin_report, origin_request,
+                 origin_reply, doubt_report, rollout_report>;
 
 } // namespace geraniumdoor
--- a/include/geraniumdoor/edge/edge_settings.hpp
+++ b/include/geraniumdoor/edge/edge_settings.hpp
@@ -5,6 +5,7 @@
 #include <geraniumdoor/config/daemon_settings.hpp>
 #include <geraniumdoor/config/document_reader.hpp>
 #include <geraniumdoor/serving/retry_budget.hpp>
+#include <geraniumdoor/serving/rollouts.hpp>
 
 #include <cstdint>
 #include <optional>
@@ -39,6 +40,9 @@
     /// File descriptors that the process may open.
     std::uint32_t m_max_open_files = 1024;
     serving::retry_limits m_retry_limits;
+    /// Bounds for software versions that are being tried. Without them in the settings,
+    /// the defaults apply to orders, and versions without an order are not held back.
+    serving::rollout_limits m_rollout_limits;
     /// Rate limit for a cold upstream, in requests per second: this multiple of its
     /// configured rate, plus this many requests.
     double m_cold_rate_factor = 1;
--- a/include/geraniumdoor/serving/engine_choice.hpp
+++ b/include/geraniumdoor/serving/engine_choice.hpp
@@ -62,12 +62,14 @@
 /// @param version software version that the engine must have; empty for any. New streams
 /// avoid a version that only one engine has while another has more, since nobody could
 /// take them up if that engine broke them off.
+/// @param is_trial chooses among engines of a version that is being tried
 const upstream*
 choose_engine(const upstream_table& table, const pool_id& pool,
               const prompt& request_prompt, const engine_limits& limits,
               const std::vector<upstream_id>& tried, const input_location& inputs,
               time_point now,
-              const std::optional<software_version>& version = std::nullopt);
+              const std::optional<software_version>& version = std::nullopt,
+              bool is_trial = false);
 
 /// Admission priority of a prompt at an engine, from 0, the highest, to 9.
 ///
--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -49,6 +49,17 @@
 inline constexpr double observation_lifetime_turns = 5;
 inline constexpr double observation_half_life_turns = 10;
 
+/// Which requests an upstream may get while its pool moves to another software version.
+enum class upstream_use : std::uint8_t
+{
+    any,
+    /// Requests that are selected to try the version.
+    trial,
+    /// Streams that its version has begun.
+    begun_streams,
+    closed,
+};
+
 /// An upstream and what this host has observed of it.
 struct upstream
 {
@@ -90,6 +101,12 @@
     send_account m_sends;
     /// Permits that this host issues to all hosts, if it is the one that does.
     permit_ledger m_issued;
+    upstream_use m_use = upstream_use::any;
+    /// Group under which its answers are counted meanwhile; 0 for versions in force.
+    std::uint8_t m_version_group = 0;
+    /// Calls of pieces in progress and results not released, where this host runs the
+    /// queue of the pool.
+    std::uint32_t m_results_held = 0;
 };
 
 /// Returns the requests per second that one host may send to a cold upstream.
@@ -136,7 +153,7 @@
 bool has_routing_change(const upstream_entry& before, const upstream_entry& after);
 
 /// Whether new work may be sent to the upstream: it is not leaving, as its entry or the
-/// upstream itself says, and its data centre is not evacuated.
+/// upstream itself says, its data centre is not evacuated and its version not withdrawn.
 bool accepts_work(const upstream_table& table, const upstream& candidate);
 
 /// Whether the upstream accepts work, and wants requests from this host at the moment.
@@ -161,6 +178,12 @@
 /// was reached.
 void confirm_starts(upstream_table& table, const table_view& registry);
 
+/// Whether an upstream may get a request while its pool moves to another version.
+/// @param version software version that the request needs; empty for any
+/// @param is_trial whether the request is selected to try the new version
+bool is_in_use(const upstream& candidate, const std::optional<software_version>& version,
+               bool is_trial);
+
 /// Whether an upstream's software version is the one that a stream needs, and the process
 /// is surely the one that its entry describes.
 ///
@@ -209,10 +232,12 @@
 /// @param own_data_centre data centre of this host
 /// @param tried upstreams that the request was already sent to
 /// @param version software version that the upstream must have; empty for any
+/// @param is_trial chooses among upstreams of a version that is being tried
 const upstream*
 choose_upstream(const upstream_table& table, const pool_id& pool,
                 const data_centre_id& own_data_centre,
                 const std::vector<upstream_id>& tried, time_point now,
-                const std::optional<software_version>& version = std::nullopt);
+                const std::optional<software_version>& version = std::nullopt,
+                bool is_trial = false);
 
 } // namespace geraniumdoor::serving
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -199,6 +199,14 @@
            message.m_version.size() <= max_version_bytes;
 }
 
+bool in_range(const rollout_report& message)
+{
+    return message.m_phase <= max_rollout_phase &&
+           message.m_version.size() <= max_version_bytes &&
+           message.m_counts.size() <= max_reported_counts &&
+           message.m_unproven.size() <= max_reported_unproven;
+}
+
 bool in_range(const pieces_result& message)
 {
     return message.m_outcome <= pieces_outcome::failed;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -4,6 +4,7 @@
 #include "origin_store.hpp"
 #include "request_relay.hpp"
 #include "result_delivery.hpp"
+#include "rollout_store.hpp"
 #include "send_permits.hpp"
 #include "stage_client.hpp"
 #include "stage_scheduler.hpp"
@@ -162,6 +163,8 @@
     send_permits m_permits;
     origin_exchange m_origins;
     origin_store m_origin_store;
+    rollout_exchange m_rollouts;
+    rollout_store m_rollout_store;
     result_delivery m_results;
     stage_scheduler m_scheduler;
     stage_client m_stages;
@@ -200,13 +203,23 @@
                     m_transport.send_datagram(host, message);
                 }}
     , m_origin_store{m_state, m_origins}
+    , m_rollouts{m_state,
+                 [this](const node_address& host, const datagram& message)
+                 {
+                     m_transport.send_datagram(host, message);
+                 },
+                 [this](const pool_id& pool)
+                 {
+                     return m_relay.longest_time(pool);
+                 }}
+    , m_rollout_store{m_state, m_rollouts}
     , m_results{m_state,
                 [this](const node_id& host, node_message message)
                 {
                     m_transport.send(host, std::move(message));
                 },
                 result_retention}
-    , m_scheduler{m_state, m_permits,
+    , m_scheduler{m_state, m_permits, m_rollouts,
                   [this](const node_id& host, pieces_result result)
                   {
                       m_results.send(host, std::move(result));
@@ -229,7 +242,7 @@
               {
                   send_reports();
               }}
-    , m_relay{m_state, m_stages, m_scheduler, m_permits, m_origins}
+    , m_relay{m_state, m_stages, m_scheduler, m_permits, m_origins, m_rollouts}
     , m_callers{io.get_executor(), to_tcp(m_state.m_settings.m_caller_endpoint),
                 caller_http_limits({}, m_state.m_settings.m_max_open_files),
                 [this](http_exchange& exchange)
@@ -327,6 +340,10 @@
         {
             m_origins.on_reply(*found);
         }
+        else if (const auto* rollout = std::get_if<rollout_report>(&message))
+        {
+            m_rollouts.on_report(*rollout);
+        }
     };
     return calls;
 }
@@ -343,6 +360,8 @@
     m_stages.start();
     m_store.start();
     m_origin_store.start();
+    m_rollouts.start();
+    m_rollout_store.start();
     m_timers.every(max_timer_sleep,
                    [this](time_point)
                    {
@@ -737,6 +756,7 @@
     const bool was_ready = m_state.m_own_report.m_ready;
     m_state.m_own_report.m_ready = m_state.m_routing && m_state.m_registry_loaded &&
                                    !m_state.m_own_report.m_stopping;
+    m_rollouts.apply();
     update_remote_loads();
     m_origins.observe_upstreams();
     m_scheduler.refresh();
@@ -791,7 +811,8 @@
     {
         return platform::make_error_response(
             404, "unknown path; expected /admin/status, /admin/hosts, "
-                 "/admin/upstreams, /admin/queues, /admin/suspects or /admin/limits");
+                 "/admin/upstreams, /admin/queues, /admin/suspects, /admin/limits or "
+                 "/admin/rollouts");
     }
     http_response response;
     response.m_fields.emplace_back("Content-Type", "application/json");
@@ -903,6 +924,7 @@
         log_owed("stopped", owed);
         m_store.stop();
         m_origin_store.stop();
+        m_rollout_store.stop();
         m_on_stopped();
         return;
     }
@@ -941,6 +963,7 @@
     state.m_settings.m_shutdown_timeout = settings.m_shutdown_timeout;
     state.m_settings.m_max_address_ttl = settings.m_max_address_ttl;
     state.m_settings.m_seeds = settings.m_seeds;
+    state.m_rollout_limits = settings.m_rollout_limits;
     log_event{"settings_applied"}.add("host", state.m_own_report.m_node);
 }
 
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -70,6 +70,11 @@
     settings.m_retry_limits.m_window = read_seconds(reader, "retry_window_s");
     settings.m_cold_rate_factor = reader.real("cold_factor", 0, 1000);
     settings.m_cold_burst = reader.real("cold_extra", 0, 1e6);
+    if (reader.has("rollout_exposure"))
+    {
+        settings.m_rollout_limits.m_exposure = reader.real("rollout_exposure", 0, 1);
+        settings.m_rollout_limits.m_holds_new_versions = true;
+    }
     settings.m_shutdown_timeout = read_seconds(reader, "stop_time_s");
     settings.m_max_address_ttl = read_seconds(reader, "address_life_s");
     reader.finish();
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -10,6 +10,7 @@
 #include <geraniumdoor/serving/host_table.hpp>
 #include <geraniumdoor/serving/planned_stop.hpp>
 #include <geraniumdoor/serving/retry_budget.hpp>
+#include <geraniumdoor/serving/rollouts.hpp>
 #include <geraniumdoor/serving/routing.hpp>
 #include <geraniumdoor/serving/stage_queue.hpp>
 #include <geraniumdoor/serving/stream_origins.hpp>
@@ -36,6 +37,7 @@
         , m_timers{timers}
     {
         m_retry_budget.m_limits = m_settings.m_retry_limits;
+        m_rollout_limits = m_settings.m_rollout_limits;
     }
 
     boost::asio::any_io_executor m_executor;
@@ -62,6 +64,8 @@
     serving::retry_budget m_retry_budget;
     serving::crash_suspects m_crash_suspects;
     serving::stream_origins m_stream_origins;
+    serving::rollout_limits m_rollout_limits;
+    serving::rollout_table m_rollouts;
     /// A response has changed what is known of an upstream, and other hosts have not been
     /// told yet.
     bool m_notices_changed = false;
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -203,6 +203,33 @@
     return body;
 }
 
+/// Lists the operator's orders to move a pool to another software version.
+json::object rollouts_status(const edge_state& state, time_point at)
+{
+    json::array rows;
+    for (const auto& [pool, entry] : state.m_rollouts.m_orders)
+    {
+        const serving::answer_count tried =
+            serving::count_new_version(serving::sum_counts(entry));
+        json::object row;
+        row["pool"] = pool.m_value;
+        row["version"] = entry.m_order.m_version.m_value;
+        row["phase"] = serving::to_text(entry.m_phase);
+        row["reason"] = entry.m_reason;
+        row["share"] = serving::trial_share(entry, state.m_rollout_limits);
+        row["age_ms"] = whole_ms(at - entry.m_began_at);
+        row["duration_ms"] = entry.m_order.m_duration.count();
+        row["answers"] = tried.m_answers;
+        row["faults"] = tried.m_faults;
+        row["slow"] = tried.m_slow;
+        row["hosts"] = entry.m_hosts.size();
+        rows.push_back(std::move(row));
+    }
+    json::object body;
+    body["rollouts"] = std::move(rows);
+    return body;
+}
+
 json::object daemon_status(const edge_state& state, const host_stats& stats,
                            time_point at)
 {
@@ -251,6 +278,10 @@
     {
         return suspects_status(state, at);
     }
+    if (path == "/admin/rollouts")
+    {
+        return rollouts_status(state, at);
+    }
     if (path == "/admin/limits")
     {
         return limits_status(state);
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -99,15 +99,25 @@
     const auto pool = current.m_routing->m_pools.find(current.m_pool);
     const bool is_engine =
         pool != current.m_routing->m_pools.end() && pool->second.m_engine.has_value();
-    if (is_engine)
+    const auto choose = [&](bool is_trial)
     {
-        return choose_engine(m_state.m_upstreams, current.m_pool,
-                             current.m_metadata.m_prompt, *pool->second.m_engine, tried,
-                             current.m_input_location, now(), current.m_stream_version);
-    }
-    return choose_upstream(m_state.m_upstreams, current.m_pool,
-                           m_state.m_settings.m_data_centre, tried, now(),
-                           current.m_stream_version);
+        if (is_engine)
+        {
+            return choose_engine(m_state.m_upstreams, current.m_pool,
+                                 current.m_metadata.m_prompt, *pool->second.m_engine,
+                                 tried, current.m_input_location, now(),
+                                 current.m_stream_version, is_trial);
+        }
+        return choose_upstream(m_state.m_upstreams, current.m_pool,
+                               m_state.m_settings.m_data_centre, tried, now(),
+                               current.m_stream_version, is_trial);
+    };
+    // What fails at a version that is being tried is repeated at one in force.
+    const bool is_trial =
+        tried.empty() && !current.m_stream_version &&
+        m_rollouts.is_selected(current.m_pool, current.m_metadata.m_request);
+    const upstream* chosen = is_trial ? choose(true) : nullptr;
+    return chosen != nullptr ? chosen : choose(false);
 }
 
 asio::awaitable<void> request_relay::run_attempts(request& current)
@@ -181,6 +191,7 @@
     current.m_last_sent_at = began;
     const attempt_outcome outcome = co_await run_attempt(current, std::move(chosen));
     record_attempt(current, outcome, began);
+    record_for_rollout(current, outcome, began);
     record_crash_evidence(current, outcome);
     if (current.m_caller_gone)
     {
@@ -612,6 +623,47 @@
     }
 }
 
+void request_relay::record_for_rollout(const request& current, attempt_outcome outcome,
+                                       time_point began)
+{
+    const upstream* row = m_state.m_upstreams.m_rows.find(current.m_upstream);
+    const bool is_answered = outcome == attempt_outcome::answered;
+    const bool is_broken =
+        outcome == attempt_outcome::broken || outcome == attempt_outcome::broken_stream;
+    const bool is_faulty =
+        outcome == attempt_outcome::answered_with_fault ||
+        outcome == attempt_outcome::unusable ||
+        (is_broken && !current.m_caller_gone && !current.m_progress.m_gave_up);
+    const bool is_silent = is_broken && !is_faulty;
+    if (row == nullptr || row->m_run != current.m_upstream_run ||
+        (!is_answered && !is_faulty && !is_silent))
+    {
+        return;
+    }
+    const time_point at = now();
+    answer_time taken;
+    const bool has_begun = current.m_first_byte_at >= began;
+    const bool resumes_stream = !has_begun && current.m_first_byte_at != time_point{};
+    if (!resumes_stream)
+    {
+        taken.m_first_byte_ms =
+            std::max(1.0, to_ms((has_begun ? current.m_first_byte_at : at) - began));
+    }
+    if (has_begun && is_answered)
+    {
+        taken.m_rest_ms = to_ms(at - current.m_first_byte_at);
+    }
+    if (is_stream(current.m_route->m_retry_safety))
+    {
+        taken.m_reading_ms =
+            current.m_metadata.m_prompt.m_prompt_tokens / prefill_tokens_per_ms;
+    }
+    // A caller that leaves early says nothing of the upstream.
+    const bool is_late = is_silent && !current.m_caller_gone;
+    m_rollouts.record_answer(*row, current.m_route->m_name, taken, is_faulty,
+                             is_late);
+}
+
 void request_relay::record_duration(const request& current, duration taken,
                                     bool is_complete)
 {
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -38,12 +38,13 @@
 
 request_relay::request_relay(edge_state& state, stage_client& stages,
                              const stage_scheduler& scheduler, send_permits& permits,
-                             origin_exchange& origins)
+                             origin_exchange& origins, rollout_exchange& rollouts)
     : m_state{state}
     , m_stage_client{stages}
     , m_scheduler{scheduler}
     , m_permits{permits}
     , m_origins{origins}
+    , m_rollouts{rollouts}
     , m_started{now()}
 {
 }
@@ -225,6 +226,31 @@
     co_return is_refused;
 }
 
+milliseconds request_relay::longest_time(const pool_id& pool) const
+{
+    constexpr double deviations = 2;
+    milliseconds longest{0};
+    if (!m_state.m_routing)
+    {
+        return longest;
+    }
+    for (const route& candidate : m_state.m_routing->m_routes)
+    {
+        const bool uses_pool =
+            std::any_of(candidate.m_pools.begin(), candidate.m_pools.end(),
+                        [&pool](const weighted_pool& entry)
+                        {
+                            return entry.m_pool == pool;
+                        });
+        const auto known = m_durations.find(candidate.m_name);
+        if (uses_pool && known != m_durations.end())
+        {
+            longest = std::max(longest, upper_estimate(known->second, deviations));
+        }
+    }
+    return longest;
+}
+
 milliseconds request_relay::expected_time(const request& current) const
 {
     const std::string& route = current.m_route->m_name;
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -2,6 +2,7 @@
 
 #include "edge_state.hpp"
 #include "origin_exchange.hpp"
+#include "rollout_exchange.hpp"
 #include "send_permits.hpp"
 #include "stage_client.hpp"
 #include "stage_scheduler.hpp"
@@ -145,7 +146,10 @@
 public:
     request_relay(edge_state& state, stage_client& stages,
                   const stage_scheduler& scheduler, send_permits& permits,
-                  origin_exchange& origins);
+                  origin_exchange& origins, rollout_exchange& rollouts);
+
+    /// Time that requests of a pool take at most, apart from few.
+    milliseconds longest_time(const pool_id& pool) const;
 
     boost::asio::awaitable<void> serve(http_exchange& exchange);
 
@@ -387,6 +391,9 @@
     milliseconds usual_head_time(const request& current) const;
     void record_attempt(request& current, serving::attempt_outcome outcome,
                         time_point began);
+    /// Counts an answer for the roll-out of its upstream's version.
+    void record_for_rollout(const request& current, serving::attempt_outcome outcome,
+                            time_point began);
 
     /// Whether an upstream still takes requests from this host.
     bool takes_requests(const upstream_id& id) const;
@@ -406,6 +413,7 @@
     const stage_scheduler& m_scheduler;
     send_permits& m_permits;
     origin_exchange& m_origins;
+    rollout_exchange& m_rollouts;
     time_point m_started;
     std::size_t m_active = 0;
     /// Requests in progress.
--- a/src/edge/stage_checks.cpp
+++ b/src/edge/stage_checks.cpp
@@ -26,6 +26,10 @@
 
 void stage_scheduler::run_checks(const pool_id& pool, pool_state& state)
 {
+    if (m_state.m_rollouts.m_orders.contains(pool))
+    {
+        update_held_results(pool, state);
+    }
     expire_announcements(state.m_queue, now());
     refuse_infeasible_jobs(state);
     hedge_overdue_calls(state);
--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -105,6 +105,10 @@
             ? platform::decode_pieces(value_of(answer).m_body, ended.m_pieces.size())
             : result<std::vector<platform::piece_result>, platform::decode_error>{
                   platform::decode_error{"no answer with status 200"}};
+    if (!declined && !wrong_upstream)
+    {
+        record_for_rollout(state, ended, pieces, took);
+    }
     if (!is_ok(pieces))
     {
         const auto doublings =
@@ -191,6 +195,54 @@
     dispatch_calls(pool, state);
 }
 
+void stage_scheduler::record_for_rollout(
+    const pool_state& state, const call& ended,
+    const result<std::vector<platform::piece_result>, platform::decode_error>& pieces,
+    milliseconds took)
+{
+    const auto* row = m_state.m_upstreams.m_rows.find(ended.m_upstream);
+    if (row == nullptr || row->m_run != ended.m_run)
+    {
+        return;
+    }
+    // Calls of different sizes are compared by the ratio of their time to the usual one.
+    constexpr double ms_per_usual_time = 1000;
+    const milliseconds usual =
+        expected_call_time(state.m_queue, ended.m_pieces.size(), 1);
+    answer_time taken;
+    taken.m_first_byte_ms = ms_per_usual_time * static_cast<double>(took.count()) /
+                            std::max<double>(1, static_cast<double>(usual.count()));
+    for (std::size_t index = 0; index < ended.m_pieces.size(); ++index)
+    {
+        const auto job = state.m_queue.m_jobs.find(ended.m_pieces[index].m_job);
+        const std::string stage =
+            job == state.m_queue.m_jobs.end()
+                ? "stage"
+                : "stage " + std::to_string(job->second.m_stage.m_value);
+        const bool is_faulty = !is_ok(pieces) || value_of(pieces)[index].m_failure ==
+                                                     platform::piece_failure::other;
+        m_rollouts.record_answer(*row, stage, taken, is_faulty, false);
+    }
+}
+
+void stage_scheduler::update_held_results(const pool_id& pool, const pool_state& state)
+{
+    for (auto& [id, row] : m_state.m_upstreams.m_rows)
+    {
+        if (row.m_entry.m_pool == pool)
+        {
+            row.m_results_held = state.m_calls.contains(id) ? 1 : 0;
+        }
+    }
+    for (const auto& [handle, retained] : state.m_results)
+    {
+        if (auto* row = m_state.m_upstreams.m_rows.find(retained.m_upstream))
+        {
+            ++row->m_results_held;
+        }
+    }
+}
+
 void stage_scheduler::requeue_pieces(pool_state& state, const call& ended, bool failed)
 {
     for (const piece_ref& ref : ended.m_pieces)
--- a/src/edge/stage_scheduler.cpp
+++ b/src/edge/stage_scheduler.cpp
@@ -31,6 +31,9 @@
 /// deadline is kept.
 constexpr milliseconds max_deadline{60000};
 
+/// Time for which an upstream of another version counts as not available.
+constexpr milliseconds unused_upstream_time{1000};
+
 constexpr std::size_t max_response_bytes = std::size_t{1024} * 1024;
 
 http_limits client_limits()
@@ -43,9 +46,11 @@
 } // namespace
 
 stage_scheduler::stage_scheduler(edge_state& state, send_permits& permits,
-                                 result_sender send_result, forecast_sender send_forecast)
+                                 rollout_exchange& rollouts, result_sender send_result,
+                                 forecast_sender send_forecast)
     : m_state{state}
     , m_permits{permits}
+    , m_rollouts{rollouts}
     , m_send_result{std::move(send_result)}
     , m_send_forecast{std::move(send_forecast)}
     , m_http{state.m_executor, client_limits()}
@@ -233,8 +238,15 @@
     {
         const auto* row = m_state.m_upstreams.m_rows.find(id);
         apply_account(upstream_state, row == nullptr ? send_account{} : row->m_sends, at);
+        if (row != nullptr && !may_use(pool, state, *row))
+        {
+            // Forecasts leave it out.
+            upstream_state.m_next_send =
+                std::max(upstream_state.m_next_send, at + unused_upstream_time);
+        }
         const bool usable = !upstream_state.m_busy_until && row != nullptr &&
-                            accepts_work(m_state.m_upstreams, *row);
+                            accepts_work(m_state.m_upstreams, *row) &&
+                            may_use(pool, state, *row);
         if (usable)
         {
             idle.push_back(id);
@@ -250,6 +262,38 @@
     }
 }
 
+bool stage_scheduler::may_use(const pool_id& pool, const pool_state& state,
+                              const upstream& row) const
+{
+    if (row.m_use != upstream_use::trial)
+    {
+        return row.m_use == upstream_use::any;
+    }
+    const auto order = m_state.m_rollouts.m_orders.find(pool);
+    return order != m_state.m_rollouts.m_orders.end() &&
+           state.m_trial_calls + 1 <=
+               trial_share(order->second, m_state.m_rollout_limits) *
+                   (state.m_order_calls + 1);
+}
+
+void stage_scheduler::count_call(const pool_id& pool, pool_state& state,
+                                 const upstream& row)
+{
+    const auto order = m_state.m_rollouts.m_orders.find(pool);
+    if (order == m_state.m_rollouts.m_orders.end())
+    {
+        return;
+    }
+    if (state.m_counted_order != order->second.m_order.m_id)
+    {
+        state.m_counted_order = order->second.m_order.m_id;
+        state.m_order_calls = 0;
+        state.m_trial_calls = 0;
+    }
+    state.m_order_calls += 1;
+    state.m_trial_calls += row.m_use == upstream_use::trial ? 1 : 0;
+}
+
 bool stage_scheduler::may_call(const pool_id& pool, const upstream_id& id)
 {
     upstream* row = m_state.m_upstreams.m_rows.find(id);
@@ -311,6 +355,7 @@
         }
     }
     state.m_calls[upstream] = std::move(begun);
+    count_call(pool, state, *row);
     record_send(row->m_sends, at);
     asio::co_spawn(
         m_state.m_executor,
--- a/src/edge/stage_scheduler.hpp
+++ b/src/edge/stage_scheduler.hpp
@@ -2,6 +2,7 @@
 
 #include "edge_state.hpp"
 #include "host_status.hpp"
+#include "rollout_exchange.hpp"
 #include "send_permits.hpp"
 
 #include <geraniumdoor/cluster/messages.hpp>
@@ -16,6 +17,8 @@
 #include <unordered_map>
 #include <vector>
 
+#include <platform/exchange.hpp>
+
 namespace geraniumdoor::edge
 {
 
@@ -33,8 +36,8 @@
     using forecast_sender =
         std::function<void(const node_id& host, pieces_forecast forecast)>;
 
-    stage_scheduler(edge_state& state, send_permits& permits, result_sender send_result,
-                    forecast_sender send_forecast);
+    stage_scheduler(edge_state& state, send_permits& permits, rollout_exchange& rollouts,
+                    result_sender send_result, forecast_sender send_forecast);
 
     /// Starts the periodic checks of the queues.
     void start();
@@ -97,12 +100,30 @@
         std::unordered_map<upstream_id, std::vector<std::string>> m_pending_releases;
         time_point m_last_activity{};
         time_point m_last_log{};
+        /// Calls since an order to move the pool to another version, and those of them at
+        /// upstreams on trial.
+        store_version m_counted_order;
+        double m_order_calls = 0;
+        double m_trial_calls = 0;
     };
 
     void refresh_upstreams(const pool_id& pool, pool_state& state);
     pool_state* find_or_add_pool(const pool_id& pool);
     void dispatch_calls(const pool_id& pool, pool_state& state);
 
+    /// Whether the upstream may get the next call while its pool moves to another
+    /// version.
+    bool may_use(const pool_id& pool, const pool_state& state,
+                 const serving::upstream& row) const;
+    void count_call(const pool_id& pool, pool_state& state, const serving::upstream& row);
+    /// Counts the pieces of a call that has ended for the roll-out of its version.
+    void record_for_rollout(
+        const pool_state& state, const call& ended,
+        const result<std::vector<platform::piece_result>, platform::decode_error>& pieces,
+        milliseconds took);
+    /// Notes for each upstream what it still does or keeps for this host.
+    void update_held_results(const pool_id& pool, const pool_state& state);
+
     /// Whether a call may be started at an idle upstream. Asks for a permit if one is
     /// needed.
     bool may_call(const pool_id& pool, const upstream_id& id);
@@ -143,6 +164,7 @@
 
     edge_state& m_state;
     send_permits& m_permits;
+    rollout_exchange& m_rollouts;
     result_sender m_send_result;
     forecast_sender m_send_forecast;
     http_client m_http;
--- a/src/edge/store_rows.cpp
+++ b/src/edge/store_rows.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include <platform/rollout_rows.hpp>
 #include <platform/rows.hpp>
 
 // Effects of rows on this host, whether they come from the store or from another host.
@@ -60,7 +61,14 @@
 bool store_watch::apply_row(cached_table& table, const serving::row_change& change)
 {
     const bool is_new = !table.m_copy.m_rows.contains(change.m_key);
-    const serving::row_effect effect = serving::apply_row(table.m_copy, change);
+    serving::row_effect effect = serving::apply_row(table.m_copy, change);
+    // An order that the operator writes once more is another order.
+    const bool is_order = &table == &m_operator_table && change.m_value &&
+                          platform::rollout_pool(change.m_key);
+    if (effect == serving::row_effect::confirmed && is_order)
+    {
+        effect = serving::row_effect::changed;
+    }
     if (effect == serving::row_effect::none || effect == serving::row_effect::confirmed)
     {
         return false;
@@ -69,9 +77,8 @@
     if (effect == serving::row_effect::changed)
     {
         const std::string* value = change.m_value ? &*change.m_value : nullptr;
-        is_relevant = &table == &m_operator_table
-                          ? apply_operator_row(change.m_key, value)
-                          : apply_upstream(change.m_key, value);
+        is_relevant = &table == &m_operator_table ? apply_operator_row(change)
+                                                  : apply_upstream(change.m_key, value);
     }
     if (is_relevant || is_new)
     {
@@ -113,8 +120,44 @@
     publish(changes_before);
 }
 
-bool store_watch::apply_operator_row(const std::string& key, const std::string* value)
+void store_watch::apply_rollout_order(const pool_id& pool,
+                                      const serving::row_change& change)
+{
+    if (!change.m_value)
+    {
+        serving::withdraw_order(m_state.m_rollouts, pool, now());
+        log_event{"rollout_withdrawn"}.add("pool", pool);
+        return;
+    }
+    const auto order =
+        platform::decode_rollout_order(pool, *change.m_value, change.m_version);
+    if (!is_ok(order))
+    {
+        log_event{"rollout_order_rejected"}
+            .add("pool", pool)
+            .add("reason", error_of(order).m_detail);
+        return;
+    }
+    // What a host finds at its start may have been ordered long ago.
+    const bool is_new = m_state.m_own_report.m_ready;
+    serving::apply_order(m_state.m_rollouts, value_of(order), is_new, now());
+    log_event{"rollout_ordered"}
+        .add("pool", pool)
+        .add("version", value_of(order).m_version)
+        .add("duration_ms", value_of(order).m_duration.count())
+        .add("order", value_of(order).m_id)
+        .add("is_new", is_new);
+}
+
+bool store_watch::apply_operator_row(const serving::row_change& change)
 {
+    const std::string& key = change.m_key;
+    const std::string* value = change.m_value ? &*change.m_value : nullptr;
+    if (const auto pool = platform::rollout_pool(key))
+    {
+        apply_rollout_order(*pool, change);
+        return true;
+    }
     if (const auto data_centre = platform::evacuated_data_centre(key))
     {
         if (value != nullptr)
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -94,7 +94,8 @@
     /// Stores a change and lets it take effect. Returns whether it is relevant to other
     /// hosts.
     bool apply_row(cached_table& table, const serving::row_change& change);
-    bool apply_operator_row(const std::string& key, const std::string* value);
+    bool apply_operator_row(const serving::row_change& change);
+    void apply_rollout_order(const pool_id& pool, const serving::row_change& change);
     bool apply_upstream(const std::string& key, const std::string* value);
     /// Returns all rows of the registry; a large one is compressed, and kept for the
     /// hosts that ask next.
--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -160,7 +160,8 @@
                               const prompt& request_prompt, const engine_limits& limits,
                               const std::vector<upstream_id>& tried,
                               const input_location& inputs, time_point now,
-                              const std::optional<software_version>& version)
+                              const std::optional<software_version>& version,
+                              bool is_trial)
 {
     struct home
     {
@@ -175,7 +176,8 @@
     version_counts engines_of_version;
     for (const auto& [id, row] : table.m_rows)
     {
-        if (row.m_entry.m_pool != pool || !accepts_work(table, row))
+        if (row.m_entry.m_pool != pool || !accepts_work(table, row) ||
+            !is_in_use(row, version, is_trial))
         {
             continue;
         }
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -95,7 +95,9 @@
     std::optional<time_point> first;
     for (const auto& [id, row] : table.m_rows)
     {
-        if (row.m_entry.m_pool != pool || !accepts_work(table, row) ||
+        const bool is_usable =
+            is_in_use(row, version, false) || is_in_use(row, version, true);
+        if (row.m_entry.m_pool != pool || !accepts_work(table, row) || !is_usable ||
             !has_version(row, version))
         {
             continue;
@@ -124,6 +126,7 @@
 bool accepts_work(const upstream_table& table, const upstream& candidate)
 {
     return !candidate.m_entry.m_leaving && !candidate.m_says_leaving &&
+           candidate.m_use != upstream_use::closed &&
            !table.m_evacuated_data_centres.contains(candidate.m_entry.m_data_centre);
 }
 
@@ -140,6 +143,16 @@
            (candidate.m_entry.m_version == *version && !candidate.m_doubted_at);
 }
 
+bool is_in_use(const upstream& candidate, const std::optional<software_version>& version,
+               bool is_trial)
+{
+    if (version)
+    {
+        return candidate.m_use != upstream_use::closed;
+    }
+    return candidate.m_use == (is_trial ? upstream_use::trial : upstream_use::any);
+}
+
 void doubt_start(upstream& row, time_point at)
 {
     if (at > std::max(row.m_certain_at, row.m_doubted_at.value_or(time_point{})))
@@ -238,7 +251,8 @@
 const upstream* choose_upstream(const upstream_table& table, const pool_id& pool,
                                 const data_centre_id& own_data_centre,
                                 const std::vector<upstream_id>& tried, time_point now,
-                                const std::optional<software_version>& version)
+                                const std::optional<software_version>& version,
+                                bool is_trial)
 {
     const upstream* selected = nullptr;
     double selected_cost = 0;
@@ -246,7 +260,8 @@
     {
         const bool is_candidate =
             row.m_entry.m_pool == pool && accepts_work(table, row) &&
-            has_version(row, version) && decide_send(row, now) != send_decision::denied &&
+            is_in_use(row, version, is_trial) && has_version(row, version) &&
+            decide_send(row, now) != send_decision::denied &&
             std::find(tried.begin(), tried.end(), id) == tried.end();
         if (!is_candidate)
         {
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -144,6 +144,21 @@
     return report;
 }
 
+rollout_report sample_rollout_report()
+{
+    rollout_report report;
+    report.m_node = node_id{"host-1"};
+    report.m_incarnation = incarnation{5};
+    report.m_sequence = 30;
+    report.m_pool = "engines";
+    report.m_version = "v2";
+    report.m_order = 31;
+    report.m_phase = 2;
+    report.m_counts.push_back({32, 1, 40, 2, 1});
+    report.m_unproven.emplace_back("v3");
+    return report;
+}
+
 /// Messages of edge hosts, each with its variable parts filled.
 std::vector<node_message> edge_messages()
 {
@@ -187,7 +202,7 @@
           datagram{origin_report{{{25, "v1", 40}, {26, "", 0}}}},
           datagram{origin_request{27, 25, "engines"}},
           datagram{origin_reply{27, origin_finding::recorded, "v1", 40}},
-          datagram{doubt_report{{{28, 40}, {29, 0}}}}})
+          datagram{doubt_report{{{28, 40}, {29, 0}}}}, datagram{sample_rollout_report()}})
     {
         const std::string bytes = value_of(encode_datagram(report));
         const auto received = decode_datagram(bytes);
--- a/tests/standins/repeated_answer_test.cpp
+++ b/tests/standins/repeated_answer_test.cpp
@@ -34,7 +34,12 @@
                    time,
                    std::move(answer)}
         , m_permits{m_state, [](const auto&, const auto&) {}}
-        , m_scheduler{m_state, m_permits,
+        , m_rollouts{m_state, [](const auto&, const auto&) {},
+                     [](const auto&)
+                     {
+                         return milliseconds{0};
+                     }}
+        , m_scheduler{m_state, m_permits, m_rollouts,
                       [this](const node_id&, pieces_result result)
                       {
                           m_results.push_back(std::move(result));
@@ -124,6 +129,7 @@
     timer_service m_timers{now()};
     edge_state m_state{m_io.get_executor(), {}, m_timers};
     send_permits m_permits;
+    rollout_exchange m_rollouts;
     std::vector<pieces_result> m_results;
     stage_scheduler m_scheduler;
     std::uint64_t m_last_job = 0;
