--- a/include/geraniumdoor/edge/edge_settings.hpp
+++ b/include/geraniumdoor/edge/edge_settings.hpp
@@ -39,6 +39,8 @@
     double m_cpu_cores = 1;
     /// File descriptors that the process may open.
     std::uint32_t m_max_open_files = 1024;
+    /// Memory of the machine, in bytes; zero if the settings do not tell.
+    std::size_t m_memory_bytes = 0;
     serving::retry_limits m_retry_limits;
     /// Bounds for software versions that are being tried. Without them in the settings,
     /// the defaults apply to orders, and versions without an order are not held back.
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -11,6 +11,7 @@
 constexpr std::size_t max_settings_bytes = std::size_t{64} * 1024;
 constexpr std::size_t max_address_length = 64;
 constexpr std::size_t max_seeds = 64;
+constexpr std::size_t bytes_per_megabyte = 1'000'000;
 
 ip_endpoint read_endpoint(object_reader& reader, std::string_view key)
 {
@@ -65,6 +66,12 @@
     settings.m_cpu_cores = reader.real("processor_share", 0.001, 1024);
     settings.m_max_open_files =
         static_cast<std::uint32_t>(reader.number("open_files", {64, 10'000'000}));
+    if (reader.has("memory_mb"))
+    {
+        settings.m_memory_bytes =
+            bytes_per_megabyte *
+            static_cast<std::size_t>(reader.number("memory_mb", {1, 10'000'000}));
+    }
     settings.m_retry_limits.m_ratio = reader.real("retry_ratio", 0, 100);
     settings.m_retry_limits.m_slack = reader.real("retry_slack", 0, 1e6);
     settings.m_retry_limits.m_window = read_seconds(reader, "retry_window_s");
--- a/tests/programs/child_process.hpp
+++ b/tests/programs/child_process.hpp
@@ -71,6 +71,11 @@
         return m_process > 0;
     }
 
+    pid_t id() const
+    {
+        return m_process;
+    }
+
     void send(int signal) const
     {
         if (running())
--- a/tests/standins/rollout_test.cpp
+++ b/tests/standins/rollout_test.cpp
@@ -157,7 +157,7 @@
 
 } // namespace
 
-TestSuite(rollout, .timeout = 90);
+TestSuite(rollout, .timeout = 60);
 
 // Guards against a new version that never gets the traffic, and against upstreams that
 // are told to stop while requests run at them.
