Bound the memory and the connections that callers may take

Cause: each connection could hold a body of the configured limit, copied once more for each upstream, and a third of the descriptors could stand still in the middle of a request. Nothing knew the machine's memory.

It decides at the head of a request and while a chunked body grows; who stands still gives way to who sends; small bodies have a reserve. Attempts share the caller's body. A connection that stands still makes room for a new one when all are taken; listeners for checks, metrics and addresses have bounds from the descriptors.

--- a/include/geraniumdoor/net/http_server.hpp
+++ b/include/geraniumdoor/net/http_server.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumdoor/net/http_types.hpp>
+#include <geraniumdoor/net/memory_account.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -26,6 +27,12 @@
 
     virtual const http_request& request() const = 0;
 
+    /// Body of the request, which may outlive the exchange.
+    virtual std::shared_ptr<const std::string> shared_body() const
+    {
+        return std::make_shared<const std::string>(request().m_body);
+    }
+
     /// Address of the peer, as text.
     virtual std::string peer() const = 0;
 
@@ -65,9 +72,10 @@
 class http_server
 {
 public:
+    /// @param memory what the bodies of all requests may take; null for no limit
     http_server(boost::asio::any_io_executor executor,
                 boost::asio::ip::tcp::endpoint endpoint, http_limits limits,
-                http_handler handler);
+                http_handler handler, std::shared_ptr<memory_pool> memory = nullptr);
     ~http_server();
     http_server(const http_server&) = delete;
     http_server& operator=(const http_server&) = delete;
--- a/include/geraniumdoor/net/http_types.hpp
+++ b/include/geraniumdoor/net/http_types.hpp
@@ -4,6 +4,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <memory>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -22,6 +23,8 @@
     std::string m_target = "/";
     http_fields m_fields;
     std::string m_body;
+    /// Body that is sent instead of m_body, and shared with other requests; may be null.
+    std::shared_ptr<const std::string> m_shared_body = nullptr;
 };
 
 struct http_response
--- /dev/null
+++ b/include/geraniumdoor/net/memory_account.hpp
@@ -0,0 +1,153 @@
+#pragma once
+
+#include <geraniumdoor/base/strong_id.hpp>
+#include <geraniumdoor/base/units.hpp>
+
+#include <cstddef>
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <vector>
+
+namespace geraniumdoor
+{
+
+/// Memory for what a process holds for its peers.
+struct memory_limits
+{
+    /// Bytes of all bodies together; zero for no limit.
+    std::size_t m_total_bytes = 0;
+    /// Part of it that only small bodies may use.
+    std::size_t m_small_reserve_bytes = 0;
+};
+
+/// Limits for a process on a machine with that memory; none if it is zero.
+memory_limits memory_limits_of(std::size_t machine_bytes);
+
+/// Bodies up to this size count as small.
+inline constexpr std::size_t max_small_bytes = std::size_t{64} * 1024;
+
+/// Bodies up to this size are not counted; connections are limited in number.
+inline constexpr std::size_t max_uncounted_bytes = std::size_t{4} * 1024;
+
+/// Bytes that a peer has to send to count as making progress, and time without progress
+/// after which it stands still. 4 KiB in a second are 0.03 Mbit/s.
+inline constexpr std::size_t min_progress_bytes = std::size_t{4} * 1024;
+inline constexpr milliseconds max_still_time{1000};
+
+using memory_holder_id = strong_number<struct memory_holder_tag>;
+
+struct memory_holder
+{
+    std::size_t m_bytes = 0;
+    /// Bytes received when the peer last made progress.
+    std::size_t m_marked_bytes = 0;
+    time_point m_progress_at{};
+    /// Still receives, so that its connection may be closed.
+    bool m_is_receiving = false;
+};
+
+/// What is held, by holder.
+struct memory_account
+{
+    memory_limits m_limits;
+    std::map<memory_holder_id, memory_holder> m_holders;
+    std::size_t m_held_bytes = 0;
+};
+
+enum class memory_verdict : std::uint8_t
+{
+    granted,
+    refused,
+    /// Granted once the connection of another holder is closed.
+    close_other,
+};
+
+struct memory_decision
+{
+    memory_verdict m_verdict = memory_verdict::granted;
+    memory_holder_id m_other;
+};
+
+/// Decides whether a holder may hold that many bytes in all, and counts them if so.
+///
+/// Load pattern: many peers that send large bodies at once, of announced or of unknown
+/// length, most of which stop just short of the end and stay connected. Peers that stand
+/// still are closed before any that makes progress is refused, the longest one first. A
+/// part is kept for small bodies. A single large body is granted whatever the limits.
+memory_decision request_memory(memory_account& account, memory_holder_id holder,
+                               std::size_t bytes, time_point now);
+
+/// Records how many bytes a peer has sent so far.
+void record_received(memory_account& account, memory_holder_id holder, std::size_t bytes,
+                     time_point now);
+
+/// Returns what a holder holds.
+void release_memory(memory_account& account, memory_holder_id holder);
+
+/// A connection as seen when there is no room for another one.
+struct waiting_peer
+{
+    /// A request is expected, or has arrived in part.
+    bool m_is_receiving = false;
+    /// Waits between two requests.
+    bool m_is_idle = false;
+    time_point m_still_since{};
+};
+
+/// Returns the connection to close for a new one: that which has stood still for longest
+/// in a request, or between two if there is none; empty if all make progress.
+///
+/// Load pattern: a crowd opens all connections that a host accepts and keeps them.
+std::optional<std::size_t> connection_to_close(const std::vector<waiting_peer>& peers,
+                                               time_point now);
+
+/// Account of a process, with the connections that may be closed. Used from one thread.
+struct memory_pool
+{
+    explicit memory_pool(memory_limits limits)
+    {
+        m_account.m_limits = limits;
+    }
+
+    memory_account m_account;
+    std::map<memory_holder_id, std::function<void()>> m_closers;
+    std::uint64_t m_last_id = 0;
+    /// Numbers of holders that were refused, and closed for others.
+    std::uint64_t m_refused = 0;
+    std::uint64_t m_closed = 0;
+};
+
+/// Bytes that something holds, returned when it goes.
+class memory_lease
+{
+public:
+    memory_lease() = default;
+
+    /// @param close closes the connection of the holder; empty if it has none to close
+    memory_lease(std::shared_ptr<memory_pool> pool, std::function<void()> close);
+    ~memory_lease();
+    memory_lease(memory_lease&& other) noexcept;
+    memory_lease& operator=(memory_lease&& other) noexcept;
+    memory_lease(const memory_lease&) = delete;
+    memory_lease& operator=(const memory_lease&) = delete;
+
+    /// Asks for a number of bytes in all. Closes others where that is decided.
+    /// @return whether they are granted
+    bool resize(std::size_t bytes);
+
+    void record_received(std::size_t bytes);
+
+    /// From now on the holder makes progress by itself and is not closed for others.
+    void end_receiving();
+
+    void release();
+
+private:
+    std::shared_ptr<memory_pool> m_pool;
+    memory_holder_id m_id;
+};
+
+} // namespace geraniumdoor
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -99,10 +99,16 @@
     return limits;
 }
 
-http_limits small_request_limits()
+/// Part of the descriptors that a listener for small requests may use: checks and
+/// operators are few, address queries come from all callers.
+constexpr std::uint32_t service_connections_divisor = 32;
+constexpr std::uint32_t directory_connections_divisor = 6;
+
+http_limits small_request_limits(std::uint32_t connections)
 {
     http_limits limits;
     limits.m_body_bytes = 1024;
+    limits.m_connections = connections;
     return limits;
 }
 
@@ -248,21 +254,25 @@
                 [this](http_exchange& exchange)
                 {
                     return m_relay.serve(exchange);
-                }}
+                },
+                m_state.m_memory}
     , m_admin{io.get_executor(), to_tcp(m_state.m_settings.m_admin_endpoint),
-              small_request_limits(),
+              small_request_limits(m_state.m_settings.m_max_open_files /
+                                   service_connections_divisor),
               [this](http_exchange& exchange)
               {
                   return serve_admin(exchange);
               }}
     , m_metrics{io.get_executor(), to_tcp(m_state.m_settings.m_metrics_endpoint),
-                small_request_limits(),
+                small_request_limits(m_state.m_settings.m_max_open_files /
+                                     service_connections_divisor),
                 [this](http_exchange& exchange)
                 {
                     return serve_admin(exchange);
                 }}
     , m_directory{io.get_executor(), to_tcp(m_state.m_settings.m_directory_endpoint),
-                  small_request_limits(),
+                  small_request_limits(m_state.m_settings.m_max_open_files /
+                                       directory_connections_divisor),
                   [this](http_exchange& exchange)
                   {
                       return serve_directory(exchange);
@@ -775,6 +785,13 @@
     if (exchange.request().m_target == "/metrics")
     {
         response.m_fields.emplace_back("Content-Type", "text/plain; version=0.0.4");
+        const memory_pool& memory = *m_state.m_memory;
+        m_state.m_metrics.set("body_memory_bytes", {},
+                              static_cast<double>(memory.m_account.m_held_bytes));
+        m_state.m_metrics.set("body_memory_refusals", {},
+                              static_cast<double>(memory.m_refused));
+        m_state.m_metrics.set("body_memory_closed", {},
+                              static_cast<double>(memory.m_closed));
         m_state.m_metrics.set("requests_active", {},
                               static_cast<double>(m_relay.active()));
         for (const suspect_kind kind :
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -6,6 +6,7 @@
 #include <geraniumdoor/base/timer_service.hpp>
 #include <geraniumdoor/edge/edge_settings.hpp>
 #include <geraniumdoor/metrics/metric_registry.hpp>
+#include <geraniumdoor/net/memory_account.hpp>
 #include <geraniumdoor/serving/crash_suspects.hpp>
 #include <geraniumdoor/serving/host_table.hpp>
 #include <geraniumdoor/serving/planned_stop.hpp>
@@ -38,12 +39,16 @@
     {
         m_retry_budget.m_limits = m_settings.m_retry_limits;
         m_rollout_limits = m_settings.m_rollout_limits;
+        m_memory =
+            std::make_shared<memory_pool>(memory_limits_of(m_settings.m_memory_bytes));
     }
 
     boost::asio::any_io_executor m_executor;
     edge_settings m_settings;
     timer_service& m_timers;
     metric_registry m_metrics;
+    /// What bodies of callers' requests and of answers to them take.
+    std::shared_ptr<memory_pool> m_memory;
     /// Empty until a configuration is known. A request keeps the one in force when it
     /// arrived.
     std::shared_ptr<const serving::routing_config> m_routing;
--- a/src/edge/host_status.cpp
+++ b/src/edge/host_status.cpp
@@ -190,6 +190,9 @@
     body["cold_extra"] = state.m_settings.m_cold_burst;
     body["stop_time_ms"] = state.m_settings.m_shutdown_timeout.count();
     body["open_files"] = state.m_settings.m_max_open_files;
+    body["memory_bytes"] = state.m_settings.m_memory_bytes;
+    body["body_memory_limit"] = state.m_memory->m_account.m_limits.m_total_bytes;
+    body["body_memory_held"] = state.m_memory->m_account.m_held_bytes;
     body["hosts_that_share_bounds"] =
         serving::count_possible_senders(state.m_hosts, now());
     if (state.m_routing)
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -26,6 +26,9 @@
 /// can be repeated if the response is truncated.
 constexpr std::size_t max_buffered_response_bytes = std::size_t{256} * 1024;
 
+/// Responses up to this size are buffered in any case.
+constexpr std::size_t max_uncounted_answer_bytes = std::size_t{16} * 1024;
+
 /// The response to an idempotent request is overdue after this share of its latency
 /// target, but not before the minimum.
 constexpr double usual_share_of_target = 0.6;
@@ -406,6 +409,7 @@
     fields.m_remaining_time = time_left(current);
     fields.m_inputs = final_inputs(current);
     fields.m_last_event_id = current.m_last_event_id;
+    fields.m_body = current.m_exchange.shared_body();
     if (is_stream(current.m_route->m_retry_safety))
     {
         fields.m_engine_priority = engine_priority(current.m_metadata.m_prompt);
@@ -660,8 +664,7 @@
     }
     // A caller that leaves early says nothing of the upstream.
     const bool is_late = is_silent && !current.m_caller_gone;
-    m_rollouts.record_answer(*row, current.m_route->m_name, taken, is_faulty,
-                             is_late);
+    m_rollouts.record_answer(*row, current.m_route->m_name, taken, is_faulty, is_late);
 }
 
 void request_relay::record_duration(const request& current, duration taken,
@@ -733,6 +736,8 @@
 {
     std::string body;
     bool more = true;
+    bool is_counted = false;
+    current.m_answer_memory = memory_lease{m_state.m_memory, {}};
     while (more)
     {
         const auto part = co_await current.m_upstream_call->read_part(time_left(current));
@@ -748,7 +753,13 @@
         }
         more = !value_of(part).empty();
         body += value_of(part);
-        if (body.size() > max_buffered_response_bytes)
+        // Without memory for it, the rest of the body is passed on as it arrives.
+        const bool is_large =
+            body.size() > max_buffered_response_bytes ||
+            (body.size() > max_uncounted_answer_bytes && !is_counted &&
+             !current.m_answer_memory.resize(max_buffered_response_bytes));
+        is_counted = is_counted || body.size() > max_uncounted_answer_bytes;
+        if (is_large)
         {
             const auto outcome =
                 co_await relay_large_body(current, head, std::move(body));
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -114,6 +114,7 @@
     bool m_origin_recorded = false;
     /// Complete response of an upstream, not yet sent to the caller.
     std::optional<http_response> m_buffered_response;
+    memory_lease m_answer_memory;
     /// Id of the last event forwarded to the caller, and the bytes received so far of an
     /// incomplete event.
     std::string m_last_event_id;
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -78,7 +78,8 @@
     /// Limited, because Beast buffers the head of a chunk and the trailer as a whole.
     beast::flat_buffer m_buffer;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
-    http::request<http::string_body> m_request;
+    http::request<http::span_body<const char>> m_request;
+    std::shared_ptr<const std::string> m_request_body;
     std::array<char, part_bytes> m_part{};
     bool m_closed = false;
     /// Bytes of the request may have left this process.
@@ -181,11 +182,15 @@
     {
         self->m_request.insert(name, value);
     }
-    self->m_request.body() = std::move(request.m_body);
-    if (!self->m_request.body().empty() || request.m_method == "POST" ||
+    self->m_request_body =
+        request.m_shared_body
+            ? request.m_shared_body
+            : std::make_shared<const std::string>(std::move(request.m_body));
+    self->m_request.body() = {self->m_request_body->data(), self->m_request_body->size()};
+    if (!self->m_request_body->empty() || request.m_method == "POST" ||
         request.m_method == "PUT")
     {
-        self->m_request.content_length(self->m_request.body().size());
+        self->m_request.content_length(self->m_request_body->size());
     }
     self->m_sent = true;
     self->m_stream.expires_after(limit);
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -84,7 +84,7 @@
                                bool keep_alive, const http_limits& limits,
                                const bool& draining)
     : m_stream{stream}
-    , m_request{std::move(request)}
+    , m_request{std::make_shared<const http_request>(std::move(request))}
     , m_keep_alive{keep_alive}
     , m_limits{limits}
     , m_draining{draining}
@@ -98,7 +98,12 @@
 
 const http_request& beast_exchange::request() const
 {
-    return m_request;
+    return *m_request;
+}
+
+std::shared_ptr<const std::string> beast_exchange::shared_body() const
+{
+    return {m_request, &m_request->m_body};
 }
 
 std::string beast_exchange::peer() const
@@ -183,7 +188,7 @@
     if (m_left)
     {
         require_invariant(part.size() <= *m_left, "answer_within_its_length",
-                          m_request.m_target);
+                          m_request->m_target);
         *m_left -= part.size();
     }
     if (m_left || m_unframed)
@@ -243,7 +248,7 @@
 
 void beast_exchange::begin_response()
 {
-    require_invariant(!m_answered, "one_answer_per_request", m_request.m_target);
+    require_invariant(!m_answered, "one_answer_per_request", m_request->m_target);
     m_answered = true;
     m_keep_alive = m_keep_alive && !m_draining;
 }
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -23,6 +23,7 @@
     beast_exchange& operator=(const beast_exchange&) = delete;
 
     const http_request& request() const override;
+    std::shared_ptr<const std::string> shared_body() const override;
     std::string peer() const override;
     boost::asio::awaitable<void> respond(http_response response) override;
     boost::asio::awaitable<void> begin_stream(unsigned status,
@@ -58,7 +59,7 @@
     void end_watch();
 
     boost::beast::tcp_stream& m_stream;
-    http_request m_request;
+    std::shared_ptr<const http_request> m_request;
     bool m_keep_alive;
     http_limits m_limits;
     const bool& m_draining;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -84,6 +84,10 @@
     beast::tcp_stream m_stream;
     beast::flat_buffer m_buffer;
     connection_phase m_phase = connection_phase::fresh;
+    /// When the peer last made progress with a request, or has ended one.
+    time_point m_progress_at = std::chrono::steady_clock::now();
+    /// The connection is closed to make room for others.
+    bool m_is_displaced = false;
     time_point m_accepted_at = std::chrono::steady_clock::now();
     /// An answer was written after which the connection carries no other request.
     bool m_answered_last = false;
@@ -120,6 +124,13 @@
     return waits && !awaits_first && !has_unread_bytes(peer);
 }
 
+/// Ends the wait for the peer's bytes, to make room for others.
+void displace(connection& peer)
+{
+    peer.m_is_displaced = true;
+    peer.m_stream.cancel();
+}
+
 /// Closes the connection in a way that does not destroy an answer which the peer has yet
 /// to read, as a close with unread input would: ends the own side and waits for the peer
 /// to close, within limits of time and bytes.
@@ -162,6 +173,9 @@
 /// Bytes that one read returns at most.
 constexpr std::size_t read_bytes = std::size_t{64} * 1024;
 
+/// Buffer that a connection keeps between two requests.
+constexpr std::size_t max_kept_buffer_bytes = std::size_t{16} * 1024;
+
 constexpr milliseconds refusal_timeout{1000};
 /// Refused connections that are told why at the same time; more are closed at once.
 constexpr std::size_t max_refusals = 64;
@@ -207,6 +221,17 @@
     --*refusals;
 }
 
+/// Answers a request that has not arrived completely, because it takes memory or a
+/// connection that others need.
+asio::awaitable<void> send_overloaded(connection& peer)
+{
+    const auto message =
+        make_refusal("overloaded", "this host has no room for the request", seconds{1});
+    peer.m_answered_last = true;
+    peer.m_stream.expires_after(linger_time);
+    co_await http::async_write(peer.m_stream, message, use_tuple);
+}
+
 /// Answers a request that has not arrived completely, because the server stops.
 asio::awaitable<void> send_stopping(connection& peer)
 {
@@ -236,11 +261,12 @@
 struct http_server::state : std::enable_shared_from_this<http_server::state>
 {
     state(asio::any_io_executor executor, tcp::endpoint endpoint, http_limits limits,
-          http_handler handler)
+          http_handler handler, std::shared_ptr<memory_pool> memory)
         : m_executor{std::move(executor)}
         , m_endpoint{endpoint}
         , m_limits{limits}
         , m_handler{std::move(handler)}
+        , m_memory{std::move(memory)}
         , m_acceptor{m_executor}
     {
     }
@@ -252,8 +278,12 @@
     asio::awaitable<void> serve(std::shared_ptr<connection> peer);
     asio::awaitable<bool> serve_one(connection& peer);
     asio::awaitable<bool> wait_for_request(connection& peer);
-    asio::awaitable<beast::error_code> read_request(connection& peer,
-                                                    request_parser& parser);
+    asio::awaitable<beast::error_code>
+    read_request(connection& peer, request_parser& parser, memory_lease& memory);
+    asio::awaitable<beast::error_code> read_body(connection& peer, request_parser& parser,
+                                                 memory_lease& memory);
+    /// Closes a connection that stands still, if there is one. Returns whether it did.
+    bool displace_still_peer();
     asio::awaitable<bool> run_handler(connection& peer, http_request request,
                                       bool keep_alive);
 
@@ -261,6 +291,7 @@
     tcp::endpoint m_endpoint;
     http_limits m_limits;
     http_handler m_handler;
+    std::shared_ptr<memory_pool> m_memory;
     tcp::acceptor m_acceptor;
     std::unordered_set<std::shared_ptr<connection>> m_connections;
     std::size_t m_active = 0;
@@ -286,7 +317,7 @@
 
 void http_server::state::add_connection(tcp::socket socket)
 {
-    if (m_connections.size() >= m_limits.m_connections)
+    if (m_connections.size() >= m_limits.m_connections && !displace_still_peer())
     {
         log_event{"connection_refused"}.add("reason", "too_many_connections");
         refuse(std::move(socket));
@@ -299,6 +330,30 @@
     asio::co_spawn(m_executor, serve(std::move(peer)), asio::detached);
 }
 
+bool http_server::state::displace_still_peer()
+{
+    std::vector<waiting_peer> states;
+    std::vector<connection*> peers;
+    for (const auto& peer : m_connections)
+    {
+        const bool awaits = peer->m_phase == connection_phase::fresh ||
+                            peer->m_phase == connection_phase::receiving;
+        states.push_back({awaits && !peer->m_is_displaced,
+                          peer->m_phase == connection_phase::idle &&
+                              !peer->m_is_displaced && !has_unread_bytes(*peer),
+                          peer->m_progress_at});
+        peers.push_back(peer.get());
+    }
+    const auto found = connection_to_close(states, std::chrono::steady_clock::now());
+    if (!found)
+    {
+        return false;
+    }
+    log_event{"still_peer_closed"}.add("reason", "connections");
+    displace(*peers[*found]);
+    return true;
+}
+
 /// Accepts the connections that the kernel has completed. Closing the listener would
 /// reset them, with the requests that they may carry.
 void http_server::state::accept_pending()
@@ -355,18 +410,70 @@
         peer.m_buffer.commit(size);
         // A request may have arrived while close_idle cancelled the wait.
         const bool has_arrived = read_error == asio::error::operation_aborted &&
-                                 !m_closed && has_unread_bytes(peer);
+                                 !m_closed && !peer.m_is_displaced &&
+                                 has_unread_bytes(peer);
         error = has_arrived ? beast::error_code{} : read_error;
     }
     co_return !error;
 }
 
+asio::awaitable<beast::error_code> http_server::state::read_body(connection& peer,
+                                                                 request_parser& parser,
+                                                                 memory_lease& memory)
+{
+    std::size_t counted = 0;
+    std::size_t received = 0;
+    std::size_t marked = 0;
+    const auto is_granted = [&](std::size_t bytes)
+    {
+        const bool counts = bytes > max_uncounted_bytes && bytes > counted;
+        counted = counts ? bytes : counted;
+        return !counts || memory.resize(bytes);
+    };
+    // What is announced is asked for before a byte of it is read.
+    if (!is_granted(static_cast<std::size_t>(parser.content_length().value_or(0))))
+    {
+        co_return make_error_code(beast::errc::not_enough_memory);
+    }
+    while (!parser.is_done())
+    {
+        const auto [error, size] = co_await http::async_read_some(
+            peer.m_stream, peer.m_buffer, parser, use_tuple);
+        if (peer.m_is_displaced)
+        {
+            co_return make_error_code(beast::errc::not_enough_memory);
+        }
+        if (error)
+        {
+            co_return error;
+        }
+        received += size;
+        memory.record_received(received);
+        if (received >= marked + min_progress_bytes)
+        {
+            marked = received;
+            peer.m_progress_at = std::chrono::steady_clock::now();
+        }
+        const std::size_t held = parser.get().body().capacity();
+        if (!is_granted(held > max_uncounted_bytes ? held + peer.m_buffer.capacity() : 0))
+        {
+            co_return make_error_code(beast::errc::not_enough_memory);
+        }
+    }
+    co_return beast::error_code{};
+}
+
 asio::awaitable<beast::error_code>
-http_server::state::read_request(connection& peer, request_parser& parser)
+http_server::state::read_request(connection& peer, request_parser& parser,
+                                 memory_lease& memory)
 {
     peer.m_stream.expires_after(m_limits.m_receive_timeout);
     const auto [header_error, header_size] =
         co_await http::async_read_header(peer.m_stream, peer.m_buffer, parser, use_tuple);
+    if (peer.m_is_displaced)
+    {
+        co_return make_error_code(beast::errc::not_enough_memory);
+    }
     if (header_error)
     {
         co_return header_error;
@@ -375,6 +482,14 @@
     {
         co_return make_error_code(http::error::bad_transfer_encoding);
     }
+    if (parser.is_done())
+    {
+        co_return beast::error_code{};
+    }
+    memory = memory_lease{m_memory, [&peer]
+                          {
+                              displace(peer);
+                          }};
     if (beast::iequals(parser.get()[http::field::expect], "100-continue"))
     {
         const http::response<http::empty_body> proceed{http::status::continue_, 11};
@@ -386,8 +501,7 @@
         }
     }
     peer.m_stream.expires_after(m_limits.m_idle_timeout);
-    const auto [error, size] =
-        co_await http::async_read(peer.m_stream, peer.m_buffer, parser, use_tuple);
+    const beast::error_code error = co_await read_body(peer, parser, memory);
     co_return error;
 }
 
@@ -400,13 +514,22 @@
     }
     peer.m_phase = connection_phase::receiving;
     peer.m_answered_last = false;
-    request_parser parser;
-    parser.header_limit(static_cast<std::uint32_t>(m_limits.m_header_bytes));
-    parser.body_limit(m_limits.m_body_bytes);
+    memory_lease memory;
+    std::optional<request_parser> parser{std::in_place};
+    parser->header_limit(static_cast<std::uint32_t>(m_limits.m_header_bytes));
+    parser->body_limit(m_limits.m_body_bytes);
     // Beast buffers the head of a chunk and the trailer as a whole.
     peer.m_buffer.max_size(
         std::max(m_limits.m_header_bytes + read_bytes, peer.m_buffer.size()));
-    const beast::error_code error = co_await read_request(peer, parser);
+    peer.m_progress_at = std::chrono::steady_clock::now();
+    const beast::error_code error = co_await read_request(peer, *parser, memory);
+    if (error == beast::errc::not_enough_memory)
+    {
+        parser.reset();
+        memory.release();
+        co_await send_overloaded(peer);
+        co_return false;
+    }
     if (error == asio::error::operation_aborted && m_refusing)
     {
         co_await send_stopping(peer);
@@ -414,6 +537,8 @@
     }
     if (error)
     {
+        parser.reset();
+        memory.release();
         const unsigned status = status_for(error);
         if (status != 0)
         {
@@ -428,10 +553,18 @@
     }
     peer.m_stream.expires_never();
     peer.m_phase = connection_phase::answering;
-    const bool keep_alive = parser.get().keep_alive();
+    memory.end_receiving();
+    const bool keep_alive = parser->get().keep_alive();
+    auto message = parser->release();
+    parser.reset();
+    if (peer.m_buffer.size() == 0 && peer.m_buffer.capacity() > max_kept_buffer_bytes)
+    {
+        peer.m_buffer.shrink_to_fit();
+    }
     const bool reusable =
-        co_await run_handler(peer, to_request(parser.release()), keep_alive);
+        co_await run_handler(peer, to_request(std::move(message)), keep_alive);
     peer.m_phase = connection_phase::idle;
+    peer.m_progress_at = std::chrono::steady_clock::now();
     peer.m_answered_last = !reusable;
     co_return reusable;
 }
@@ -469,9 +602,10 @@
 }
 
 http_server::http_server(asio::any_io_executor executor, tcp::endpoint endpoint,
-                         http_limits limits, http_handler handler)
+                         http_limits limits, http_handler handler,
+                         std::shared_ptr<memory_pool> memory)
     : m_state{std::make_shared<state>(std::move(executor), endpoint, limits,
-                                      std::move(handler))}
+                                      std::move(handler), std::move(memory))}
 {
 }
 
