Judge an engine's time to the first token by its prompt and load

Cause: the slowness of an engine was its time to the first byte relative to the pool's mean, whatever the prompt: one long prompt made its home engine look slow, and the next prompts with its prefix were read elsewhere.

Change: the time is compared with what the prompt, the cached prefix and the requests beside it take at an engine of usual speed, and the pool's own pace is learnt from answers (serving/engine_pace). An engine is overdue by the pace of its pool. Admission keeps to the usual figures.

--- a/include/geraniumdoor/serving/engine_choice.hpp
+++ b/include/geraniumdoor/serving/engine_choice.hpp
@@ -63,13 +63,11 @@
 /// avoid a version that only one engine has while another has more, since nobody could
 /// take them up if that engine broke them off.
 /// @param is_trial chooses among engines of a version that is being tried
-const upstream*
-choose_engine(const upstream_table& table, const pool_id& pool,
-              const prompt& request_prompt, const engine_limits& limits,
-              const std::vector<upstream_id>& tried, const input_location& inputs,
-              time_point now,
-              const std::optional<software_version>& version = std::nullopt,
-              bool is_trial = false);
+const upstream* choose_engine(
+    const upstream_table& table, const pool_id& pool, const prompt& request_prompt,
+    const engine_limits& limits, const std::vector<upstream_id>& tried,
+    const input_location& inputs, time_point now,
+    const std::optional<software_version>& version = std::nullopt, bool is_trial = false);
 
 /// Admission priority of a prompt at an engine, from 0, the highest, to 9.
 ///
@@ -99,6 +97,14 @@
                                              const engine_limits& limits,
                                              std::uint64_t bytes, double bytes_per_ms);
 
+/// Whether an engine is the one that prompts with this prefix go to while it has time.
+bool is_home_engine(const upstream_table& table, const prompt& request_prompt,
+                    const upstream& engine, time_point now);
+
+/// The same at an engine of usual speed, with the requests that run there.
+double usual_first_token_ms(const upstream& engine, const prompt& request_prompt,
+                            bool cached);
+
 /// Expected time to first token, in milliseconds, as choose_engine uses it.
 /// @param cached whether the shared prefix is assumed to be in the engine's cache
 double expected_first_token_ms(const upstream& engine, const prompt& request_prompt,
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -95,6 +95,12 @@
         expected_first_token_ms(*chosen, current.m_metadata.m_prompt, false))};
 }
 
+double request_relay::pace_of(const request& current) const
+{
+    const auto pace = m_engine_paces.find(current.m_pool);
+    return pace == m_engine_paces.end() ? 1 : std::max(1.0, pace->second.m_ratio);
+}
+
 const upstream*
 request_relay::select_upstream(const request& current,
                                const std::vector<upstream_id>& tried) const
@@ -390,7 +396,8 @@
         return std::max(limit, min_usual_head_time);
     }
     const double expected =
-        static_cast<double>(expected_first_token_time(current).count());
+        static_cast<double>(expected_first_token_time(current).count()) *
+        pace_of(current);
     const milliseconds limit{static_cast<std::int64_t>(expected * response_head_factor)};
     return limit + response_head_margin;
 }
@@ -454,6 +461,7 @@
                 std::min<std::uint64_t>(row->m_running_tokens, tokens);
         }
     };
+    current.m_usual_first_token_ms = usual_first_token_of(current, id);
     update_running(true);
     current.m_progress = {};
     result<done, http_error> connected = done{};
@@ -521,6 +529,34 @@
     co_return outcome;
 }
 
+double request_relay::usual_first_token_of(const request& current,
+                                           const upstream_id& id) const
+{
+    const auto pool = current.m_routing->m_pools.find(current.m_pool);
+    const upstream* row = m_state.m_upstreams.m_rows.find(id);
+    const bool is_engine = pool != current.m_routing->m_pools.end() &&
+                           pool->second.m_engine && row != nullptr &&
+                           is_stream(current.m_route->m_retry_safety);
+    if (!is_engine)
+    {
+        return 0;
+    }
+    const prompt& request_prompt = current.m_metadata.m_prompt;
+    return usual_first_token_ms(
+        *row, request_prompt,
+        is_home_engine(m_state.m_upstreams, request_prompt, *row, now()));
+}
+
+double request_relay::slowness_of_answer(const pool_id& pool, double elapsed_ms)
+{
+    double& mean_ms = m_mean_first_byte_ms[pool];
+    mean_ms =
+        mean_ms == 0 ? elapsed_ms : mean_ms + sample_weight * (elapsed_ms - mean_ms);
+    constexpr double min_slowness = 0.3;
+    constexpr double max_slowness = 8;
+    return std::clamp(elapsed_ms / std::max(1.0, mean_ms), min_slowness, max_slowness);
+}
+
 bool request_relay::takes_requests(const upstream_id& id) const
 {
     const upstream* row = m_state.m_upstreams.m_rows.find(id);
@@ -611,12 +647,11 @@
     {
         const time_point first = std::max(began, current.m_first_byte_at);
         const double elapsed_ms = std::max(1.0, to_ms(first - began));
-        double& mean_ms = m_mean_first_byte_ms[current.m_pool];
-        mean_ms =
-            mean_ms == 0 ? elapsed_ms : mean_ms + sample_weight * (elapsed_ms - mean_ms);
-        constexpr double max_slowness = 8;
+        const bool is_engine = current.m_usual_first_token_ms > 0;
         const double slowness =
-            std::clamp(elapsed_ms / std::max(1.0, mean_ms), 0.3, max_slowness);
+            is_engine ? record_first_token(m_engine_paces[current.m_pool],
+                                           current.m_usual_first_token_ms, elapsed_ms)
+                      : slowness_of_answer(current.m_pool, elapsed_ms);
         record_response(m_state.m_upstreams, *row, outcome == attempt_outcome::answered,
                         slowness);
         break;
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -14,6 +14,7 @@
 #include <geraniumdoor/serving/crash_suspects.hpp>
 #include <geraniumdoor/serving/duration_estimate.hpp>
 #include <geraniumdoor/serving/engine_choice.hpp>
+#include <geraniumdoor/serving/engine_pace.hpp>
 #include <geraniumdoor/serving/event_stream.hpp>
 #include <geraniumdoor/serving/path_estimate.hpp>
 #include <geraniumdoor/serving/request_identity.hpp>
@@ -109,6 +110,9 @@
     upstream_run m_upstream_run;
     /// Software version of that upstream.
     software_version m_upstream_version;
+    /// Time to the first token at an engine of usual speed, as of the attempt's start;
+    /// zero for other upstreams.
+    double m_usual_first_token_ms = 0;
     /// Version that began the stream; empty before its first event.
     std::optional<software_version> m_stream_version;
     bool m_origin_recorded = false;
@@ -396,6 +400,19 @@
     void record_for_rollout(const request& current, serving::attempt_outcome outcome,
                             time_point began);
 
+    /// Factor by which engines of the request's pool take longer than the usual figures
+    /// say. An upstream is overdue by what its pool takes; admission keeps to the usual
+    /// figures, since a request that is turned away may yet have been served in time.
+    double pace_of(const request& current) const;
+
+    /// Time to the first token at an engine if it were of usual speed; zero for other
+    /// upstreams.
+    double usual_first_token_of(const request& current, const upstream_id& id) const;
+
+    /// Records the time to the first byte of an upstream that is no engine. Returns it as
+    /// a multiple of the pool's mean.
+    double slowness_of_answer(const pool_id& pool, double elapsed_ms);
+
     /// Whether an upstream still takes requests from this host.
     bool takes_requests(const upstream_id& id) const;
 
@@ -421,6 +438,8 @@
     std::unordered_set<request*> m_requests;
     /// Durations of calls by the name of their route, from the sending to the last byte.
     std::unordered_map<std::string, serving::duration_estimate> m_durations;
+    /// Times of first tokens in each pool of engines.
+    std::unordered_map<pool_id, serving::engine_pace> m_engine_paces;
     /// Moving average of the time to the first byte in each pool, in milliseconds.
     std::unordered_map<pool_id, double> m_mean_first_byte_ms;
 };
--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -141,8 +141,30 @@
            milliseconds{static_cast<std::int64_t>(std::ceil(transfer))};
 }
 
-double expected_first_token_ms(const upstream& engine, const prompt& request_prompt,
-                               bool cached)
+bool is_home_engine(const upstream_table& table, const prompt& request_prompt,
+                    const upstream& engine, time_point now)
+{
+    const std::string_view affinity = affinity_key(request_prompt);
+    const bool has_single_home =
+        shared_prefix_tokens(request_prompt) >= min_shared_tokens_for_single_home;
+    const std::uint64_t own = rendezvous_weight(affinity, engine.m_entry.m_id.m_value);
+    for (const auto& [id, row] : table.m_rows)
+    {
+        const bool competes = row.m_entry.m_pool == engine.m_entry.m_pool &&
+                              accepts_work(table, row) && row.m_use == engine.m_use &&
+                              row.m_ejected_until <= now &&
+                              (has_single_home ||
+                               row.m_entry.m_data_centre == engine.m_entry.m_data_centre);
+        if (competes && rendezvous_weight(affinity, id.m_value) > own)
+        {
+            return false;
+        }
+    }
+    return true;
+}
+
+double usual_first_token_ms(const upstream& engine, const prompt& request_prompt,
+                            bool cached)
 {
     const std::uint64_t shared_tokens = shared_prefix_tokens(request_prompt);
     const std::uint64_t own_tokens = request_prompt.m_prompt_tokens > shared_tokens
@@ -150,10 +172,16 @@
                                          : 0;
     const std::uint64_t prefill_tokens = cached ? own_tokens : own_tokens + shared_tokens;
     const double running_requests = engine.m_running + engine.m_running_elsewhere;
+    return idle_first_token_ms +
+           static_cast<double>(prefill_tokens) / prefill_tokens_per_ms +
+           running_requests * running_request_delay_ms;
+}
+
+double expected_first_token_ms(const upstream& engine, const prompt& request_prompt,
+                               bool cached)
+{
     return quality_of(engine).m_slowness *
-           (idle_first_token_ms +
-            static_cast<double>(prefill_tokens) / prefill_tokens_per_ms +
-            running_requests * running_request_delay_ms);
+           usual_first_token_ms(engine, request_prompt, cached);
 }
 
 const upstream* choose_engine(const upstream_table& table, const pool_id& pool,
