Take no part of an answer without length for the whole one

Cause: an answer with neither length nor chunks ends with its connection. When an upstream answered an upload at once, wrote a part and ended or reset the connection, the end of its side arrived before the reset, and the part was delivered as a complete answer, on all kinds of routes.

Change: such an answer is complete only if the upstream's machine has acknowledged the whole request. Calls of pieces also log how many pieces found no room or no input.

--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -54,6 +54,16 @@
     }
 }
 
+std::ptrdiff_t count_failures(const std::vector<platform::piece_result>& pieces,
+                              platform::piece_failure failure)
+{
+    return std::count_if(pieces.begin(), pieces.end(),
+                         [failure](const platform::piece_result& entry)
+                         {
+                             return entry.m_handle.empty() && entry.m_failure == failure;
+                         });
+}
+
 /// Ids of the requests whose pieces a call had, for the log.
 std::string request_ids(const stage_queue& queue, const std::vector<piece_ref>& pieces)
 {
@@ -159,7 +169,11 @@
         .add("expected_ms", expected.count())
         .add("slowness", upstream_state.m_slowness)
         .add("held_kb", upstream_state.m_result_memory_used / 1000)
-        .add("results", state.m_results.size());
+        .add("results", state.m_results.size())
+        .add("no_room", count_failures(value_of(pieces),
+                                       platform::piece_failure::result_memory_full))
+        .add("input_gone",
+             count_failures(value_of(pieces), platform::piece_failure::input_gone));
     for (std::size_t index = 0; index < ended.m_pieces.size(); ++index)
     {
         const piece_ref& ref = ended.m_pieces[index];
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -12,6 +12,8 @@
 #include <array>
 #include <utility>
 
+#include <sys/ioctl.h>
+
 namespace geraniumdoor
 {
 
@@ -44,6 +46,15 @@
     return parser.need_eof() ? body_framing::connection_end : body_framing::length;
 }
 
+/// Bytes that were written and that the peer's machine has not acknowledged; zero if the
+/// system does not tell.
+int unacknowledged_bytes(tcp::socket& socket)
+{
+    int bytes = 0;
+    const bool is_told = ::ioctl(socket.native_handle(), TIOCOUTQ, &bytes) == 0;
+    return is_told ? bytes : 0;
+}
+
 } // namespace
 
 const char* to_text(body_framing framing)
@@ -84,6 +95,8 @@
     bool m_closed = false;
     /// Bytes of the request may have left this process.
     bool m_sent = false;
+    /// All of them have.
+    bool m_is_written = false;
 };
 
 http_error http_call::state::error_from(beast::error_code error) const
@@ -114,7 +127,8 @@
 asio::awaitable<void> http_call::state::write_request()
 {
     // A failed write shows in the read of the answer, which may still arrive.
-    co_await http::async_write(m_stream, m_request, use_tuple);
+    const auto [error, size] = co_await http::async_write(m_stream, m_request, use_tuple);
+    m_is_written = !error;
 }
 
 asio::awaitable<beast::error_code> http_call::state::read_head()
@@ -247,6 +261,17 @@
             co_return std::string{self->m_part.data(), received};
         }
     }
+    const bool has_taken_request =
+        self->m_is_written && unacknowledged_bytes(self->m_stream.socket()) == 0;
+    if (self->m_parser->need_eof() && !has_taken_request)
+    {
+        // The peer ended the connection before it had the request: the end of such an
+        // answer cannot be told from a crash.
+        http_error failure;
+        failure.m_sent = true;
+        failure.m_detail = "the peer ended the connection before it had the request";
+        co_return failure;
+    }
     co_return std::string{};
 }
 
