Spread requests that leave their home engine over the others

Change: the order of engines other than the home differs by request, by as much as ten requests in progress delay one.

--- a/src/serving/engine_choice.cpp
+++ b/src/serving/engine_choice.cpp
@@ -26,6 +26,10 @@
 constexpr double full_penalty_ms = 5000;
 constexpr double failure_penalty_ms = 1500;
 
+/// Largest difference that the order of engines has for requests with the same home: the
+/// delay by about ten requests in progress.
+constexpr double max_spread_ms = 40;
+
 /// Cost of the only engine of a version for a new stream: the time to prefill a long
 /// shared prefix again at another engine.
 constexpr double lone_version_penalty_ms = 300;
@@ -93,6 +97,21 @@
     return has_one && other_has_more;
 }
 
+/// Cost by which requests that cannot go to their home engine differ in their order of
+/// the others.
+///
+/// Load pattern: sixty hosts look for another engine in the same half second, from
+/// reports of the half second before, and would all choose the same one.
+double spread_ms(const prompt& request_prompt, const upstream& engine)
+{
+    const std::string_view own = request_prompt.m_parts.empty()
+                                     ? std::string_view{}
+                                     : request_prompt.m_parts.back().m_id;
+    constexpr double hash_steps = 1 << 20;
+    const auto step = rendezvous_weight(own, engine.m_entry.m_id.m_value) % (1U << 20U);
+    return max_spread_ms * static_cast<double>(step) / hash_steps;
+}
+
 double engine_cost(const upstream& engine, const prompt& request_prompt,
                    const engine_limits& limits, bool cached, const input_location& inputs,
                    time_point now)
@@ -233,11 +252,13 @@
     {
         const auto& best_home =
             homes[has_single_home ? data_centre_id{} : candidate->m_entry.m_data_centre];
-        const double cost = engine_cost(*candidate, request_prompt, limits,
-                                        candidate == best_home.m_engine, inputs, now) +
-                            (is_lone(engines_of_version, candidate->m_entry.m_version)
-                                 ? lone_version_penalty_ms
-                                 : 0);
+        const double cost =
+            engine_cost(*candidate, request_prompt, limits,
+                        candidate == best_home.m_engine, inputs, now) +
+            (is_lone(engines_of_version, candidate->m_entry.m_version)
+                 ? lone_version_penalty_ms
+                 : 0) +
+            (candidate == best_home.m_engine ? 0 : spread_ms(request_prompt, *candidate));
         if (selected == nullptr || cost < selected_cost)
         {
             selected = candidate;
