--- a/src/serving/rollouts.cpp
+++ b/src/serving/rollouts.cpp
@@ -115,6 +115,7 @@
     }
     std::sort(weights.rbegin(), weights.rend());
     std::vector<upstream_id> order;
+    order.reserve(weights.size());
     for (auto& [weight, id] : weights)
     {
         order.push_back(std::move(id));
