Build the crowd's requests from those of the stand-ins

Cause: the crowd's test spelled header names of the users' platform outside the adapter and the stand-ins. Change: it serializes the stand-in's sample request; the bytes that are sent are the same. Crowd, bounds and checks are untouched.

--- a/tests/crowd/crowd_story.cpp
+++ b/tests/crowd/crowd_story.cpp
@@ -59,10 +59,13 @@
 /// All bytes that a caller of the crowd sends.
 std::string bytes_of(const crowd_plan& plan, std::size_t caller)
 {
-    std::string bytes = "POST /read/c" + std::to_string(caller) +
-                        " HTTP/1.1\r\nHost: a.example\r\nAttempt-Id: c" +
-                        std::to_string(caller) +
-                        "\r\nDeadline-Ms: 60000\r\nCredential: key\r\n";
+    const std::string id = "c" + std::to_string(caller);
+    const http_request request = sample_post("/read/" + id, id, 60000);
+    std::string bytes = request.m_method + ' ' + request.m_target + " HTTP/1.1\r\n";
+    for (const auto& [name, value] : request.m_fields)
+    {
+        bytes += name + ": " + value + "\r\n";
+    }
     if (plan.m_manner == body_manner::with_length)
     {
         constexpr std::size_t missing = 10;
