--- a/include/geraniumdoor/serving/engine_choice.hpp
+++ b/include/geraniumdoor/serving/engine_choice.hpp
@@ -26,7 +26,8 @@
     std::uint32_t m_output_tokens = 0;
 };
 
-/// Prompt tokens that an engine prefills in one millisecond.
+/// Prompt tokens that an engine of usual speed prefills in one millisecond. What a pool
+/// takes instead is learnt from its answers (engine_pace).
 inline constexpr double prefill_tokens_per_ms = 48.2;
 
 /// Delay that each request in progress adds to the first token of the next one, in
