--- a/review/lib-2/resumed_stream.cpp
+++ b/review/lib-2/resumed_stream.cpp
@@ -6,7 +6,8 @@
 #include <stdexcept>
 
 // An engine crashes and is back under its id with another software version while the
-// store is down; streams that it begins there break off when it crashes again.
+// store turns the hosts away; streams that it begins then break off when it crashes
+// again.
 
 namespace review
 {
@@ -19,15 +20,15 @@
 
 /// Times since the first host was ready.
 constexpr milliseconds traffic_from{500};
-constexpr milliseconds store_down_from{5000};
+constexpr milliseconds rejected_from{5000};
 constexpr milliseconds first_crash{5500};
 constexpr milliseconds first_return{7000};
 constexpr milliseconds second_crash{11600};
 constexpr milliseconds second_return{13100};
-constexpr milliseconds store_up_from{12800};
+constexpr milliseconds rejected_until{12800};
 constexpr milliseconds traffic_until{18000};
 
-constexpr milliseconds stream_interval{60};
+constexpr milliseconds stream_interval{45};
 constexpr int events_per_stream = 20;
 constexpr milliseconds event_interval{150};
 constexpr milliseconds consumer_deadline{8000};
@@ -189,22 +190,22 @@
     if (place.m_trouble)
     {
         upstream& engine = *engines.front();
-        sleep_until(ready + store_down_from);
-        table.set_down(true);
-        record.line("the store is down");
+        sleep_until(ready + rejected_from);
+        table.set_rejecting(true);
+        record.line("the store turns the hosts away");
         sleep_until(ready + first_crash);
         engine.crash();
         record.line(engine.id() + " crashes");
         sleep_until(ready + first_return);
         engine.set_version("8");
         engine.start();
-        record.line(engine.id() + " is back with software version 8");
+        record.line(engine.id() + " has registered and is back with software version 8");
         sleep_until(ready + second_crash);
         engine.crash();
         record.line(engine.id() + " crashes");
-        sleep_until(ready + store_up_from);
-        table.set_down(false);
-        record.line("the store is up");
+        sleep_until(ready + rejected_until);
+        table.set_rejecting(false);
+        record.line("the store serves the hosts");
         sleep_until(ready + second_return);
         engine.start();
         record.line(engine.id() + " is back");
--- a/review/lib-2/standins.hpp
+++ b/review/lib-2/standins.hpp
@@ -120,12 +120,9 @@
 
     void put(const std::string& table, const std::string& key, const std::string& value);
     void remove(const std::string& table, const std::string& key);
-    /// Whether all calls of hosts are answered with 503, and writes of others are lost.
-    void set_down(bool down);
-    bool is_down() const
-    {
-        return m_down;
-    }
+    /// Whether all calls of hosts are answered with 503. Upstreams and the operator are
+    /// served all the same.
+    void set_rejecting(bool rejects);
     void start()
     {
         m_server.start();
@@ -150,11 +147,12 @@
     std::mutex m_mutex;
     std::map<std::string, std::map<std::string, row>> m_tables;
     std::uint64_t m_version = 1;
-    std::atomic<bool> m_down{false};
+    std::atomic<bool> m_rejects{false};
     server m_server;
 };
 
-/// An upstream. It writes its entry to the store when it starts and with each heartbeat.
+/// An upstream. It writes its entry to the store before it takes requests, and with each
+/// heartbeat.
 class upstream
 {
 public:
