--- a/review/lib-2/case_main.cpp
+++ b/review/lib-2/case_main.cpp
@@ -18,6 +18,7 @@
     const std::map<std::string, review::scenario> scenarios{
         {"resumed_stream", &review::resumed_stream},
         {"refused_run", &review::refused_run},
+        {"idle_restart", &review::idle_restart},
         {"coded_answer", &review::coded_answer},
     };
     constexpr int failed = 2;
--- a/review/lib-2/resumed_stream.cpp
+++ b/review/lib-2/resumed_stream.cpp
@@ -18,16 +18,31 @@
 constexpr int host_count = 3;
 constexpr int engine_count = 6;
 
-/// Times since the first host was ready.
+/// Times since the hosts were ready.
 constexpr milliseconds traffic_from{500};
 constexpr milliseconds rejected_from{5000};
-constexpr milliseconds first_crash{5500};
-constexpr milliseconds first_return{7000};
-constexpr milliseconds second_crash{11600};
-constexpr milliseconds second_return{13100};
 constexpr milliseconds rejected_until{12800};
+constexpr milliseconds second_return{13100};
 constexpr milliseconds traffic_until{18000};
 
+struct story
+{
+    milliseconds m_first_crash;
+    milliseconds m_first_return;
+    milliseconds m_second_crash;
+    /// Consumers send no requests in between.
+    milliseconds m_lull_from;
+    milliseconds m_lull_until;
+};
+
+/// The engine has streams when it ends for the first time.
+constexpr story busy_story{milliseconds{5500}, milliseconds{7000}, milliseconds{11600},
+                           milliseconds{0}, milliseconds{0}};
+
+/// It has none, and no connection.
+constexpr story idle_story{milliseconds{8200}, milliseconds{8700}, milliseconds{12300},
+                           milliseconds{4500}, milliseconds{9000}};
+
 constexpr milliseconds stream_interval{45};
 constexpr int events_per_stream = 20;
 constexpr milliseconds event_interval{150};
@@ -140,9 +155,7 @@
     count.m_joined += versions.size() > 1 ? 1 : 0;
 }
 
-} // namespace
-
-int resumed_stream(const setup& place)
+int play(const setup& place, const story& times)
 {
     record_file record{place.m_case + "/record.txt"};
     const std::string network = find_free_network();
@@ -173,6 +186,10 @@
                             for (milliseconds at = traffic_from; at < traffic_until;
                                  at += stream_interval)
                             {
+                                if (at >= times.m_lull_from && at < times.m_lull_until)
+                                {
+                                    continue;
+                                }
                                 sleep_until(ready + at);
                                 const std::string& ip = hosts.ip_of(++number);
                                 consumers.emplace_back(
@@ -193,14 +210,14 @@
         sleep_until(ready + rejected_from);
         table.set_rejecting(true);
         record.line("the store turns the hosts away");
-        sleep_until(ready + first_crash);
+        sleep_until(ready + times.m_first_crash);
         engine.crash();
         record.line(engine.id() + " crashes");
-        sleep_until(ready + first_return);
+        sleep_until(ready + times.m_first_return);
         engine.set_version("8");
         engine.start();
         record.line(engine.id() + " has registered and is back with software version 8");
-        sleep_until(ready + second_crash);
+        sleep_until(ready + times.m_second_crash);
         engine.crash();
         record.line(engine.id() + " crashes");
         sleep_until(ready + rejected_until);
@@ -222,4 +239,16 @@
     return count.m_joined > allowed ? 1 : 0;
 }
 
+} // namespace
+
+int resumed_stream(const setup& place)
+{
+    return play(place, busy_story);
+}
+
+int idle_restart(const setup& place)
+{
+    return play(place, idle_story);
+}
+
 } // namespace review
