--- a/review/lib-2/case_main.cpp
+++ b/review/lib-2/case_main.cpp
@@ -19,6 +19,7 @@
         {"resumed_stream", &review::resumed_stream},
         {"refused_run", &review::refused_run},
         {"idle_restart", &review::idle_restart},
+        {"odd_entry", &review::odd_entry},
         {"coded_answer", &review::coded_answer},
     };
     constexpr int failed = 2;
--- a/review/lib-2/standins.hpp
+++ b/review/lib-2/standins.hpp
@@ -324,6 +324,7 @@
 int resumed_stream(const setup& place);
 int refused_run(const setup& place);
 int idle_restart(const setup& place);
+int odd_entry(const setup& place);
 int coded_answer(const setup& place);
 
 } // namespace review
