--- a/review/lib-2/coded_answer.cpp
+++ b/review/lib-2/coded_answer.cpp
@@ -15,7 +15,7 @@
 /// Times since the hosts were ready.
 constexpr milliseconds traffic_from{500};
 constexpr milliseconds spoiled_from{3000};
-constexpr milliseconds spoiled_until{8500};
+constexpr milliseconds spoiled_until{8000};
 constexpr milliseconds traffic_until{10000};
 
 constexpr milliseconds request_interval{15};
--- a/review/lib-2/refused_run.cpp
+++ b/review/lib-2/refused_run.cpp
@@ -66,8 +66,13 @@
         {
             const std::lock_guard lock{runs.m_mutex};
             ++runs.m_runs[id];
-            is_failure = fails && self.id() == "i-subs-1" &&
-                         runs.m_turn++ % failure_cycle < failures_per_cycle;
+            if (fails && self.id() == "i-subs-1")
+            {
+                // Spread evenly, so that the share holds at any time.
+                const int before = runs.m_turn * failures_per_cycle / failure_cycle;
+                ++runs.m_turn;
+                is_failure = runs.m_turn * failures_per_cycle / failure_cycle > before;
+            }
         }
         std::this_thread::sleep_for(work_time);
         const unsigned status = is_failure ? 503 : 200;
--- a/review/lib-2/resumed_stream.cpp
+++ b/review/lib-2/resumed_stream.cpp
@@ -6,8 +6,7 @@
 #include <stdexcept>
 
 // An engine crashes and is back under its id with another software version while the
-// store turns the hosts away; streams that it begins then break off when it crashes
-// again.
+// store is silent; streams that it begins then break off when it crashes again.
 
 namespace review
 {
@@ -20,8 +19,8 @@
 
 /// Times since the hosts were ready.
 constexpr milliseconds traffic_from{500};
-constexpr milliseconds rejected_from{5000};
-constexpr milliseconds rejected_until{12800};
+constexpr milliseconds silent_from{5000};
+constexpr milliseconds silent_until{12800};
 constexpr milliseconds second_return{13100};
 constexpr milliseconds traffic_until{18000};
 
@@ -207,22 +206,22 @@
     if (place.m_trouble)
     {
         upstream& engine = *engines.front();
-        sleep_until(ready + rejected_from);
-        table.set_rejecting(true);
-        record.line("the store turns the hosts away");
+        sleep_until(ready + silent_from);
+        table.set_silent(true);
+        record.line("the store is silent");
         sleep_until(ready + times.m_first_crash);
         engine.crash();
         record.line(engine.id() + " crashes");
         sleep_until(ready + times.m_first_return);
         engine.set_version("8");
         engine.start();
-        record.line(engine.id() + " has registered and is back with software version 8");
+        record.line(engine.id() + " is back with software version 8");
         sleep_until(ready + times.m_second_crash);
         engine.crash();
         record.line(engine.id() + " crashes");
-        sleep_until(ready + rejected_until);
-        table.set_rejecting(false);
-        record.line("the store serves the hosts");
+        sleep_until(ready + silent_until);
+        table.set_silent(false);
+        record.line("the store is back");
         sleep_until(ready + second_return);
         engine.start();
         record.line(engine.id() + " is back");
--- a/review/lib-2/standins.hpp
+++ b/review/lib-2/standins.hpp
@@ -119,10 +119,11 @@
     store(const std::string& ip, std::uint16_t port);
 
     void put(const std::string& table, const std::string& key, const std::string& value);
-    void remove(const std::string& table, const std::string& key);
-    /// Whether all calls of hosts are answered with 503. Upstreams and the operator are
-    /// served all the same.
-    void set_rejecting(bool rejects);
+    /// Write of an upstream to its entry.
+    void put_entry(const std::string& key, const std::string& value);
+    /// Whether no call is answered. Writes meanwhile are performed when the store is
+    /// back.
+    void set_silent(bool silent);
     void start()
     {
         m_server.start();
@@ -140,6 +141,8 @@
         bool m_removed = false;
     };
 
+    /// Waits until the store answers. Returns whether the call has lost its answer.
+    bool is_unanswered() const;
     bool serve(connection& peer, const message& request);
     bool read_rows(connection& peer, const message& request);
     bool apply(connection& peer, const message& request);
@@ -147,11 +150,12 @@
     std::mutex m_mutex;
     std::map<std::string, std::map<std::string, row>> m_tables;
     std::uint64_t m_version = 1;
-    std::atomic<bool> m_rejects{false};
+    std::atomic<bool> m_silent{false};
+    std::vector<std::pair<std::string, std::string>> m_late_entries;
     server m_server;
 };
 
-/// An upstream. It writes its entry to the store before it takes requests, and with each
+/// An upstream. It sends its entry to the store before it takes requests, and with each
 /// heartbeat.
 class upstream
 {
