Count all that a connection holds, at every listener of an edge host

What was seen: callers that end neither a chunk's extension, nor a trailer, nor a head took memory that no account held; 2,000 of them beside 60 bodies brought a host of 160 MB to 187 MB. A process that exceeds its machine ends, and with it all that it serves.

Cause: the account counted bodies above 4 KiB at the callers' port. Beast buffers a head, the head of a chunk and a trailer as a whole before its read function returns, up to the header limit and 64 KiB, and none of it was counted; nor were the fields of a head, which take up to 30 times their text in short ones, and are kept three times while a request is answered; nor was anything at the directory's, the readiness and the metrics port.

Idle connections make room after those that stand still in a request. The directory shares the callers' account; readiness and metrics have one of their own (4% of the memory), so that no crowd of callers takes their room. A refusal is still a 503 with Retry-After before the request has run.

--- a/include/geraniumdoor/net/memory_account.hpp
+++ b/include/geraniumdoor/net/memory_account.hpp
@@ -17,20 +17,38 @@
 /// Memory for what a process holds for its peers.
 struct memory_limits
 {
-    /// Bytes of all bodies together; zero for no limit.
+    /// Bytes of all holders together; zero for no limit.
     std::size_t m_total_bytes = 0;
-    /// Part of it that only small bodies may use.
+    /// Part of it that only small holders may use.
     std::size_t m_small_reserve_bytes = 0;
 };
 
+/// What a listener is for. Each purpose has a part of the machine's memory, so that a
+/// crowd at one listener takes nothing from the others.
+enum class memory_purpose : std::uint8_t
+{
+    /// Callers' requests, the answers to them, and questions for addresses.
+    callers,
+    /// Messages of other hosts.
+    peers,
+    /// Checks, metrics and operators.
+    control,
+};
+
 /// Limits for a process on a machine with that memory; none if it is zero.
-memory_limits memory_limits_of(std::size_t machine_bytes);
+memory_limits memory_limits_of(std::size_t machine_bytes,
+                               memory_purpose purpose = memory_purpose::callers);
 
-/// Bodies up to this size count as small.
+/// Holders up to this size count as small.
 inline constexpr std::size_t max_small_bytes = std::size_t{64} * 1024;
 
-/// Bodies up to this size are not counted; connections are limited in number.
-inline constexpr std::size_t max_uncounted_bytes = std::size_t{4} * 1024;
+/// What an open connection takes without a request: its socket, timers and coroutines,
+/// and the buffer for the first bytes.
+inline constexpr std::size_t connection_bytes = std::size_t{8} * 1024;
+
+/// What a field of a head takes besides its text: entries of lists, and the memory of
+/// name and value.
+inline constexpr std::size_t head_field_bytes = 160;
 
 /// Bytes that a peer has to send to count as making progress, and time without progress
 /// after which it stands still. 4 KiB in a second are 0.03 Mbit/s.
@@ -39,14 +57,24 @@
 
 using memory_holder_id = strong_number<struct memory_holder_tag>;
 
+/// What a holder waits for.
+enum class holder_phase : std::uint8_t
+{
+    /// Works by itself, and is not closed for others.
+    busy,
+    /// Receives, so that its connection may be closed.
+    receiving,
+    /// Waits between two requests, so that its connection may be closed.
+    idle,
+};
+
 struct memory_holder
 {
     std::size_t m_bytes = 0;
     /// Bytes received when the peer last made progress.
     std::size_t m_marked_bytes = 0;
     time_point m_progress_at{};
-    /// Still receives, so that its connection may be closed.
-    bool m_is_receiving = false;
+    holder_phase m_phase = holder_phase::busy;
 };
 
 /// What is held, by holder.
@@ -73,10 +101,11 @@
 
 /// Decides whether a holder may hold that many bytes in all, and counts them if so.
 ///
-/// Load pattern: many peers that send large bodies at once, of announced or of unknown
-/// length, most of which stop just short of the end and stay connected. Peers that stand
-/// still are closed before any that makes progress is refused, the longest one first. A
-/// part is kept for small bodies. A single large body is granted whatever the limits.
+/// Load pattern: many peers that send heads, bodies, chunk extensions or trailers at
+/// once, of announced or of unknown length, most of which stop just short of the end and
+/// stay connected. Peers that stand still in a request are closed before any that makes
+/// progress is refused, the longest one first, and then those that are idle. A part is
+/// kept for small holders. A single large body is granted whatever the limits.
 memory_decision request_memory(memory_account& account, memory_holder_id holder,
                                std::size_t bytes, time_point now);
 
@@ -126,7 +155,8 @@
 public:
     memory_lease() = default;
 
-    /// @param close closes the connection of the holder; empty if it has none to close
+    /// @param close closes the connection of the holder while it receives or is idle;
+    /// empty if it has none to close
     memory_lease(std::shared_ptr<memory_pool> pool, std::function<void()> close);
     ~memory_lease();
     memory_lease(memory_lease&& other) noexcept;
@@ -138,10 +168,10 @@
     /// @return whether they are granted
     bool resize(std::size_t bytes);
 
+    /// @param bytes received since the holder has entered its phase
     void record_received(std::size_t bytes);
 
-    /// From now on the holder makes progress by itself and is not closed for others.
-    void end_receiving();
+    void enter(holder_phase phase);
 
     void release();
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -176,6 +176,7 @@
     stage_client m_stages;
     store_watch m_store;
     request_relay m_relay;
+    std::shared_ptr<memory_pool> m_control_memory;
     http_server m_callers;
     http_server m_admin;
     http_server m_metrics;
@@ -249,6 +250,8 @@
                   send_reports();
               }}
     , m_relay{m_state, m_stages, m_scheduler, m_permits, m_origins, m_rollouts}
+    , m_control_memory{std::make_shared<memory_pool>(
+          memory_limits_of(m_state.m_settings.m_memory_bytes, memory_purpose::control))}
     , m_callers{io.get_executor(), to_tcp(m_state.m_settings.m_caller_endpoint),
                 caller_http_limits({}, m_state.m_settings.m_max_open_files),
                 [this](http_exchange& exchange)
@@ -262,21 +265,24 @@
               [this](http_exchange& exchange)
               {
                   return serve_admin(exchange);
-              }}
+              },
+              m_control_memory}
     , m_metrics{io.get_executor(), to_tcp(m_state.m_settings.m_metrics_endpoint),
                 small_request_limits(m_state.m_settings.m_max_open_files /
                                      service_connections_divisor),
                 [this](http_exchange& exchange)
                 {
                     return serve_admin(exchange);
-                }}
+                },
+                m_control_memory}
     , m_directory{io.get_executor(), to_tcp(m_state.m_settings.m_directory_endpoint),
                   small_request_limits(m_state.m_settings.m_max_open_files /
                                        directory_connections_divisor),
                   [this](http_exchange& exchange)
                   {
                       return serve_directory(exchange);
-                  }}
+                  },
+                  m_state.m_memory}
     , m_timer_driver{io}
 {
     m_state.m_own_report = initial_report(m_state.m_settings, started);
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -47,7 +47,7 @@
     edge_settings m_settings;
     timer_service& m_timers;
     metric_registry m_metrics;
-    /// What bodies of callers' requests and of answers to them take.
+    /// What connections of callers, their requests and the answers to them take.
     std::shared_ptr<memory_pool> m_memory;
     /// Empty until a configuration is known. A request keeps the one in force when it
     /// arrived.
--- a/src/net/memory_account.cpp
+++ b/src/net/memory_account.cpp
@@ -10,26 +10,43 @@
 namespace
 {
 
-/// Part of a machine's memory that bodies may take. The rest is for the process itself,
-/// its tables, and the buffers of its connections.
-constexpr double body_share = 0.4;
+/// Parts of a machine's memory. The rest is for the process itself and its tables.
+constexpr double caller_share = 0.4;
+constexpr double peer_share = 0.15;
+constexpr double control_share = 0.04;
 
-/// Part of that which is kept for small bodies.
+/// Part of that which is kept for small holders.
 constexpr std::size_t small_reserve_divisor = 4;
 
+double share_of(memory_purpose purpose)
+{
+    switch (purpose)
+    {
+    case memory_purpose::callers:
+        return caller_share;
+    case memory_purpose::peers:
+        return peer_share;
+    case memory_purpose::control:
+        return control_share;
+    }
+    return control_share;
+}
+
 time_point current_time()
 {
     return std::chrono::steady_clock::now();
 }
 
+/// The holder of a phase that has stood still for longest, if any has.
 std::optional<memory_holder_id> longest_still(const memory_account& account,
-                                              memory_holder_id asking, time_point now)
+                                              memory_holder_id asking, holder_phase phase,
+                                              time_point now)
 {
     std::optional<memory_holder_id> found;
     time_point since = now - max_still_time;
     for (const auto& [id, holder] : account.m_holders)
     {
-        if (id != asking && holder.m_is_receiving && holder.m_bytes > 0 &&
+        if (id != asking && holder.m_phase == phase && holder.m_bytes > 0 &&
             holder.m_progress_at <= since)
         {
             found = id;
@@ -41,11 +58,11 @@
 
 } // namespace
 
-memory_limits memory_limits_of(std::size_t machine_bytes)
+memory_limits memory_limits_of(std::size_t machine_bytes, memory_purpose purpose)
 {
     memory_limits limits;
     limits.m_total_bytes =
-        static_cast<std::size_t>(body_share * static_cast<double>(machine_bytes));
+        static_cast<std::size_t>(share_of(purpose) * static_cast<double>(machine_bytes));
     limits.m_small_reserve_bytes = limits.m_total_bytes / small_reserve_divisor;
     return limits;
 }
@@ -68,9 +85,12 @@
         account.m_held_bytes = others + bytes;
         return {};
     }
-    if (const auto other = longest_still(account, holder, now))
+    for (const holder_phase phase : {holder_phase::receiving, holder_phase::idle})
     {
-        return {memory_verdict::close_other, *other};
+        if (const auto other = longest_still(account, holder, phase, now))
+        {
+            return {memory_verdict::close_other, *other};
+        }
     }
     return {memory_verdict::refused, {}};
 }
@@ -128,9 +148,9 @@
     m_id.m_value = ++m_pool->m_last_id;
     memory_holder& holder = m_pool->m_account.m_holders[m_id];
     holder.m_progress_at = current_time();
-    holder.m_is_receiving = static_cast<bool>(close);
     if (close)
     {
+        holder.m_phase = holder_phase::receiving;
         m_pool->m_closers[m_id] = std::move(close);
     }
 }
@@ -202,17 +222,18 @@
     }
 }
 
-void memory_lease::end_receiving()
+void memory_lease::enter(holder_phase phase)
 {
     if (!m_pool)
     {
         return;
     }
-    m_pool->m_closers.erase(m_id);
     const auto at = m_pool->m_account.m_holders.find(m_id);
     if (at != m_pool->m_account.m_holders.end())
     {
-        at->second.m_is_receiving = false;
+        at->second.m_phase = phase;
+        at->second.m_marked_bytes = 0;
+        at->second.m_progress_at = current_time();
     }
 }
 
--- a/tests/net/memory_account_test.cpp
+++ b/tests/net/memory_account_test.cpp
@@ -29,7 +29,7 @@
 {
     const memory_holder_id holder{id};
     account.m_holders[holder].m_progress_at = at;
-    account.m_holders[holder].m_is_receiving = true;
+    account.m_holders[holder].m_phase = holder_phase::receiving;
     return holder;
 }
 
@@ -103,7 +103,7 @@
     memory_account account = account_of(4'000'000);
     const auto served = add_holder(account, 1, start);
     request_memory(account, served, body, start);
-    account.m_holders[served].m_is_receiving = false;
+    account.m_holders[served].m_phase = holder_phase::busy;
     const auto next = add_holder(account, 2, start + 10s);
     cr_expect(request_memory(account, next, body, start + 10s).m_verdict ==
               memory_verdict::refused);
