Count what arrives on the connections between hosts

Cause: a connection was trusted with the largest message before its hello, and no account held what had arrived of a message.

The first message of a connection is a hello of at most 4 KiB. All connections and what arrives on them, with the copy that is decoded, have an account of their own, 15% of the machine's memory; one that stands still in the middle of a message is closed for others, and a connection is closed when there is no memory for its message, as after any other loss of a connection. Between two messages it is never closed for that. The connections that others open are bounded by a third of the descriptors, as callers' are.

--- a/include/geraniumdoor/net/node_transport.hpp
+++ b/include/geraniumdoor/net/node_transport.hpp
@@ -3,6 +3,7 @@
 #include <geraniumdoor/base/units.hpp>
 #include <geraniumdoor/cluster/datagrams.hpp>
 #include <geraniumdoor/cluster/messages.hpp>
+#include <geraniumdoor/net/memory_account.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 
@@ -55,9 +56,11 @@
 class node_transport
 {
 public:
+    /// @param memory what the messages that arrive may take; null for no limit
     node_transport(boost::asio::any_io_executor executor,
                    node_transport_settings settings, node_transport_limits limits,
-                   node_transport_callbacks callbacks);
+                   node_transport_callbacks callbacks,
+                   std::shared_ptr<memory_pool> memory = nullptr);
     ~node_transport();
     node_transport(const node_transport&) = delete;
     node_transport& operator=(const node_transport&) = delete;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -90,9 +90,13 @@
     return report;
 }
 
-node_transport_limits transport_limits()
+/// Part of the descriptors for the connections that other hosts have opened.
+constexpr std::uint32_t peer_connections_divisor = 3;
+
+node_transport_limits transport_limits(std::uint32_t max_open_files)
 {
     node_transport_limits limits;
+    limits.m_incoming_connections = max_open_files / peer_connections_divisor;
     limits.m_queue_bytes = std::size_t{4} * 1024 * 1024;
     limits.m_connect_timeout = milliseconds{700};
     limits.m_unacknowledged_timeout = peer_ack_timeout;
@@ -197,8 +201,10 @@
     , m_transport{io.get_executor(),
                   {m_state.m_settings.m_node, started,
                    to_node_address(m_state.m_settings.m_peer_endpoint)},
-                  transport_limits(),
-                  transport_callbacks()}
+                  transport_limits(m_state.m_settings.m_max_open_files),
+                  transport_callbacks(),
+                  std::make_shared<memory_pool>(memory_limits_of(
+                      m_state.m_settings.m_memory_bytes, memory_purpose::peers))}
     , m_permits{m_state,
                 [this](const node_address& host, const datagram& message)
                 {
--- a/src/net/frame_io.cpp
+++ b/src/net/frame_io.cpp
@@ -26,12 +26,20 @@
 
 constexpr std::size_t body_step_bytes = std::size_t{64} * 1024;
 
-asio::awaitable<bool> read_body(tcp::socket& socket, std::string& body, std::size_t size)
+/// Bytes that the decoded message takes, in relation to its frame.
+constexpr std::size_t decoded_copies = 2;
+
+asio::awaitable<bool> read_body(tcp::socket& socket, std::string& body, std::size_t size,
+                                memory_lease& memory)
 {
     while (body.size() < size)
     {
         const std::size_t have = body.size();
         const std::size_t step = std::min(size - have, body_step_bytes);
+        if (!memory.resize(link_bytes + decoded_copies * (have + step)))
+        {
+            co_return false;
+        }
         body.resize(have + step);
         boost::system::error_code failure;
         co_await asio::async_read(socket, asio::buffer(body.data() + have, step),
@@ -40,6 +48,7 @@
         {
             co_return false;
         }
+        memory.record_received(body.size());
     }
     co_return true;
 }
@@ -59,7 +68,8 @@
     return std::string(frame_header_bytes, '\0');
 }
 
-asio::awaitable<result<node_message, frame_end>> read_message(tcp::socket& socket)
+asio::awaitable<result<node_message, frame_end>>
+read_message(tcp::socket& socket, memory_lease& memory, std::size_t max_bytes)
 {
     std::array<unsigned char, frame_header_bytes> header{};
     boost::system::error_code failure;
@@ -78,13 +88,22 @@
     {
         co_return frame_end::goodbye;
     }
+    if (value_of(size) > max_bytes)
+    {
+        const codec_error error{codec_fault::too_large, "the first frame is no hello"};
+        co_return malformed(error);
+    }
     std::string body;
-    const bool whole = co_await read_body(socket, body, value_of(size));
+    memory.enter(holder_phase::receiving);
+    const bool whole = co_await read_body(socket, body, value_of(size), memory);
+    memory.enter(holder_phase::busy);
     if (!whole)
     {
         co_return frame_end::closed;
     }
     auto message = decode_frame_body(body);
+    body = {};
+    memory.resize(link_bytes);
     if (!is_ok(message))
     {
         co_return malformed(error_of(message));
--- a/src/net/frame_io.hpp
+++ b/src/net/frame_io.hpp
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <geraniumdoor/cluster/codec.hpp>
+#include <geraniumdoor/net/memory_account.hpp>
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/ip/tcp.hpp>
@@ -25,9 +26,17 @@
 /// peer does not take the end of the connection for a failure.
 std::string goodbye_frame();
 
-/// Reads one frame and decodes it. The buffer for the body grows with the bytes received.
+/// What an open connection between hosts takes without a message.
+inline constexpr std::size_t link_bytes = std::size_t{4} * 1024;
+
+/// Longest body of the first frame, which is a hello.
+inline constexpr std::size_t max_hello_bytes = std::size_t{4} * 1024;
+
+/// Reads one frame and decodes it. The buffer for the body grows with the bytes received,
+/// as far as the lease is granted.
 boost::asio::awaitable<result<node_message, frame_end>>
-read_message(boost::asio::ip::tcp::socket& socket);
+read_message(boost::asio::ip::tcp::socket& socket, memory_lease& memory,
+             std::size_t max_bytes = max_frame_body_bytes);
 
 /// Writes all bytes. Returns false when the connection broke.
 boost::asio::awaitable<bool> write_bytes(boost::asio::ip::tcp::socket& socket,
--- a/src/net/node_links.cpp
+++ b/src/net/node_links.cpp
@@ -89,7 +89,11 @@
             log_event{"peer_connection_refused"}.add("connections", m_incoming.size());
             continue;
         }
-        auto link = std::make_shared<incoming_link>(std::move(socket));
+        auto link = std::make_shared<incoming_link>(std::move(socket), m_memory);
+        if (!link->m_memory.resize(link_bytes))
+        {
+            continue;
+        }
         m_incoming.insert(link);
         spawn(
             [self = shared_from_this(), link]
@@ -122,7 +126,8 @@
     set_peer_options(link->m_socket,
                      static_cast<int>(m_limits.m_unacknowledged_timeout.count()));
     arm_guard(link, m_limits.m_connect_timeout);
-    const auto received = co_await read_message(link->m_socket);
+    const auto received =
+        co_await read_message(link->m_socket, link->m_memory, max_hello_bytes);
     const hello* greeting = find_hello(received);
     if (greeting == nullptr || greeting->m_node.m_value.empty())
     {
@@ -145,7 +150,7 @@
 {
     while (!m_closed)
     {
-        auto received = co_await read_message(link->m_socket);
+        auto received = co_await read_message(link->m_socket, link->m_memory);
         if (!is_ok(received))
         {
             co_return error_of(received);
@@ -237,7 +242,9 @@
     {
         co_return false;
     }
-    const auto received = co_await read_message(link->m_socket);
+    memory_lease uncounted;
+    const auto received =
+        co_await read_message(link->m_socket, uncounted, max_hello_bytes);
     const hello* greeting = find_hello(received);
     if (greeting == nullptr || greeting->m_node != link->m_peer)
     {
--- a/src/net/node_transport.cpp
+++ b/src/net/node_transport.cpp
@@ -19,11 +19,13 @@
 node_transport::state::state(asio::any_io_executor executor,
                              node_transport_settings settings,
                              node_transport_limits limits,
-                             node_transport_callbacks callbacks)
+                             node_transport_callbacks callbacks,
+                             std::shared_ptr<memory_pool> memory)
     : m_executor{std::move(executor)}
     , m_settings{std::move(settings)}
     , m_limits{limits}
     , m_callbacks{std::move(callbacks)}
+    , m_memory{std::move(memory)}
     , m_acceptor{m_executor}
     , m_udp{m_executor}
     , m_accept_pause{m_executor}
@@ -238,9 +240,10 @@
 node_transport::node_transport(asio::any_io_executor executor,
                                node_transport_settings settings,
                                node_transport_limits limits,
-                               node_transport_callbacks callbacks)
+                               node_transport_callbacks callbacks,
+                               std::shared_ptr<memory_pool> memory)
     : m_state{std::make_shared<state>(std::move(executor), std::move(settings), limits,
-                                      std::move(callbacks))}
+                                      std::move(callbacks), std::move(memory))}
 {
 }
 
--- a/src/net/node_transport_state.hpp
+++ b/src/net/node_transport_state.hpp
@@ -59,9 +59,16 @@
 /// Connection that a peer opened.
 struct incoming_link
 {
-    explicit incoming_link(boost::asio::ip::tcp::socket socket)
-        : m_socket{std::move(socket)}, m_guard{m_socket.get_executor()}
+    incoming_link(boost::asio::ip::tcp::socket socket,
+                  std::shared_ptr<memory_pool> memory)
+        : m_socket{std::move(socket)}
+        , m_guard{m_socket.get_executor()}
+        , m_memory{std::move(memory), [this]
+                   {
+                       close();
+                   }}
     {
+        m_memory.enter(holder_phase::busy);
     }
 
     void close()
@@ -73,6 +80,9 @@
 
     boost::asio::ip::tcp::socket m_socket;
     boost::asio::steady_timer m_guard;
+    /// What the connection holds. It is closed for others in the middle of a message
+    /// that does not go on.
+    memory_lease m_memory;
     /// Empty until its hello has come.
     node_id m_peer;
     incarnation m_peer_incarnation;
@@ -81,7 +91,8 @@
 struct node_transport::state : std::enable_shared_from_this<node_transport::state>
 {
     state(boost::asio::any_io_executor executor, node_transport_settings settings,
-          node_transport_limits limits, node_transport_callbacks callbacks);
+          node_transport_limits limits, node_transport_callbacks callbacks,
+          std::shared_ptr<memory_pool> memory);
 
     void bind();
     void start();
@@ -123,6 +134,7 @@
     node_transport_settings m_settings;
     node_transport_limits m_limits;
     node_transport_callbacks m_callbacks;
+    std::shared_ptr<memory_pool> m_memory;
     std::uint64_t m_bytes_sent = 0;
     bool m_closed = false;
     /// The owner of the callbacks may be gone as well.
