Count what a request holds of answers and of events that do not end

What was seen: 290 streams whose upstream never ended an event made a host of 32 MB grow by 154 MB.

Cause: the bytes of an event are kept until it is whole, up to 256 KiB for each stream, and no account held them. Answers counted from 16 KiB on, but not the connection to the upstream, and an answer that was passed on as it arrived went on holding the memory of a buffered one.

A request that is relayed has a lease from its arrival to its end: 24 KiB for the connection to the upstream and the first 16 KiB of an answer, and what is buffered beyond. Without memory a new request is refused with 503 before it is sent, an answer is passed on as it arrives, and an event that grows ends its stream as one that is too long does. Such an event is kept in blocks, which are neither copied nor held twice while it grows.

--- a/include/geraniumdoor/serving/event_stream.hpp
+++ b/include/geraniumdoor/serving/event_stream.hpp
@@ -4,6 +4,7 @@
 #include <optional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace geraniumdoor::serving
 {
@@ -39,6 +40,20 @@
 /// Value of the id field of an event; empty if it has none.
 std::string event_id(std::string_view event);
 
+/// Bytes of an event whose end has not arrived. Kept in blocks, so that a long event is
+/// neither copied nor held twice while it grows.
+struct partial_event
+{
+    std::vector<std::string> m_blocks;
+};
+
+void append(partial_event& event, std::string_view bytes);
+
+std::size_t size_of(const partial_event& event);
+
+/// Returns all bytes and begins anew.
+std::string take(partial_event& event);
+
 /// Whether the stream ends in the middle of an event or of a line if no byte follows.
 bool is_inside_event(const event_position& position);
 
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -26,9 +26,6 @@
 /// can be repeated if the response is truncated.
 constexpr std::size_t max_buffered_response_bytes = std::size_t{256} * 1024;
 
-/// Responses up to this size are buffered in any case.
-constexpr std::size_t max_uncounted_answer_bytes = std::size_t{16} * 1024;
-
 /// The response to an idempotent request is overdue after this share of its latency
 /// target, but not before the minimum.
 constexpr double usual_share_of_target = 0.6;
@@ -590,8 +587,6 @@
 {
     std::string body;
     bool more = true;
-    bool is_counted = false;
-    current.m_answer_memory = memory_lease{m_state.m_memory, {}};
     while (more)
     {
         const auto part = co_await current.m_upstream_call->read_part(time_left(current));
@@ -608,11 +603,8 @@
         more = !value_of(part).empty();
         body += value_of(part);
         // Without memory for it, the rest of the body is passed on as it arrives.
-        const bool is_large =
-            body.size() > max_buffered_response_bytes ||
-            (body.size() > max_uncounted_answer_bytes && !is_counted &&
-             !current.m_answer_memory.resize(max_buffered_response_bytes));
-        is_counted = is_counted || body.size() > max_uncounted_answer_bytes;
+        const bool is_large = body.size() > max_buffered_response_bytes ||
+                              !hold_answer(current, body.capacity());
         if (is_large)
         {
             const auto outcome =
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -82,7 +82,7 @@
         // without a length.
         co_await begin_response(current, head, std::nullopt);
     }
-    current.m_partial_event.clear();
+    current.m_partial_event = {};
     current.m_event_position = {};
     if (!resumes)
     {
@@ -91,8 +91,13 @@
     current.m_usual_silence = current.m_route->m_event_gap_target + event_gap_margin;
     while (true)
     {
-        if (current.m_partial_event.size() > max_event_bytes)
+        const std::size_t held = size_of(current.m_partial_event);
+        if (held > max_event_bytes || !hold_answer(current, held))
         {
+            log_event{"event_too_long"}
+                .add("request", current.m_metadata.m_request)
+                .add("upstream", current.m_upstream)
+                .add("bytes", held);
             co_return attempt_outcome::broken_stream;
         }
         auto part = co_await read_stream_part(current);
@@ -158,6 +163,7 @@
             current.m_caller_gone = true;
             co_return attempt_outcome::broken_stream;
         }
+        hold_answer(current, 0);
         auto next = co_await current.m_upstream_call->read_part(time_left(current));
         if (!is_ok(next))
         {
@@ -205,15 +211,15 @@
         }
         if (may_resume)
         {
-            current.m_partial_event += rest.substr(0, end->m_size);
-            const std::string id = event_id(current.m_partial_event);
+            append(current.m_partial_event, rest.substr(0, end->m_size));
+            const std::string event = take(current.m_partial_event);
+            const std::string id = event_id(event);
             current.m_last_event_at = id.empty() ? current.m_last_event_at : now();
             if (id.empty() || !is_repeated(id, current.m_last_event_id))
             {
-                complete += current.m_partial_event;
+                complete += event;
                 current.m_last_event_id = id.empty() ? current.m_last_event_id : id;
             }
-            current.m_partial_event.clear();
         }
         rest.remove_prefix(end->m_size);
     }
@@ -221,7 +227,7 @@
     {
         return part;
     }
-    current.m_partial_event += rest;
+    append(current.m_partial_event, rest);
     return complete;
 }
 
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -12,6 +12,13 @@
 /// a lost packet after 200 ms or more.
 inline constexpr milliseconds connect_timeout{350};
 
+/// Memory of a request in progress besides the caller's connection: the connection to an
+/// upstream, and the first bytes of its answer.
+inline constexpr std::size_t relay_bytes = std::size_t{24} * 1024;
+
+/// Part of it for the answer.
+inline constexpr std::size_t relay_answer_bytes = std::size_t{16} * 1024;
+
 /// Status of an upstream that is not the one to which the request was sent, and of one
 /// that could not fetch an input.
 inline constexpr unsigned wrong_upstream_status = 421;
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -28,6 +28,9 @@
 /// Retry-after time of a refusal by a host that stops.
 constexpr milliseconds stopping_retry_after{200};
 
+/// Retry-after time of a refusal by a host that has no memory for a request.
+constexpr milliseconds memory_retry_after{1000};
+
 /// Interval at which a waiting request checks whether the host has its configuration.
 constexpr milliseconds startup_poll_interval{20};
 
@@ -65,7 +68,9 @@
             }
             current.m_wake_timer.cancel();
         });
-    auto rejection = parse_metadata(current);
+    current.m_memory = memory_lease{m_state.m_memory, {}};
+    auto rejection = hold_answer(current, 0) ? parse_metadata(current)
+                                             : reject_without_memory(current);
     if (!rejection)
     {
         co_await wait_for_configuration(current);
@@ -112,6 +117,18 @@
     return std::nullopt;
 }
 
+std::optional<http_response> request_relay::reject_without_memory(request& current)
+{
+    current.m_reason = "no_memory";
+    return platform::make_unavailable_response(memory_retry_after, current.m_reason);
+}
+
+bool request_relay::hold_answer(request& current, std::size_t answer_bytes)
+{
+    const std::size_t more = answer_bytes - std::min(answer_bytes, relay_answer_bytes);
+    return current.m_memory.resize(relay_bytes + more);
+}
+
 bool request_relay::state_loaded() const
 {
     return m_state.m_routing && m_state.m_registry_loaded;
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -120,11 +120,12 @@
     bool m_origin_recorded = false;
     /// Complete response of an upstream, not yet sent to the caller.
     std::optional<http_response> m_buffered_response;
-    memory_lease m_answer_memory;
+    /// What the host holds for the request, without the caller's connection.
+    memory_lease m_memory;
     /// Id of the last event forwarded to the caller, and the bytes received so far of an
     /// incomplete event.
     std::string m_last_event_id;
-    std::string m_partial_event;
+    serving::partial_event m_partial_event;
     /// Position in the stream of the latest attempt.
     serving::event_position m_event_position;
     attempt_progress m_progress;
@@ -177,6 +178,12 @@
     /// invalid.
     std::optional<http_response> parse_metadata(request& current);
 
+    /// Returns the response for a request for which there is no memory.
+    static std::optional<http_response> reject_without_memory(request& current);
+
+    /// Asks for memory for that much of an answer. Returns whether it is granted.
+    static bool hold_answer(request& current, std::size_t answer_bytes);
+
     /// Whether both the configuration and the registry of upstreams are known.
     bool state_loaded() const;
     boost::asio::awaitable<void> wait_for_configuration(request& current);
@@ -331,7 +338,7 @@
     boost::asio::awaitable<serving::attempt_outcome>
     handle_response_head(request& current, http_answer_head head);
     /// Buffers the response, so that a truncated one can be requested again. Switches to
-    /// relay_large_body when it exceeds the limit.
+    /// relay_large_body when it exceeds the limit, or the memory that is left.
     boost::asio::awaitable<serving::attempt_outcome>
     relay_buffered(request& current, http_answer_head head);
     /// @param body_so_far first bytes of the body
--- a/src/serving/event_stream.cpp
+++ b/src/serving/event_stream.cpp
@@ -93,6 +93,54 @@
     return {};
 }
 
+void append(partial_event& event, std::string_view bytes)
+{
+    constexpr std::size_t block_bytes = 4096;
+    while (!bytes.empty())
+    {
+        if (event.m_blocks.empty() || event.m_blocks.back().size() == block_bytes)
+        {
+            // The first block is all that a usual event takes.
+            const std::size_t first = std::min(bytes.size(), block_bytes);
+            event.m_blocks.emplace_back().reserve(
+                event.m_blocks.size() == 1 ? first : block_bytes);
+        }
+        std::string& last = event.m_blocks.back();
+        const std::size_t size = std::min(bytes.size(), block_bytes - last.size());
+        last += bytes.substr(0, size);
+        bytes.remove_prefix(size);
+    }
+}
+
+std::size_t size_of(const partial_event& event)
+{
+    std::size_t size = 0;
+    for (const std::string& block : event.m_blocks)
+    {
+        size += block.size();
+    }
+    return size;
+}
+
+std::string take(partial_event& event)
+{
+    std::string whole;
+    if (event.m_blocks.size() == 1)
+    {
+        whole = std::move(event.m_blocks.front());
+    }
+    else
+    {
+        whole.reserve(size_of(event));
+        for (const std::string& block : event.m_blocks)
+        {
+            whole += block;
+        }
+    }
+    event.m_blocks.clear();
+    return whole;
+}
+
 bool is_inside_event(const event_position& position)
 {
     return position.m_line_begun || position.m_event_begun;
--- a/tests/serving/event_stream_test.cpp
+++ b/tests/serving/event_stream_test.cpp
@@ -106,3 +106,24 @@
     cr_assert(event.has_value());
     cr_expect(not event->m_is_comment);
 }
+
+// Guards against bytes that are lost or doubled where a block of a long event ends.
+Test(event_stream, a_partial_event_is_taken_as_it_arrived)
+{
+    for (const std::size_t part : {1UL, 7UL, 4095UL, 4096UL, 4097UL, 9000UL})
+    {
+        std::string whole;
+        partial_event event;
+        for (std::size_t at = 0; at < 20'000; at += part)
+        {
+            const std::string bytes(part, static_cast<char>('a' + at % 26));
+            append(event, bytes);
+            whole += bytes;
+        }
+        EXPECT_EQUAL(size_of(event), whole.size());
+        EXPECT_EQUAL(take(event), whole);
+        EXPECT_EQUAL(size_of(event), 0U);
+        append(event, "next");
+        EXPECT_EQUAL(take(event), "next");
+    }
+}
