Count the fields of a head while it arrives

What was seen: 60 callers that send heads of 12,000 short fields at the same time, in pieces that take turns, made an entry daemon grow by 40 to 54 MB with an account that had granted four of them (release build, 60 heads of 60 kB, a daemon told 32 MB).

Cause: Beast's parser takes a head line by line, and keeps the fields of all heads that are under way; they were counted when a head was complete.

The fields are counted for each 512 bytes of a head.

Found with entry_crowd::heads_of_many_fields_before_bodies_that_do_not_come, which grew by 30 to 49 MB of 32 MB with sanitizers once the daemon had an account, and holds its bound with this change.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -113,10 +113,23 @@
     return std::min(wanted, buffer.max_size() - buffer.size());
 }
 
+/// Counts the fields that the parser has taken, which it does line by line. In steps, so
+/// that bytes which come one by one do not make it count again and again.
+void count_head(connection& peer, const request_parser& parser, std::size_t taken)
+{
+    constexpr std::size_t step_bytes = 512;
+    peer.m_uncounted_head_bytes += taken;
+    if (peer.m_uncounted_head_bytes >= step_bytes || parser.is_header_done())
+    {
+        peer.m_uncounted_head_bytes = 0;
+        peer.m_head_bytes = head_bytes(parser);
+    }
+}
+
 /// Reads until the parser has taken a part of the request, and counts what is buffered
 /// for that part. Beast's own function buffers the whole of a head, of the head of a
 /// chunk or of a trailer before it returns.
-/// @param parsed_bytes memory of the parts that the parser has taken before
+/// @param parsed_bytes memory of the body that the parser has taken before
 asio::awaitable<beast::error_code> read_some(connection& peer, request_parser& parser,
                                              std::size_t parsed_bytes)
 {
@@ -125,8 +138,13 @@
         if (peer.m_buffer.size() > 0)
         {
             beast::error_code error;
+            const bool is_head = !parser.is_header_done();
             const std::size_t taken = parser.put(peer.m_buffer.data(), error);
             peer.m_buffer.consume(taken);
+            if (is_head)
+            {
+                count_head(peer, parser, taken);
+            }
             if (error != http::error::need_more)
             {
                 co_return error;
@@ -138,7 +156,7 @@
             co_return make_error_code(http::error::buffer_overflow);
         }
         const auto space = peer.m_buffer.prepare(size);
-        if (!hold(peer, parsed_bytes))
+        if (!hold(peer, peer.m_head_bytes + parsed_bytes))
         {
             co_return make_error_code(beast::errc::not_enough_memory);
         }
@@ -173,16 +191,15 @@
 
 asio::awaitable<beast::error_code> read_body(connection& peer, request_parser& parser)
 {
-    const std::size_t head = head_bytes(parser);
     // What is announced is asked for before a byte of it is read.
     const auto announced = static_cast<std::size_t>(parser.content_length().value_or(0));
     const auto held = [&]
     {
-        return head + std::max(announced, parser.get().body().capacity());
+        return std::max(announced, parser.get().body().capacity());
     };
     while (!parser.is_done())
     {
-        if (!hold(peer, held()))
+        if (!hold(peer, peer.m_head_bytes + held()))
         {
             co_return make_error_code(beast::errc::not_enough_memory);
         }
@@ -278,6 +295,8 @@
     peer.m_buffer.max_size(
         std::max(limits.m_header_bytes + min_buffer_bytes, peer.m_buffer.size()));
     peer.m_received_bytes = 0;
+    peer.m_head_bytes = 0;
+    peer.m_uncounted_head_bytes = 0;
     peer.m_progress_at = std::chrono::steady_clock::now();
     peer.m_memory.enter(holder_phase::receiving);
     peer.m_stream.expires_after(limits.m_receive_timeout);
@@ -309,9 +328,9 @@
     co_return error;
 }
 
-std::size_t bytes_while_answered(const request_parser& parser)
+std::size_t bytes_while_answered(const connection& peer, const request_parser& parser)
 {
-    return head_copies * head_bytes(parser) + parser.get().body().capacity();
+    return head_copies * peer.m_head_bytes + parser.get().body().capacity();
 }
 
 void release_request(connection& peer)
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -46,6 +46,9 @@
     connection_phase m_phase = connection_phase::fresh;
     /// Bytes of the present request that have been received.
     std::size_t m_received_bytes = 0;
+    /// Memory of the head as far as it has been counted, and bytes of it since.
+    std::size_t m_head_bytes = 0;
+    std::size_t m_uncounted_head_bytes = 0;
     /// When the peer last made progress with a request, or has ended one.
     time_point m_progress_at = std::chrono::steady_clock::now();
     /// The connection is closed to make room for others.
@@ -81,7 +84,7 @@
 
 /// Memory that a request takes while it is answered: its body, and its head in the
 /// requests that are sent on.
-std::size_t bytes_while_answered(const request_parser& parser);
+std::size_t bytes_while_answered(const connection& peer, const request_parser& parser);
 
 /// Returns what the connection holds. No other request is read from it.
 void release_request(connection& peer);
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -283,7 +283,7 @@
     peer.m_answered_last = false;
     std::optional<request_parser> parser{std::in_place};
     beast::error_code error = co_await read_request(peer, *parser, m_limits);
-    if (!error && !hold(peer, bytes_while_answered(*parser)))
+    if (!error && !hold(peer, bytes_while_answered(peer, *parser)))
     {
         error = make_error_code(beast::errc::not_enough_memory);
     }
