Notice callers that have sent more and leave

What was seen, by reading: a caller that sends more bytes while it waits for its answer, and then leaves, kept its memory and its work until the work ended.

Cause: the server waits for a connection to become readable, to see its end. Bytes of a next request made it readable once; the wait was not armed again, and the end lies behind bytes that nobody reads yet.

A connection with unread bytes is asked every 200 ms whether its peer has hung up (POLLRDHUP), which does not depend on what is unread. Nothing is read for it, so that no memory is held for what a caller sends ahead.

Shown by http::a_caller_that_sends_more_and_leaves_is_noticed, which fails for a close and for a reset without the change.

--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -7,12 +7,15 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
 #include <utility>
 
+#include <poll.h>
+
 namespace geraniumdoor
 {
 
@@ -24,8 +27,12 @@
 /// Waits for the peer to close its side while a handler runs.
 struct peer_watch
 {
+    explicit peer_watch(const asio::any_io_executor& executor) : m_timer{executor} {}
+
     asio::cancellation_signal m_cancel;
     std::function<void()> m_callback;
+    /// Until the next look at a connection with bytes that nobody reads yet.
+    asio::steady_timer m_timer;
     bool m_ended = false;
 };
 
@@ -34,6 +41,20 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
+/// Interval at which a connection with unread bytes is looked at. The end of the
+/// connection lies behind them, and a wait for more returns at once.
+constexpr milliseconds hang_up_check_interval{200};
+
+/// Whether the peer has closed its side, or reset the connection, whatever is unread.
+bool has_hung_up(tcp::socket& socket)
+{
+    pollfd state{};
+    state.fd = socket.native_handle();
+    state.events = POLLRDHUP;
+    return ::poll(&state, 1, 0) > 0 &&
+           (state.revents & (POLLRDHUP | POLLHUP | POLLERR)) != 0;
+}
+
 bool peer_has_closed(tcp::socket& socket)
 {
     char byte = 0;
@@ -60,6 +81,27 @@
     return message;
 }
 
+void check_unread_connection(tcp::socket& socket,
+                             const std::shared_ptr<peer_watch>& watch)
+{
+    watch->m_timer.expires_after(hang_up_check_interval);
+    watch->m_timer.async_wait(
+        [&socket, watch](beast::error_code error)
+        {
+            if (watch->m_ended || error)
+            {
+                return;
+            }
+            if (has_hung_up(socket))
+            {
+                watch->m_ended = true;
+                watch->m_callback();
+                return;
+            }
+            check_unread_connection(socket, watch);
+        });
+}
+
 void watch_peer(tcp::socket& socket, const std::shared_ptr<peer_watch>& watch)
 {
     auto on_readable = [&socket, watch](beast::error_code error)
@@ -72,7 +114,9 @@
         {
             watch->m_ended = true;
             watch->m_callback();
+            return;
         }
+        check_unread_connection(socket, watch);
     };
     socket.async_wait(tcp::socket::wait_read,
                       asio::bind_cancellation_slot(watch->m_cancel.slot(), on_readable));
@@ -241,7 +285,7 @@
 
 void beast_exchange::on_peer_closed(std::function<void()> callback)
 {
-    m_watch = std::make_shared<peer_watch>();
+    m_watch = std::make_shared<peer_watch>(m_stream.get_executor());
     m_watch->m_callback = std::move(callback);
     watch_peer(m_stream.socket(), m_watch);
 }
@@ -267,6 +311,7 @@
     if (m_watch && !m_watch->m_ended)
     {
         m_watch->m_ended = true;
+        m_watch->m_timer.cancel();
         m_watch->m_cancel.emit(asio::cancellation_type::terminal);
     }
 }
--- a/tests/net/http_test.cpp
+++ b/tests/net/http_test.cpp
@@ -56,6 +56,7 @@
 struct late_answer
 {
     bool* m_gone;
+    milliseconds m_delay{300};
 
     asio::awaitable<void> operator()(http_exchange& exchange) const
     {
@@ -64,7 +65,7 @@
             {
                 *gone = true;
             });
-        asio::steady_timer timer{co_await asio::this_coro::executor, 300ms};
+        asio::steady_timer timer{co_await asio::this_coro::executor, m_delay};
         co_await timer.async_wait(asio::use_awaitable);
         http_response response;
         co_await exchange.respond(std::move(response));
@@ -174,6 +175,32 @@
     cr_expect(gone);
 }
 
+// Guards against memory and work for a caller that has sent more while it waited, and has
+// left: the end of its connection lies behind bytes that nobody reads.
+Test(http, a_caller_that_sends_more_and_leaves_is_noticed)
+{
+    for (const bool resets : {false, true})
+    {
+        bool gone = false;
+        fixture server{24130, late_answer{&gone, 2000ms}};
+        tcp::socket caller{server.m_io};
+        caller.connect(loopback(24130));
+        const std::string request = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
+        asio::write(caller, asio::buffer(request));
+        server.m_io.run_for(50ms);
+        asio::write(caller, asio::buffer(request));
+        server.m_io.run_for(50ms);
+        cr_expect(not gone, "the caller waits for both answers");
+        if (resets)
+        {
+            caller.set_option(asio::socket_base::linger{true, 0});
+        }
+        caller.close();
+        server.m_io.run_for(600ms);
+        cr_expect(gone, "reset: %d", resets ? 1 : 0);
+    }
+}
+
 Test(http, a_malformed_or_oversized_request_gets_an_error_answer)
 {
     fixture server{24117};
