Give the entry daemon an account of memory and a bound on descriptors

What was seen: 600 callers that sent 1 MiB less a few bytes and stayed brought an entry daemon from 8 MB to 630 MB; it accepted 2,000 such connections. The listeners for operators (3 MiB a sheet) and for other hosts held what any stranger sent.

Cause: the daemon had no account of memory, and its settings named neither memory nor descriptors.

memory_mb (256) and open_files (what the system allows) bound it as they do an edge host: 0.4 of the memory for callers' connections and requests, 0.04 for operators, 0.15 for other hosts; a third, a thirty-second and a sixth of the descriptors for their connections. A request counts three times its input while it is in progress; without memory for it, it is refused as overloaded before anything has run. The figures of the accounts are among the metrics.

--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -156,6 +156,18 @@
     set_bytes("to_hosts", m_transport.bytes_sent());
     set_bytes("to_platform_and_upstreams", m_http.bytes_sent());
     set_bytes("from_platform_and_upstreams", m_http.bytes_received());
+    const auto set_memory = [this](const char* purpose, const memory_pool& memory)
+    {
+        const metric_labels labels{{"purpose", purpose}};
+        m_metrics.set("gd_memory_held_bytes", labels,
+                      static_cast<double>(memory.m_account.m_held_bytes));
+        m_metrics.set_count("gd_memory_refused_total", labels,
+                            static_cast<double>(memory.m_refused));
+        m_metrics.set_count("gd_memory_closed_total", labels,
+                            static_cast<double>(memory.m_closed));
+    };
+    set_memory("callers", *m_caller_memory);
+    set_memory("operators", *m_control_memory);
     const coordinator_counters& counters = m_coordinator.m_counters;
     const std::pair<const char*, std::uint64_t> rows[] = {
         {"gd_first_attempts_total", counters.m_first_attempts},
--- a/src/daemon/caller_api.cpp
+++ b/src/daemon/caller_api.cpp
@@ -23,6 +23,13 @@
 constexpr std::string_view json_type = "application/json";
 constexpr std::string_view stream_type = "application/x-ndjson";
 
+/// Memory of a request in progress besides the caller's connection and the input.
+constexpr std::size_t request_bytes = std::size_t{8} * 1024;
+
+/// Copies of the input: the request in progress, its stage at the dispatcher, and what is
+/// sent to an upstream or to another host.
+constexpr std::size_t input_copies = 3;
+
 http_response json_response(unsigned status, std::string body)
 {
     http_response response;
@@ -97,9 +104,17 @@
             ? read_caller_request(exchange.request(), m_coordinator.m_config,
                                   m_settings.m_requests.m_longest_deadline, started)
             : not_ready_refusal();
+    memory_lease memory{m_caller_memory, {}};
     if (is_ok(checked) && m_sessions.size() >= m_settings.m_requests.m_in_progress)
     {
-        checked = too_many_refusal();
+        checked =
+            overloaded_refusal("this host has as many requests in progress as it takes");
+    }
+    else if (is_ok(checked) &&
+             !memory.resize(request_bytes +
+                            input_copies * value_of(checked).m_input.size()))
+    {
+        checked = overloaded_refusal("this host has no memory for the request");
     }
     if (!is_ok(checked))
     {
@@ -222,13 +237,13 @@
     }
 }
 
-request_refusal entry_node::too_many_refusal() const
+request_refusal entry_node::overloaded_refusal(const char* reason) const
 {
     constexpr milliseconds retry_after{1000};
     request_refusal refusal;
     refusal.m_status = 503;
     refusal.m_error.m_code = name_of(answer_code::overloaded);
-    refusal.m_error.m_message = "this host has as many requests in progress as it takes";
+    refusal.m_error.m_message = reason;
     refusal.m_error.m_retry_after = retry_after;
     return refusal;
 }
--- a/src/daemon/entry_node.cpp
+++ b/src/daemon/entry_node.cpp
@@ -2,6 +2,7 @@
 
 #include <geraniumdoor/base/log.hpp>
 #include <geraniumdoor/config/admin_api.hpp>
+#include <geraniumdoor/net/open_files.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -42,12 +43,33 @@
     return {address.m_address.to_string(), address.m_port};
 }
 
-http_limits to_limits(const http_settings& settings)
+/// Parts of the descriptors for the connections of callers, of operators, and of other
+/// hosts. The rest is for connections to upstreams, to other hosts and to the platform.
+constexpr std::size_t caller_connections_divisor = 3;
+constexpr std::size_t admin_connections_divisor = 32;
+constexpr std::size_t peer_connections_divisor = 6;
+
+std::shared_ptr<memory_pool> make_memory(const daemon_settings& settings,
+                                         memory_purpose purpose)
+{
+    return std::make_shared<memory_pool>(
+        memory_limits_of(settings.m_memory_bytes, purpose));
+}
+
+daemon_settings with_allowed_files(daemon_settings settings)
+{
+    settings.m_max_open_files = allowed_open_files(settings.m_max_open_files);
+    return settings;
+}
+
+http_limits to_limits(const daemon_settings& daemon, std::size_t connections_divisor)
 {
+    const http_settings& settings = daemon.m_http;
     http_limits limits;
     limits.m_header_bytes = settings.m_header_bytes;
     limits.m_body_bytes = settings.m_body_bytes;
-    limits.m_connections = settings.m_connections;
+    limits.m_connections =
+        std::min(settings.m_connections, daemon.m_max_open_files / connections_divisor);
     limits.m_receive_timeout = settings.m_receive_timeout;
     limits.m_idle_timeout = settings.m_idle_timeout;
     return limits;
@@ -97,9 +119,9 @@
 }
 
 /// Operators send whole sheets.
-http_limits admin_limits(const http_settings& settings)
+http_limits admin_limits(const daemon_settings& settings)
 {
-    http_limits limits = to_limits(settings);
+    http_limits limits = to_limits(settings, admin_connections_divisor);
     limits.m_body_bytes = std::max(limits.m_body_bytes, max_admin_body_bytes);
     return limits;
 }
@@ -125,6 +147,15 @@
     return limits;
 }
 
+node_transport_limits transport_limits(const daemon_settings& settings)
+{
+    node_transport_limits limits;
+    limits.m_incoming_connections =
+        std::min(limits.m_incoming_connections,
+                 settings.m_max_open_files / peer_connections_divisor);
+    return limits;
+}
+
 node_transport_settings make_transport_settings(const daemon_settings& settings,
                                                 incarnation started)
 {
@@ -136,7 +167,7 @@
 entry_node::entry_node(asio::io_context& io, daemon_settings settings,
                        incarnation started)
     : m_io{io}
-    , m_settings{std::move(settings)}
+    , m_settings{with_allowed_files(std::move(settings))}
     , m_incarnation{started}
     , m_started{std::chrono::steady_clock::now()}
     , m_random{started.m_value}
@@ -147,22 +178,25 @@
               m_settings.m_requests.m_table_timeout}
     , m_host_list{m_http, to_tcp(m_settings.m_host_list), 1000ms}
     , m_upstreams{m_http}
-    , m_transport{io.get_executor(),
-                  make_transport_settings(m_settings, started),
-                  {},
-                  make_callbacks()}
+    , m_transport{io.get_executor(), make_transport_settings(m_settings, started),
+                  transport_limits(m_settings), make_callbacks(),
+                  make_memory(m_settings, memory_purpose::peers)}
+    , m_caller_memory{make_memory(m_settings, memory_purpose::callers)}
+    , m_control_memory{make_memory(m_settings, memory_purpose::control)}
     , m_caller_server{io.get_executor(), to_tcp(m_settings.m_caller_address),
-                      to_limits(m_settings.m_http),
+                      to_limits(m_settings, caller_connections_divisor),
                       [this](http_exchange& exchange)
                       {
                           return serve_caller(exchange);
-                      }}
+                      },
+                      m_caller_memory}
     , m_admin_server{io.get_executor(), to_tcp(m_settings.m_admin_address),
-                     admin_limits(m_settings.m_http),
+                     admin_limits(m_settings),
                      [this](http_exchange& exchange)
                      {
                          return serve_admin(exchange);
-                     }}
+                     },
+                     m_control_memory}
     , m_membership{make_membership(make_membership_settings(m_settings.m_membership),
                                    make_self(m_settings, started), m_timers.now())}
     , m_dispatcher{make_dispatcher(started, started.m_value)}
--- a/src/daemon/entry_node.hpp
+++ b/src/daemon/entry_node.hpp
@@ -121,7 +121,7 @@
     // HTTP.
     bool is_ready() const;
     result<pipeline_request, request_refusal> not_ready_refusal() const;
-    request_refusal too_many_refusal() const;
+    request_refusal overloaded_refusal(const char* reason) const;
     boost::asio::awaitable<void> wait_until_ready();
     std::string encode_address_answer();
     http_response hosts_response() const;
@@ -159,6 +159,9 @@
     host_list_client m_host_list;
     upstream_client m_upstreams;
     node_transport m_transport;
+    /// What connections of callers and their requests take, and those of operators.
+    std::shared_ptr<memory_pool> m_caller_memory;
+    std::shared_ptr<memory_pool> m_control_memory;
     http_server m_caller_server;
     http_server m_admin_server;
     membership_state m_membership;
