--- a/tests/soak/soak_run.cpp
+++ b/tests/soak/soak_run.cpp
@@ -6,12 +6,15 @@
 #include <geraniumdoor/base/random.hpp>
 #include <geraniumdoor/net/http_client.hpp>
 
+#include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/json.hpp>
 
 #include <array>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <stdexcept>
@@ -65,6 +68,12 @@
 /// with another version, or the store comes back from an older copy.
 constexpr int notice_faults = 3;
 
+/// Memory that each host is told, which the callers that do not finish their bodies fill.
+constexpr int host_memory_mb = 16;
+constexpr std::size_t most_unfinished = 180;
+constexpr std::size_t unfinished_bytes = 65526;
+constexpr std::string_view unfinished_prefix = "unfinished-";
+
 /// Time for which a limit is named in addition, so that hosts have to keep to it.
 constexpr milliseconds limit_time{2000};
 
@@ -160,6 +169,7 @@
         : m_options{options}
         , m_random{options.m_seed}
         , m_notice_random{options.m_seed + 1}
+        , m_crowd_random{options.m_seed + 2}
         , m_client{m_io.get_executor(), {}}
         , m_hosts(static_cast<std::size_t>(options.m_hosts))
         , m_store_proxy{m_io.get_executor(), place(0, store_proxy_port),
@@ -224,6 +234,9 @@
 
     asio::awaitable<void> drive();
     asio::awaitable<void> send_requests();
+    /// Callers that send payments without an end, and stay connected.
+    asio::awaitable<void> send_unfinished_bodies();
+    void check_unfinished_bodies();
     asio::awaitable<void> call(request_kind kind, std::size_t host, std::string id,
                                bool record);
     asio::awaitable<void> watch_processes();
@@ -264,6 +277,7 @@
     random_source m_random;
     /// Source of its own, so that seeds give the same series of the other faults.
     random_source m_notice_random;
+    random_source m_crowd_random;
     asio::io_context m_io{1};
     http_client m_client;
     test::child_process m_standin;
@@ -319,6 +333,7 @@
             {"seeds", json::array{text_of(1, peer_port), text_of(2, peer_port)}},
             {"processor_share", 1.0},
             {"open_files", 600},
+            {"memory_mb", host_memory_mb},
             {"retry_ratio", 0.2},
             {"retry_slack", 50},
             {"retry_window_s", 10},
@@ -547,6 +562,48 @@
     }
 }
 
+asio::awaitable<void> soak_driver::send_unfinished_bodies()
+{
+    std::deque<tcp::socket> callers;
+    int sent = 0;
+    while (m_sending)
+    {
+        const std::size_t host =
+            uniform_below(m_crowd_random, static_cast<std::uint32_t>(m_hosts.size()));
+        const auto bytes = std::make_shared<std::string>(
+            "POST /pay/x HTTP/1.1\r\nHost: a.example\r\nCredential: key\r\nAttempt-Id: " +
+            std::string{unfinished_prefix} + std::to_string(++sent) +
+            "\r\nTransfer-Encoding: chunked\r\n\r\n10000\r\n" +
+            std::string(unfinished_bytes, 'a'));
+        callers.emplace_back(m_io);
+        tcp::socket& caller = callers.back();
+        const auto [error] = co_await caller.async_connect(
+            place(host + 1, caller_port), asio::as_tuple(asio::use_awaitable));
+        if (!error)
+        {
+            // A host that stands still takes nothing; the caller does not wait for it.
+            asio::async_write(caller, asio::buffer(*bytes),
+                              [bytes](boost::system::error_code, std::size_t) {});
+        }
+        if (callers.size() > most_unfinished)
+        {
+            callers.pop_front();
+        }
+        co_await pause_for(m_options.m_request_pause);
+    }
+}
+
+void soak_driver::check_unfinished_bodies()
+{
+    for (const auto& [id, runs] : m_result.m_run.m_runs)
+    {
+        if (id.starts_with(unfinished_prefix))
+        {
+            m_result.m_not_recovered.push_back("a body that was cut off ran: " + id);
+        }
+    }
+}
+
 asio::awaitable<void> soak_driver::disturb_host(std::size_t host, std::uint32_t kind,
                                                 milliseconds length)
 {
@@ -860,6 +917,7 @@
     m_began = clock_now();
     m_sending = true;
     spawn(send_requests());
+    spawn(send_unfinished_bodies());
     for (int number = 0; number < m_options.m_faults; ++number)
     {
         spawn(begin_fault(number));
@@ -885,6 +943,7 @@
     {
         m_result.m_run.m_runs[member.key()] = json::value_to<int>(member.value());
     }
+    check_unfinished_bodies();
     co_await read_ledger();
     note_ends();
     m_ending = true;
