--- a/tests/net/http_fuzz_test.cpp
+++ b/tests/net/http_fuzz_test.cpp
@@ -94,7 +94,7 @@
 
 } // namespace
 
-TestSuite(http_fuzz, .timeout = 120);
+TestSuite(http_fuzz, .timeout = 60);
 
 // Guards against bytes of a caller that end the server, or that leave memory counted, or
 // not counted, for a connection that is gone.
