Tests with crowds at a faulty upstream, and with callers that send ahead

Other operators told that a faulty worker sent bytes that were no answer, in a head or a body, without end, and that the machine that had called it ended for lack of memory. http_endless shows one call at a time. Here 290 requests wait for such an upstream at once, at a host that is told 32 MB: heads, fields, chunk extensions and trailers that stop short or do not end, bodies that nobody reads, bytes of no protocol. Another crowd sends 1 MB behind requests that wait.

The check of all crowds counts what the kernel has received for the process and it has not read, as the users' pages do (Recv-Q of its sockets in /proc/net/tcp), beside the resident memory. It is stricter for the earlier tests, whose crowds and bounds are unchanged.

--- a/tests/crowd/crowd_callers.cpp
+++ b/tests/crowd/crowd_callers.cpp
@@ -28,17 +28,6 @@
 
 constexpr const char* in_chunks_field = "Transfer-Encoding: chunked\r\n\r\n";
 
-std::string many_fields(std::size_t bytes)
-{
-    const std::string field = "a:b\r\n";
-    std::string text;
-    while (text.size() + field.size() <= bytes)
-    {
-        text += field;
-    }
-    return text;
-}
-
 std::string chunked_body(const crowd_plan& plan)
 {
     std::ostringstream size;
@@ -55,6 +44,17 @@
 
 } // namespace
 
+std::string many_fields(std::size_t bytes)
+{
+    const std::string field = "a:b\r\n";
+    std::string text;
+    while (text.size() + field.size() <= bytes)
+    {
+        text += field;
+    }
+    return text;
+}
+
 std::string bytes_of(const http_request& request, const crowd_plan& plan)
 {
     constexpr std::size_t missing = 10;
@@ -82,6 +82,8 @@
         return bytes + many_fields(plan.m_body_bytes) + "\r\n";
     case body_manner::whole:
         break;
+    case body_manner::whole_and_ahead:
+        return bytes + "\r\n" + std::string(plan.m_body_bytes, 'a');
     }
     return bytes + "\r\n";
 }
--- a/tests/crowd/crowd_callers.hpp
+++ b/tests/crowd/crowd_callers.hpp
@@ -32,6 +32,8 @@
     whole_with_many_fields,
     /// A whole request without a body, whose answer nobody reads.
     whole,
+    /// The same, and more bytes behind it.
+    whole_and_ahead,
 };
 
 /// What each caller of a crowd does. All stay connected.
@@ -46,6 +48,9 @@
     std::size_t m_turn_bytes = 0;
 };
 
+/// Fields of a head that are as short as they can be.
+std::string many_fields(std::size_t bytes);
+
 /// All bytes that a caller of the plan sends.
 std::string bytes_of(const http_request& request, const crowd_plan& plan);
 
--- a/tests/crowd/crowd_process.cpp
+++ b/tests/crowd/crowd_process.cpp
@@ -5,6 +5,7 @@
 #include <cstdlib>
 #include <filesystem>
 #include <fstream>
+#include <set>
 #include <sstream>
 #include <thread>
 
@@ -13,6 +14,37 @@
 namespace geraniumdoor::test
 {
 
+namespace
+{
+
+/// Received bytes that wait in a socket, and its inode, from a line of /proc/net/tcp.
+struct socket_row
+{
+    std::size_t m_unread = 0;
+    std::string m_inode;
+};
+
+socket_row read_socket_row(const std::string& line)
+{
+    const std::string listening = "0A";
+    std::istringstream fields{line};
+    std::string skipped;
+    std::string state;
+    std::string queues;
+    socket_row row;
+    fields >> skipped >> skipped >> skipped >> state >> queues >> skipped >> skipped >>
+        skipped >> skipped >> row.m_inode;
+    const auto colon = queues.find(':');
+    // That of a listening socket is the length of its backlog.
+    if (colon != std::string::npos && state != listening)
+    {
+        row.m_unread = std::stoul(queues.substr(colon + 1), nullptr, 16);
+    }
+    return row;
+}
+
+} // namespace
+
 void crowd_process::start(const std::string& name, const std::string& settings)
 {
     m_settings = std::make_unique<scratch_file>(name + "-crowd.json", settings);
@@ -80,6 +112,33 @@
     return count;
 }
 
+std::size_t crowd_process::unread_bytes() const
+{
+    const std::filesystem::path place = "/proc/" + std::to_string(m_process.id()) + "/fd";
+    std::set<std::string> inodes;
+    std::error_code error;
+    for (std::filesystem::directory_iterator at{place, error}, last; at != last;
+         at.increment(error))
+    {
+        const std::string target =
+            std::filesystem::read_symlink(at->path(), error).string();
+        const std::string prefix = "socket:[";
+        if (target.starts_with(prefix))
+        {
+            inodes.insert(
+                target.substr(prefix.size(), target.size() - prefix.size() - 1));
+        }
+    }
+    std::ifstream file{"/proc/net/tcp"};
+    std::size_t unread = 0;
+    for (std::string line; std::getline(file, line);)
+    {
+        const socket_row row = read_socket_row(line);
+        unread += inodes.contains(row.m_inode) ? row.m_unread : 0;
+    }
+    return unread;
+}
+
 long crowd_process::processor_ticks() const
 {
     std::ifstream file{"/proc/" + std::to_string(m_process.id()) + "/stat"};
--- a/tests/crowd/crowd_process.hpp
+++ b/tests/crowd/crowd_process.hpp
@@ -36,6 +36,9 @@
 
     std::size_t open_descriptors() const;
 
+    /// Bytes that the kernel has received for the process and that it has not read.
+    std::size_t unread_bytes() const;
+
 private:
     /// Processor time since the start, in clock ticks of 10 ms.
     long processor_ticks() const;
--- a/tests/crowd/crowd_story.cpp
+++ b/tests/crowd/crowd_story.cpp
@@ -14,6 +14,9 @@
 
 constexpr const char* address = "127.21.0.1";
 
+/// Port of the faulty upstream, from the first port of the test.
+constexpr int faulty_offset = 8;
+
 std::string settings_for(int first_port, const crowd_limits& limits)
 {
     const auto endpoint = [first_port](int offset)
@@ -48,10 +51,22 @@
     return configuration.insert(1, text);
 }
 
+/// Adds the service of the faulty upstream.
+std::string with_services(std::string configuration)
+{
+    const std::string first = R"("services":[)";
+    return configuration.insert(configuration.find(first) + first.size(),
+                                R"({"name":"faulty"},)");
+}
+
 } // namespace
 
 crowd_story::crowd_story(std::uint16_t first_port, const crowd_limits& limits)
-    : m_first_port{first_port}, m_limits{limits}
+    : m_first_port{first_port}
+    , m_limits{limits}
+    , m_faulty{m_io,
+               {asio::ip::make_address(address),
+                static_cast<std::uint16_t>(first_port + faulty_offset)}}
 {
     start_worker(m_worker, "plain", static_cast<std::uint16_t>(first_port + 6));
     start_worker(m_engine, "engine", static_cast<std::uint16_t>(first_port + 7));
@@ -60,9 +75,14 @@
         R"({"name":"flow","host":"a.example","prefix":"/resume/flow/",)"
         R"("routeType":"streaming","streamResume":true,"timeoutMs":20000,)"
         R"("targetLatencyMs":1000,"service":"engine","maxAttempts":1,"gapAimMs":300})";
-    m_store.put(
-        "op", "config",
-        with_limits(sample_configuration(sample_routes() + ',' + stream, 1), limits));
+    const std::string odd =
+        R"({"name":"odd","host":"a.example","prefix":"/odd/",)"
+        R"("routeType":"non_idempotent","timeoutMs":20000,"targetLatencyMs":300,)"
+        R"("service":"faulty","maxAttempts":1})";
+    register_faulty();
+    const std::string routes = sample_routes() + ',' + stream + ',' + odd;
+    m_store.put("op", "config",
+                with_services(with_limits(sample_configuration(routes, 1), limits)));
     m_store_server = std::make_unique<http_server>(
         m_io.get_executor(), tcp::endpoint{asio::ip::make_address(address), first_port},
         http_limits{},
@@ -103,6 +123,16 @@
     m_store.put("servers", worker.m_id, registry_entry(worker, port));
 }
 
+void crowd_story::register_faulty()
+{
+    worker_standin entry;
+    entry.m_id = "w-faulty";
+    entry.m_service = "faulty";
+    entry.m_address = address;
+    const auto port = static_cast<std::uint16_t>(m_first_port + faulty_offset);
+    m_store.put("servers", entry.m_id, registry_entry(entry, port));
+}
+
 tcp::endpoint crowd_story::place_of(edge_port port) const
 {
     return {asio::ip::make_address(address),
--- a/tests/crowd/crowd_story.hpp
+++ b/tests/crowd/crowd_story.hpp
@@ -2,6 +2,7 @@
 
 #include "crowd_callers.hpp"
 #include "crowd_process.hpp"
+#include "faulty_upstream.hpp"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/io_context.hpp>
@@ -38,8 +39,8 @@
     peers = 5,
 };
 
-/// A host process that is told that its machine is small, with a store and two workers in
-/// this process, and a crowd of callers.
+/// A host process that is told that its machine is small, with a store, two workers and a
+/// faulty upstream in this process, and a crowd of callers.
 class crowd_story
 {
 public:
@@ -64,6 +65,12 @@
         return m_engine;
     }
 
+    /// The upstream of /odd/, to which each request is sent once.
+    faulty_upstream& faulty()
+    {
+        return m_faulty;
+    }
+
     crowd_process& host()
     {
         return m_host;
@@ -88,6 +95,7 @@
     boost::asio::ip::tcp::endpoint place_of(edge_port port) const;
     void start_worker(worker_standin& worker, const std::string& service,
                       std::uint16_t port);
+    void register_faulty();
 
     std::uint16_t m_first_port;
     crowd_limits m_limits;
@@ -97,6 +105,7 @@
     store_standin m_store;
     worker_standin m_worker;
     worker_standin m_engine;
+    faulty_upstream m_faulty;
     std::unique_ptr<http_server> m_store_server;
     std::thread m_thread;
     crowd_process m_host;
--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -25,7 +25,10 @@
     cr_expect(story.host().is_alive());
     const std::size_t memory_bytes = story.limits().m_memory_mb * 1'000'000;
     const std::size_t grown = story.host().grown_bytes();
-    cr_expect(grown <= memory_bytes, "grew by %zu of %zu bytes", grown, memory_bytes);
+    const std::size_t unread = story.host().unread_bytes();
+    cr_expect(grown + unread <= memory_bytes,
+              "grew by %zu of %zu bytes, and %zu bytes wait unread", grown, memory_bytes,
+              unread);
     const std::size_t descriptors = story.host().open_descriptors();
     cr_expect(descriptors <= story.limits().m_open_files, "%zu descriptors", descriptors);
     const unsigned status = story.send_ordinary();
@@ -43,9 +46,25 @@
     expect_sound(story);
 }
 
+const std::string status_line = "HTTP/1.1 200 OK\r\n";
+const std::string proof =
+    "Attempt-Id: " + std::string{own_request_id} + "\r\nResponse-Signature: s\r\n";
+const std::string chunked = "Transfer-Encoding: chunked\r\n\r\n";
+
 /// A host that takes more connections, with larger heads.
 constexpr crowd_limits many_connections{32, 900, 65536, body_limit};
 
+/// Sends requests that a faulty upstream answers, and expects that the host lives within
+/// its machine and answers others.
+void expect_faulty_endured(std::uint16_t first_port, faulty_answer answer)
+{
+    crowd_story story{first_port, many_connections};
+    cr_assert(story.host().is_alive());
+    story.faulty().set_answer(std::move(answer));
+    story.begin({290, body_manner::whole, 0, 0, 16384}, edge_port::callers, "/odd/");
+    expect_sound(story);
+}
+
 /// Just short of what one connection buffers of a head, of an extension or of a trailer.
 constexpr std::size_t longest_head = 60'000;
 constexpr std::size_t longest_extension = 125'000;
@@ -178,6 +197,63 @@
     expect_sound(story);
 }
 
+// Guards against bytes that the kernel keeps for callers whose requests wait.
+Test(crowd, callers_that_send_ahead_while_their_requests_wait)
+{
+    crowd_story story{26590, many_connections};
+    cr_assert(story.host().is_alive());
+    story.begin({290, body_manner::whole_and_ahead, 1'000'000, 0, 16384},
+                edge_port::callers, "/odd/");
+    expect_sound(story);
+}
+
+// Guards against answers of a faulty upstream that are no answers and that many requests
+// wait for at the same time: heads that do not end, in one field and in many.
+Test(crowd, long_heads_of_an_upstream_that_do_not_end)
+{
+    expect_faulty_endured(26600, {status_line + "x: " + std::string(32'000, 'a'), {}});
+}
+
+Test(crowd, heads_of_many_fields_of_an_upstream_that_do_not_end)
+{
+    expect_faulty_endured(26610, {status_line + many_fields(32'000), {}});
+}
+
+Test(crowd, heads_of_many_fields_of_an_upstream_before_bodies_that_do_not_come)
+{
+    expect_faulty_endured(
+        26620,
+        {status_line + proof + many_fields(32'000) + "Content-Length: 100\r\n\r\n", {}});
+}
+
+Test(crowd, chunk_extensions_of_an_upstream_that_do_not_end)
+{
+    expect_faulty_endured(
+        26630, {status_line + proof + chunked + "1;" + std::string(32'000, 'a'), {}});
+}
+
+Test(crowd, trailers_of_many_fields_of_an_upstream_that_do_not_end)
+{
+    expect_faulty_endured(
+        26640, {status_line + proof + chunked + "0\r\n" + many_fields(32'000), {}});
+}
+
+// The same without end, until the host closes the connection or nobody reads them.
+Test(crowd, heads_of_an_upstream_without_end)
+{
+    expect_faulty_endured(26650, {status_line, many_fields(32'000)});
+}
+
+Test(crowd, bodies_of_an_upstream_without_end)
+{
+    expect_faulty_endured(26660, {status_line + proof + "\r\n", std::string(65536, 'a')});
+}
+
+Test(crowd, bytes_of_an_upstream_that_are_no_answer)
+{
+    expect_faulty_endured(26670, {"", std::string(65536, 'a')});
+}
+
 // Guards against strangers at the listener for other hosts, before and after a greeting.
 Test(crowd, messages_of_strangers_that_stop_short_of_their_end)
 {
