Count what upstreams send while it is read

What others saw: a faulty worker's bytes, in a head or a body and without end, ended the machine that had called it, and the requests of others with it. Here one call stayed within its limits; many at once did not stay within the machine.

Cause: heads of upstreams were in no account, and 32 KiB of short fields take 1.7 MB in the parser and its copies. Each call's buffer took its whole limit with the first read, the block of a body grew before the account was asked, the kernel's buffer grew to megabytes behind callers that do not read, and what was held back of answers used up the reserve of ordinary requests.

Change: calls of both daemons and of stage queues read with a loop of their own, like the server, and ask the account before they read. What a holder can do without leaves the reserve. An attempt that fails for lack of memory says nothing of its upstream. Sockets to upstreams have a receive buffer of 16 KiB.

The three new tests of net pass; they need the new argument and cannot be built without the change.

--- a/include/geraniumdoor/net/http_call.hpp
+++ b/include/geraniumdoor/net/http_call.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumdoor/base/result.hpp>
 #include <geraniumdoor/net/http_types.hpp>
+#include <geraniumdoor/net/memory_account.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -42,7 +43,10 @@
 class http_call
 {
 public:
-    http_call(boost::asio::any_io_executor executor, http_limits limits);
+    /// @param memory account of what the answer takes beyond connection_bytes; null for
+    /// none. A call whose answer it refuses fails with no_memory.
+    http_call(boost::asio::any_io_executor executor, http_limits limits,
+              std::shared_ptr<memory_pool> memory = nullptr);
     ~http_call();
     http_call(const http_call&) = delete;
     http_call& operator=(const http_call&) = delete;
--- a/include/geraniumdoor/net/http_client.hpp
+++ b/include/geraniumdoor/net/http_client.hpp
@@ -2,6 +2,7 @@
 
 #include <geraniumdoor/base/result.hpp>
 #include <geraniumdoor/net/http_types.hpp>
+#include <geraniumdoor/net/memory_account.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
 #include <boost/asio/awaitable.hpp>
@@ -56,7 +57,10 @@
 class http_client
 {
 public:
-    http_client(boost::asio::any_io_executor executor, http_limits limits);
+    /// @param memory account of what answers take while they are read; null for none. A
+    /// call whose answer it refuses fails with no_memory.
+    http_client(boost::asio::any_io_executor executor, http_limits limits,
+                std::shared_ptr<memory_pool> memory = nullptr);
     ~http_client();
     http_client(const http_client&) = delete;
     http_client& operator=(const http_client&) = delete;
--- a/include/geraniumdoor/net/http_types.hpp
+++ b/include/geraniumdoor/net/http_types.hpp
@@ -44,6 +44,8 @@
     closed,
     malformed,
     too_large,
+    /// The account of memory refuses what the answer takes.
+    no_memory,
     aborted,
 };
 
--- a/include/geraniumdoor/net/memory_account.hpp
+++ b/include/geraniumdoor/net/memory_account.hpp
@@ -109,6 +109,11 @@
 memory_decision request_memory(memory_account& account, memory_holder_id holder,
                                std::size_t bytes, time_point now);
 
+/// Decides whether a holder may hold that many bytes in all, which it can do without, and
+/// counts them if so. They leave the reserve to small holders, and close nobody.
+bool request_spare_memory(memory_account& account, memory_holder_id holder,
+                          std::size_t bytes);
+
 /// Records how many bytes a peer has sent so far.
 void record_received(memory_account& account, memory_holder_id holder, std::size_t bytes,
                      time_point now);
@@ -168,6 +173,10 @@
     /// @return whether they are granted
     bool resize(std::size_t bytes);
 
+    /// Asks for a number of bytes in all that the holder can do without.
+    /// @return whether they are granted
+    bool extend(std::size_t bytes);
+
     /// @param bytes received since the holder has entered its phase
     void record_received(std::size_t bytes);
 
--- a/src/daemon/admin_api.cpp
+++ b/src/daemon/admin_api.cpp
@@ -154,8 +154,10 @@
                       static_cast<double>(bytes));
     };
     set_bytes("to_hosts", m_transport.bytes_sent());
-    set_bytes("to_platform_and_upstreams", m_http.bytes_sent());
-    set_bytes("from_platform_and_upstreams", m_http.bytes_received());
+    set_bytes("to_platform_and_upstreams",
+              m_http.bytes_sent() + m_upstream_http.bytes_sent());
+    set_bytes("from_platform_and_upstreams",
+              m_http.bytes_received() + m_upstream_http.bytes_received());
     const auto set_memory = [this](const char* purpose, const memory_pool& memory)
     {
         const metric_labels labels{{"purpose", purpose}};
--- a/src/daemon/entry_node.cpp
+++ b/src/daemon/entry_node.cpp
@@ -173,16 +173,17 @@
     , m_random{started.m_value}
     , m_timers{std::chrono::steady_clock::now()}
     , m_tick_timer{io}
+    , m_caller_memory{make_memory(m_settings, memory_purpose::callers)}
+    , m_control_memory{make_memory(m_settings, memory_purpose::control)}
     , m_http{io.get_executor(), platform_limits()}
+    , m_upstream_http{io.get_executor(), platform_limits(), m_caller_memory}
     , m_table{m_http, to_tcp(m_settings.m_table_service),
               m_settings.m_requests.m_table_timeout}
     , m_host_list{m_http, to_tcp(m_settings.m_host_list), 1000ms}
-    , m_upstreams{m_http}
+    , m_upstreams{m_upstream_http}
     , m_transport{io.get_executor(), make_transport_settings(m_settings, started),
                   transport_limits(m_settings), make_callbacks(),
                   make_memory(m_settings, memory_purpose::peers)}
-    , m_caller_memory{make_memory(m_settings, memory_purpose::callers)}
-    , m_control_memory{make_memory(m_settings, memory_purpose::control)}
     , m_caller_server{io.get_executor(), to_tcp(m_settings.m_caller_address),
                       to_limits(m_settings, caller_connections_divisor),
                       [this](http_exchange& exchange)
--- a/src/daemon/entry_node.hpp
+++ b/src/daemon/entry_node.hpp
@@ -154,14 +154,16 @@
     timer_service m_timers;
     boost::asio::steady_timer m_tick_timer;
     metric_registry m_metrics;
+    /// What connections of callers and their requests take, with answers of upstreams,
+    /// and those of operators.
+    std::shared_ptr<memory_pool> m_caller_memory;
+    std::shared_ptr<memory_pool> m_control_memory;
     http_client m_http;
+    http_client m_upstream_http;
     table_client m_table;
     host_list_client m_host_list;
     upstream_client m_upstreams;
     node_transport m_transport;
-    /// What connections of callers and their requests take, and those of operators.
-    std::shared_ptr<memory_pool> m_caller_memory;
-    std::shared_ptr<memory_pool> m_control_memory;
     http_server m_caller_server;
     http_server m_admin_server;
     membership_state m_membership;
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -55,6 +55,16 @@
     return type.empty() || boost::algorithm::istarts_with(type, event_stream);
 }
 
+/// Capacity for the body and a further part. Grows in few steps, since an allocator may
+/// keep the blocks that it had before.
+std::size_t capacity_with(const std::string& body, const std::string& part)
+{
+    constexpr std::size_t growth = 4;
+    const std::size_t size = body.size() + part.size();
+    return size <= body.capacity() ? body.capacity()
+                                   : std::max(size, growth * body.capacity());
+}
+
 bool begins_stream(const relayed_request& current, const http_answer_head& head)
 {
     return is_stream(current.m_route->m_retry_safety) && head.m_status == 200 &&
@@ -377,7 +387,8 @@
 
 std::shared_ptr<http_call> request_relay::make_upstream_call() const
 {
-    return std::make_shared<http_call>(m_state.m_executor, upstream_http_limits());
+    return std::make_shared<http_call>(m_state.m_executor, upstream_http_limits(),
+                                       m_state.m_memory);
 }
 
 http_request request_relay::make_upstream_message(const request& current,
@@ -442,8 +453,8 @@
     {
         connected = co_await call->connect(to_tcp(address),
                                            std::min(connect_timeout, time_left(current)));
-        current.m_progress.m_lacked_socket =
-            !is_ok(connected) && error_of(connected).m_kind == http_error_kind::no_socket;
+        current.m_progress.m_lacked_resources =
+            !is_ok(connected) && lacks_resources(error_of(connected));
     }
     if (upstream* row = m_state.m_upstreams.m_rows.find(id); row && is_ok(connected))
     {
@@ -497,6 +508,7 @@
             error_of(response).m_kind == http_error_kind::closed;
         current.m_progress.m_gave_up =
             error_of(response).m_kind == http_error_kind::timeout;
+        current.m_progress.m_lacked_resources = lacks_resources(error_of(response));
     }
     call->close();
     current.m_upstream_call.reset();
@@ -594,11 +606,12 @@
     bool more = true;
     while (more)
     {
-        const auto part = co_await current.m_upstream_call->read_part(time_left(current));
+        auto part = co_await current.m_upstream_call->read_part(time_left(current));
         if (!is_ok(part))
         {
             current.m_progress.m_connection_lost =
                 error_of(part).m_kind == http_error_kind::closed;
+            current.m_progress.m_lacked_resources = lacks_resources(error_of(part));
             co_return attempt_outcome::broken;
         }
         if (current.m_first_byte_at == time_point{})
@@ -606,16 +619,19 @@
             current.m_first_byte_at = now();
         }
         more = !value_of(part).empty();
-        body += value_of(part);
         // Without memory for it, the rest of the body is passed on as it arrives.
-        const bool is_large = body.size() > max_buffered_response_bytes ||
-                              !hold_answer(current, body.capacity());
+        const std::size_t capacity = capacity_with(body, value_of(part));
+        const bool is_large =
+            body.size() + value_of(part).size() > max_buffered_response_bytes ||
+            !hold_answer(current, capacity);
         if (is_large)
         {
-            const auto outcome =
-                co_await relay_large_body(current, head, std::move(body));
+            const auto outcome = co_await relay_large_body(current, head, std::move(body),
+                                                           value_of(std::move(part)));
             co_return outcome;
         }
+        body.reserve(capacity);
+        body += value_of(part);
     }
     http_response response;
     response.m_status = head.m_status;
--- a/src/edge/relay_records.cpp
+++ b/src/edge/relay_records.cpp
@@ -113,7 +113,7 @@
     switch (outcome)
     {
     case attempt_outcome::not_sent:
-        if (takes_requests(current.m_upstream) && !current.m_progress.m_lacked_socket)
+        if (takes_requests(current.m_upstream) && !current.m_progress.m_lacked_resources)
         {
             note_unreachable(*row);
         }
@@ -122,7 +122,10 @@
     case attempt_outcome::broken:
     case attempt_outcome::broken_stream:
     case attempt_outcome::unusable:
-        note_unreachable(*row);
+        if (!current.m_progress.m_lacked_resources)
+        {
+            note_unreachable(*row);
+        }
         break;
     case attempt_outcome::answered:
     case attempt_outcome::answered_with_fault:
@@ -159,6 +162,7 @@
         (is_broken && !current.m_caller_gone && !current.m_progress.m_gave_up);
     const bool is_silent = is_broken && !is_faulty;
     if (row == nullptr || row->m_run != current.m_upstream_run ||
+        current.m_progress.m_lacked_resources ||
         (!is_answered && !is_faulty && !is_silent))
     {
         return;
--- a/src/edge/relay_streams.cpp
+++ b/src/edge/relay_streams.cpp
@@ -107,6 +107,7 @@
                 error_of(part).m_kind == http_error_kind::closed;
             current.m_progress.m_gave_up =
                 error_of(part).m_kind == http_error_kind::timeout;
+            current.m_progress.m_lacked_resources = lacks_resources(error_of(part));
             co_return attempt_outcome::broken_stream;
         }
         if (value_of(part).empty())
@@ -148,13 +149,13 @@
 
 asio::awaitable<attempt_outcome>
 request_relay::relay_large_body(request& current, const http_answer_head& head,
-                                std::string body_so_far)
+                                std::string body_so_far, std::string next_part)
 {
     // A body without events cannot be resumed.
     current.m_retry_state.m_retry_safety = retry_safety::at_most_once;
     co_await begin_response(current, head, head.m_length);
     std::string part = std::move(body_so_far);
-    while (!part.empty())
+    while (!part.empty() || !next_part.empty())
     {
         record_first_byte(current);
         const bool forwarded = co_await current.m_exchange.write_part(std::move(part));
@@ -163,10 +164,16 @@
             current.m_caller_gone = true;
             co_return attempt_outcome::broken_stream;
         }
+        part = std::exchange(next_part, {});
+        if (!part.empty())
+        {
+            continue;
+        }
         hold_answer(current, 0);
         auto next = co_await current.m_upstream_call->read_part(time_left(current));
         if (!is_ok(next))
         {
+            current.m_progress.m_lacked_resources = lacks_resources(error_of(next));
             co_return attempt_outcome::broken_stream;
         }
         part = value_of(std::move(next));
--- a/src/edge/relay_util.hpp
+++ b/src/edge/relay_util.hpp
@@ -52,6 +52,13 @@
            repeat == serving::retry_safety::stream_resumable;
 }
 
+/// Whether this host, and not the upstream, is why an attempt failed.
+inline bool lacks_resources(const http_error& error)
+{
+    return error.m_kind == http_error_kind::no_socket ||
+           error.m_kind == http_error_kind::no_memory;
+}
+
 inline bool may_have_run(serving::attempt_outcome outcome)
 {
     using serving::attempt_outcome;
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -126,7 +126,8 @@
 bool request_relay::hold_answer(request& current, std::size_t answer_bytes)
 {
     const std::size_t more = answer_bytes - std::min(answer_bytes, relay_answer_bytes);
-    return current.m_memory.resize(relay_bytes + more);
+    return more == 0 ? current.m_memory.resize(relay_bytes)
+                     : current.m_memory.extend(relay_bytes + more);
 }
 
 bool request_relay::state_loaded() const
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -42,8 +42,9 @@
     bool m_connection_lost = false;
     /// This host ended the attempt because the upstream was silent.
     bool m_gave_up = false;
-    /// This host had no descriptor for the attempt.
-    bool m_lacked_socket = false;
+    /// This host had no descriptor for the attempt, or no memory for the answer. Nothing
+    /// is known of the upstream.
+    bool m_lacked_resources = false;
 };
 
 /// State of one caller request from its arrival to the end of its response.
@@ -342,9 +343,10 @@
     boost::asio::awaitable<serving::attempt_outcome>
     relay_buffered(request& current, http_answer_head head);
     /// @param body_so_far first bytes of the body
+    /// @param next_part bytes that follow them
     boost::asio::awaitable<serving::attempt_outcome>
     relay_large_body(request& current, const http_answer_head& head,
-                     std::string body_so_far);
+                     std::string body_so_far, std::string next_part);
     /// Relays a stream of events.
     boost::asio::awaitable<serving::attempt_outcome>
     relay_stream(request& current, const http_answer_head& head);
--- a/src/edge/stage_scheduler.cpp
+++ b/src/edge/stage_scheduler.cpp
@@ -53,7 +53,7 @@
     , m_rollouts{rollouts}
     , m_send_result{std::move(send_result)}
     , m_send_forecast{std::move(send_forecast)}
-    , m_http{state.m_executor, client_limits()}
+    , m_http{state.m_executor, client_limits(), state.m_memory}
 {
 }
 
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -1,4 +1,4 @@
-#include "http_status.hpp"
+#include "answer_reader.hpp"
 #include "socket_support.hpp"
 
 #include <geraniumdoor/net/http_call.hpp>
@@ -28,9 +28,16 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
-/// Bytes of the body that one read returns at most.
+/// Bytes of the body that are returned at once.
 constexpr std::size_t part_bytes = 4096;
 
+/// Bytes that one read returns at most.
+constexpr std::size_t max_read_bytes = std::size_t{8} * 1024;
+
+/// The kernel's buffer for what the upstream has sent. By itself it grows to megabytes,
+/// all of which wait there when the caller does not read its answer.
+constexpr int receive_buffer_bytes = 16 * 1024;
+
 /// Whether the error says that the bytes are no answer of the protocol.
 bool is_protocol_error(beast::error_code error)
 {
@@ -74,10 +81,12 @@
 
 struct http_call::state : std::enable_shared_from_this<http_call::state>
 {
-    state(asio::any_io_executor executor, http_limits limits)
+    state(asio::any_io_executor executor, http_limits limits,
+          std::shared_ptr<memory_pool> memory)
         : m_stream{std::move(executor)}
         , m_limits{limits}
-        , m_buffer{limits.m_header_bytes + part_bytes}
+        , m_reader{limits.m_header_bytes, max_read_bytes, connection_bytes,
+                   std::move(memory)}
     {
     }
 
@@ -87,8 +96,7 @@
 
     beast::tcp_stream m_stream;
     http_limits m_limits;
-    /// Limited, because Beast buffers the head of a chunk and the trailer as a whole.
-    beast::flat_buffer m_buffer;
+    answer_reader m_reader;
     std::optional<http::response_parser<http::buffer_body>> m_parser;
     http::request<http::span_body<const char>> m_request;
     std::shared_ptr<const std::string> m_request_body;
@@ -113,6 +121,10 @@
     {
         failure.m_kind = http_error_kind::timeout;
     }
+    else if (error == beast::errc::not_enough_memory)
+    {
+        failure.m_kind = http_error_kind::no_memory;
+    }
     else if (is_protocol_error(error))
     {
         failure.m_kind = http_error_kind::malformed;
@@ -134,35 +146,18 @@
 
 asio::awaitable<beast::error_code> http_call::state::read_head()
 {
-    // Interim responses count towards the limit as one head.
-    std::size_t interim_bytes = 0;
-    while (true)
+    const auto prepare = [this](http::response_parser<http::buffer_body>& parser)
     {
-        m_parser.emplace();
-        m_parser->header_limit(static_cast<std::uint32_t>(m_limits.m_header_bytes));
-        m_parser->body_limit(boost::none);
-        m_parser->skip(m_request.method() == http::verb::head);
-        const auto [error, size] =
-            co_await http::async_read_header(m_stream, m_buffer, *m_parser, use_tuple);
-        const unsigned status = m_parser->get().result_int();
-        if (error || is_final_status(status))
-        {
-            co_return error;
-        }
-        if (!is_interim_status(status))
-        {
-            co_return make_error_code(http::error::bad_status);
-        }
-        interim_bytes += size;
-        if (interim_bytes > m_limits.m_header_bytes)
-        {
-            co_return make_error_code(http::error::header_limit);
-        }
-    }
+        parser.body_limit(boost::none);
+        parser.skip(m_request.method() == http::verb::head);
+    };
+    co_return co_await read_final_head(m_stream, m_reader, m_parser,
+                                       m_limits.m_header_bytes, prepare);
 }
 
-http_call::http_call(asio::any_io_executor executor, http_limits limits)
-    : m_state{std::make_shared<state>(std::move(executor), limits)}
+http_call::http_call(asio::any_io_executor executor, http_limits limits,
+                     std::shared_ptr<memory_pool> memory)
+    : m_state{std::make_shared<state>(std::move(executor), limits, std::move(memory))}
 {
 }
 
@@ -181,13 +176,15 @@
         failure.m_kind = http_error_kind::no_socket;
         co_return failure;
     }
+    beast::error_code ignored;
+    self->m_stream.socket().set_option(
+        asio::socket_base::receive_buffer_size{receive_buffer_bytes}, ignored);
     self->m_stream.expires_after(limit);
     const auto [error] = co_await self->m_stream.async_connect(endpoint, use_tuple);
     if (error || self->m_closed)
     {
         co_return self->error_from(error);
     }
-    beast::error_code ignored;
     self->m_stream.socket().set_option(tcp::no_delay{true}, ignored);
     co_return done{};
 }
@@ -225,6 +222,8 @@
     const beast::error_code error = co_await self->read_head();
     if (error || self->m_closed)
     {
+        // What was read of the head is not needed any more.
+        self->m_parser.reset();
         co_return self->error_from(error);
     }
     http_answer_head head;
@@ -252,8 +251,8 @@
         auto& body = self->m_parser->get().body();
         body.data = self->m_part.data();
         body.size = self->m_part.size();
-        auto [error, size] = co_await http::async_read_some(
-            self->m_stream, self->m_buffer, *self->m_parser, use_tuple);
+        beast::error_code error =
+            co_await read_some(self->m_stream, self->m_reader, *self->m_parser, 0);
         if (error == http::error::need_buffer)
         {
             error = {};
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -1,4 +1,4 @@
-#include "http_status.hpp"
+#include "answer_reader.hpp"
 #include "socket_support.hpp"
 
 #include <geraniumdoor/base/log.hpp>
@@ -96,6 +96,10 @@
     {
         result.m_kind = http_error_kind::timeout;
     }
+    else if (error == beast::errc::not_enough_memory)
+    {
+        result.m_kind = http_error_kind::no_memory;
+    }
     else if (error == http::error::body_limit || error == http::error::header_limit)
     {
         result.m_kind = http_error_kind::too_large;
@@ -142,16 +146,16 @@
     text.erase(0, start);
 }
 
-asio::awaitable<beast::error_code>
-read_lines(beast::tcp_stream& stream, beast::flat_buffer& buffer, response_parser& parser,
-           const http_call_options& options, std::uint64_t& received)
+asio::awaitable<beast::error_code> read_lines(beast::tcp_stream& stream,
+                                              answer_reader& reader,
+                                              response_parser& parser,
+                                              const http_call_options& options)
 {
     std::string pending;
     while (!parser.is_done())
     {
-        const auto [error, size] =
-            co_await http::async_read_some(stream, buffer, parser, use_tuple);
-        received += size;
+        const beast::error_code error =
+            co_await read_some(stream, reader, parser, pending.capacity());
         if (error)
         {
             co_return error;
@@ -166,46 +170,19 @@
     co_return beast::error_code{};
 }
 
-/// Reads the head of the final answer. Interim responses are skipped; they count towards
-/// the limit as one head.
-asio::awaitable<beast::error_code> read_final_head(beast::tcp_stream& stream,
-                                                   beast::flat_buffer& buffer,
-                                                   std::optional<response_parser>& parser,
-                                                   const http_limits& limits,
-                                                   std::uint64_t& received)
-{
-    std::size_t interim_bytes = 0;
-    while (interim_bytes <= limits.m_header_bytes)
-    {
-        parser.emplace();
-        parser->header_limit(static_cast<std::uint32_t>(limits.m_header_bytes));
-        parser->body_limit(limits.m_body_bytes);
-        const auto [error, size] =
-            co_await http::async_read_header(stream, buffer, *parser, use_tuple);
-        received += size;
-        const unsigned status = parser->get().result_int();
-        if (error || is_final_status(status))
-        {
-            co_return error;
-        }
-        if (!is_interim_status(status))
-        {
-            co_return make_error_code(http::error::bad_status);
-        }
-        interim_bytes += size;
-    }
-    co_return make_error_code(http::error::header_limit);
-}
-
-/// Reads the whole answer and adds its size. Lines are passed on only when the status is
-/// 200.
-asio::awaitable<beast::error_code>
-read_answer(beast::tcp_stream& stream, beast::flat_buffer& buffer,
-            std::optional<response_parser>& parser, const http_limits& limits,
-            const http_call_options& options, std::uint64_t& received)
+/// Reads the whole answer. Lines are passed on only when the status is 200.
+asio::awaitable<beast::error_code> read_answer(beast::tcp_stream& stream,
+                                               answer_reader& reader,
+                                               std::optional<response_parser>& parser,
+                                               const http_limits& limits,
+                                               const http_call_options& options)
 {
+    const auto prepare = [&limits](response_parser& next)
+    {
+        next.body_limit(limits.m_body_bytes);
+    };
     const beast::error_code header_error =
-        co_await read_final_head(stream, buffer, parser, limits, received);
+        co_await read_final_head(stream, reader, parser, limits.m_header_bytes, prepare);
     if (header_error)
     {
         co_return header_error;
@@ -213,12 +190,15 @@
     if (options.m_on_line && parser->get().result() == http::status::ok)
     {
         const beast::error_code lines_error =
-            co_await read_lines(stream, buffer, *parser, options, received);
+            co_await read_lines(stream, reader, *parser, options);
         co_return lines_error;
     }
-    const auto [error, size] =
-        co_await http::async_read(stream, buffer, *parser, use_tuple);
-    received += size;
+    beast::error_code error;
+    while (!error && !parser->is_done())
+    {
+        error =
+            co_await read_some(stream, reader, *parser, parser->get().body().capacity());
+    }
     co_return error;
 }
 
@@ -247,8 +227,9 @@
 
 struct http_client::state : std::enable_shared_from_this<http_client::state>
 {
-    state(asio::any_io_executor executor, http_limits limits)
-        : m_executor{std::move(executor)}, m_limits{limits}
+    state(asio::any_io_executor executor, http_limits limits,
+          std::shared_ptr<memory_pool> memory)
+        : m_executor{std::move(executor)}, m_limits{limits}, m_memory{std::move(memory)}
     {
     }
 
@@ -262,6 +243,7 @@
 
     asio::any_io_executor m_executor;
     http_limits m_limits;
+    std::shared_ptr<memory_pool> m_memory;
     std::map<tcp::endpoint, std::deque<stream_ptr>> m_idle;
     std::uint64_t m_bytes_sent = 0;
     std::uint64_t m_bytes_received = 0;
@@ -326,15 +308,16 @@
     {
         co_return exchange_end{write_error, true, false};
     }
-    // Limited, because Beast buffers the head of a chunk and the trailer as a whole.
-    beast::flat_buffer buffer{m_limits.m_header_bytes + read_bytes};
+    answer_reader reader{m_limits.m_header_bytes, read_bytes, connection_bytes, m_memory};
     const beast::error_code error =
-        co_await read_answer(stream, buffer, parser, m_limits, options, m_bytes_received);
-    co_return exchange_end{error, true, buffer.size() > 0};
+        co_await read_answer(stream, reader, parser, m_limits, options);
+    m_bytes_received += reader.m_received_bytes;
+    co_return exchange_end{error, true, reader.m_buffer.size() > 0};
 }
 
-http_client::http_client(asio::any_io_executor executor, http_limits limits)
-    : m_state{std::make_shared<state>(std::move(executor), limits)}
+http_client::http_client(asio::any_io_executor executor, http_limits limits,
+                         std::shared_ptr<memory_pool> memory)
+    : m_state{std::make_shared<state>(std::move(executor), limits, std::move(memory))}
 {
 }
 
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -1,5 +1,7 @@
 #include "http_connection.hpp"
 
+#include "http_reading.hpp"
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
@@ -69,9 +71,6 @@
     return by_peer ? 0 : 400;
 }
 
-/// Buffer of a connection that waits for a request.
-constexpr std::size_t min_buffer_bytes = std::size_t{4} * 1024;
-
 /// Buffer that a connection keeps between two requests.
 constexpr std::size_t max_kept_buffer_bytes = std::size_t{16} * 1024;
 
@@ -83,13 +82,7 @@
 
 std::size_t head_bytes(const request_parser& parser)
 {
-    const auto& head = parser.get();
-    std::size_t bytes = head.target().size();
-    for (const auto& field : head)
-    {
-        bytes += head_field_bytes + field.name_string().size() + field.value().size();
-    }
-    return bytes;
+    return parser.get().target().size() + bytes_of_fields(parser.get());
 }
 
 void record_progress(connection& peer, std::size_t bytes)
@@ -103,23 +96,11 @@
     }
 }
 
-/// Bytes to read next: what fits, or three times what is there, so that a buffer is
-/// copied few times before it has reached its limit. Zero at the limit.
-std::size_t next_read_size(const beast::flat_buffer& buffer)
-{
-    const std::size_t spare = buffer.capacity() - buffer.size();
-    const std::size_t wanted =
-        spare > 0 ? spare : std::max(min_buffer_bytes, 3 * buffer.size());
-    return std::min(wanted, buffer.max_size() - buffer.size());
-}
-
-/// Counts the fields that the parser has taken, which it does line by line. In steps, so
-/// that bytes which come one by one do not make it count again and again.
+/// Counts the fields that the parser has taken, which it does line by line.
 void count_head(connection& peer, const request_parser& parser, std::size_t taken)
 {
-    constexpr std::size_t step_bytes = 512;
     peer.m_uncounted_head_bytes += taken;
-    if (peer.m_uncounted_head_bytes >= step_bytes || parser.is_header_done())
+    if (peer.m_uncounted_head_bytes >= head_count_bytes || parser.is_header_done())
     {
         peer.m_uncounted_head_bytes = 0;
         peer.m_head_bytes = head_bytes(parser);
--- a/src/net/http_types.cpp
+++ b/src/net/http_types.cpp
@@ -56,6 +56,8 @@
         return "malformed";
     case http_error_kind::too_large:
         return "too_large";
+    case http_error_kind::no_memory:
+        return "no_memory";
     case http_error_kind::aborted:
         return "aborted";
     }
--- a/src/net/memory_account.cpp
+++ b/src/net/memory_account.cpp
@@ -95,6 +95,23 @@
     return {memory_verdict::refused, {}};
 }
 
+bool request_spare_memory(memory_account& account, memory_holder_id holder,
+                          std::size_t bytes)
+{
+    memory_holder& own = account.m_holders[holder];
+    const memory_limits& limits = account.m_limits;
+    const std::size_t others = account.m_held_bytes - own.m_bytes;
+    const std::size_t limit = limits.m_total_bytes - limits.m_small_reserve_bytes;
+    const bool fits =
+        limits.m_total_bytes == 0 || bytes <= own.m_bytes || others + bytes <= limit;
+    if (fits)
+    {
+        own.m_bytes = bytes;
+        account.m_held_bytes = others + bytes;
+    }
+    return fits;
+}
+
 void record_received(memory_account& account, memory_holder_id holder, std::size_t bytes,
                      time_point now)
 {
@@ -214,6 +231,11 @@
     }
 }
 
+bool memory_lease::extend(std::size_t bytes)
+{
+    return !m_pool || request_spare_memory(m_pool->m_account, m_id, bytes);
+}
+
 void memory_lease::record_received(std::size_t bytes)
 {
     if (m_pool)
--- a/tests/net/http_endless_test.cpp
+++ b/tests/net/http_endless_test.cpp
@@ -175,6 +175,23 @@
     }
 }
 
+/// Waits for the head of an answer that is counted in an account.
+asio::awaitable<void> call_with(std::shared_ptr<memory_pool> pool,
+                                asio::any_io_executor executor, tcp::endpoint endpoint,
+                                call_end& end)
+{
+    http_limits limits;
+    limits.m_header_bytes = std::size_t{32} * 1024;
+    http_call call{executor, limits, pool};
+    const auto connected = co_await call.connect(endpoint, call_limit);
+    const http_request request{"GET", "/", {}, ""};
+    const auto head = co_await call.send(request, call_limit);
+    if (!is_ok(connected) || !is_ok(head))
+    {
+        end.m_failure = is_ok(connected) ? error_of(head) : error_of(connected);
+    }
+}
+
 asio::awaitable<void> request_once(http_client& client, tcp::endpoint endpoint,
                                    call_end& end)
 {
@@ -333,6 +350,39 @@
     }
 }
 
+// Guards against an upstream whose answers are held by many calls at once: each of them
+// is within its limits.
+Test(http_endless, a_call_whose_answer_the_account_refuses_fails_and_returns_its_memory)
+{
+    std::string head = "HTTP/1.1 200 OK\r\n" + repeated("a:b\r\n", 3000) + "\r\n";
+    const auto pool = std::make_shared<memory_pool>(memory_limits{500'000, 100'000});
+    // Another holder, since a single one is granted whatever it asks for.
+    memory_lease other{pool, {}};
+    cr_assert(other.resize(200'000));
+    endless_server server{24371, std::move(head), "a"};
+    call_end end;
+    server.run(call_with(pool, server.m_io.get_executor(), server.m_endpoint, end));
+    cr_assert(end.m_failure.has_value());
+    cr_expect(end.m_failure->m_kind == http_error_kind::no_memory, "%s",
+              to_text(end.m_failure->m_kind));
+    EXPECT_EQUAL(pool->m_account.m_held_bytes, 200'000U);
+}
+
+Test(http_endless, clients_share_an_account_of_answers)
+{
+    const auto pool = std::make_shared<memory_pool>(memory_limits{500'000, 100'000});
+    memory_lease other{pool, {}};
+    cr_assert(other.resize(200'000));
+    endless_server server{24381, "HTTP/1.1 200 OK\r\n\r\n", std::string(4096, 'a')};
+    call_end end;
+    http_client client{server.m_io.get_executor(), {}, pool};
+    server.run(request_once(client, server.m_endpoint, end));
+    cr_assert(end.m_failure.has_value());
+    cr_expect(end.m_failure->m_kind == http_error_kind::no_memory, "%s",
+              to_text(end.m_failure->m_kind));
+    EXPECT_EQUAL(pool->m_account.m_held_bytes, 200'000U);
+}
+
 Test(http_endless, a_part_that_comes_byte_by_byte_without_content_ends_at_its_time)
 {
     asio::io_context io;
--- a/tests/net/memory_account_test.cpp
+++ b/tests/net/memory_account_test.cpp
@@ -37,6 +37,30 @@
 
 TestSuite(memory_account);
 
+// Guards against answers that are held back as long as there is memory, and take the part
+// that ordinary requests need.
+Test(memory_account, what_a_holder_can_do_without_leaves_the_reserve)
+{
+    memory_account account = account_of(32'000'000);
+    const std::size_t free_bytes =
+        account.m_limits.m_total_bytes - account.m_limits.m_small_reserve_bytes;
+    std::size_t held = 0;
+    for (std::uint64_t id = 1; held + max_small_bytes <= free_bytes; ++id)
+    {
+        cr_expect(request_spare_memory(account, {id}, max_small_bytes));
+        held += max_small_bytes;
+    }
+    EXPECT_EQUAL(account.m_held_bytes, held);
+    const auto still = add_holder(account, 1000, start);
+    cr_expect(not request_spare_memory(account, still, max_small_bytes));
+    cr_expect(request_memory(account, still, max_small_bytes, start).m_verdict ==
+              memory_verdict::granted);
+    // Nobody gives way for it, however long they stand still.
+    cr_expect(not request_spare_memory(account, {1001}, body));
+    // Less than before is granted at any time.
+    cr_expect(request_spare_memory(account, still, max_small_bytes / 2));
+}
+
 // Guards against a crowd that stops short of the end and takes the host's memory: the
 // longest still gives way, whoever makes progress stays, and small bodies have room.
 Test(memory_account, a_crowd_that_stands_still_gives_way_to_those_that_send)
