Count what callers send while their requests are answered

What was seen: a caller that sends on while its request waits fills the kernel's receive buffer, which counts toward the machine's memory on the users' pages. 290 such callers left 35 MB unread beside a host that was told 32 MB and grew by 14.

Cause: the account counts what the process has read. The watch for a peer that hangs up saw the unread bytes each 200 ms and did not count them.

Change: the watch counts them beyond 4 KiB, when they arrive and each 200 ms, outside the reserve of small holders. Without room the connection is closed, which ends its request like a caller that has left. The kernel's buffer of such a connection is limited to 16 KiB.

--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -76,6 +76,9 @@
 
 constexpr milliseconds refusal_timeout{1000};
 
+/// The kernel's buffer for a peer that sends on while a request is answered.
+constexpr int max_ahead_bytes = 16 * 1024;
+
 /// Copies of a request's head while it is answered: the request itself, what is sent to
 /// an upstream, and the same for another one that takes it over.
 constexpr std::size_t head_copies = 3;
@@ -314,6 +317,22 @@
     return head_copies * peer.m_head_bytes + parser.get().body().capacity();
 }
 
+bool hold_unread(connection& peer)
+{
+    beast::error_code ignored;
+    const std::size_t unread = peer.m_stream.socket().available(ignored);
+    const std::size_t counted = unread - std::min(unread, min_buffer_bytes);
+    if (counted > 0 && !peer.m_sends_ahead)
+    {
+        // The kernel's buffer has grown with what was read before, and would fill up.
+        peer.m_sends_ahead = true;
+        peer.m_stream.socket().set_option(
+            asio::socket_base::receive_buffer_size{max_ahead_bytes}, ignored);
+    }
+    return peer.m_memory.extend(connection_bytes + peer.m_buffer.capacity() +
+                                peer.m_answering_bytes + counted);
+}
+
 void release_request(connection& peer)
 {
     peer.m_buffer.clear();
--- a/src/net/http_connection.hpp
+++ b/src/net/http_connection.hpp
@@ -49,6 +49,10 @@
     /// Memory of the head as far as it has been counted, and bytes of it since.
     std::size_t m_head_bytes = 0;
     std::size_t m_uncounted_head_bytes = 0;
+    /// Memory of the request that is being answered.
+    std::size_t m_answering_bytes = 0;
+    /// The peer sends on while a request is answered.
+    bool m_sends_ahead = false;
     /// When the peer last made progress with a request, or has ended one.
     time_point m_progress_at = std::chrono::steady_clock::now();
     /// The connection is closed to make room for others.
@@ -86,6 +90,11 @@
 /// requests that are sent on.
 std::size_t bytes_while_answered(const connection& peer, const request_parser& parser);
 
+/// Counts what the kernel has received behind the request that is being answered, beyond
+/// the size of a short request.
+/// @return whether there is memory for it
+bool hold_unread(connection& peer);
+
 /// Returns what the connection holds. No other request is read from it.
 void release_request(connection& peer);
 
--- a/src/net/http_exchange.cpp
+++ b/src/net/http_exchange.cpp
@@ -1,8 +1,10 @@
 #include "http_exchange.hpp"
 
+#include "http_connection.hpp"
 #include "http_status.hpp"
 
 #include <geraniumdoor/base/invariant.hpp>
+#include <geraniumdoor/base/log.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -43,7 +45,7 @@
 
 /// Interval at which a connection with unread bytes is looked at. The end of the
 /// connection lies behind them, and a wait for more returns at once.
-constexpr milliseconds hang_up_check_interval{200};
+constexpr milliseconds unread_check_interval{200};
 
 /// Whether the peer has closed its side, or reset the connection, whatever is unread.
 bool has_hung_up(tcp::socket& socket)
@@ -81,53 +83,76 @@
     return message;
 }
 
-void check_unread_connection(tcp::socket& socket,
-                             const std::shared_ptr<peer_watch>& watch)
+/// Closes a connection whose unread bytes have no room. The handler learns of it as of a
+/// peer that has gone.
+void close_for_memory(connection& peer)
 {
-    watch->m_timer.expires_after(hang_up_check_interval);
+    log_event{"connection_closed"}.add("reason", "unread_bytes");
+    beast::error_code ignored;
+    peer.m_stream.socket().close(ignored);
+}
+
+/// Looks at a connection with unread bytes. Returns whether it is to be kept.
+bool is_kept(connection& peer)
+{
+    if (has_hung_up(peer.m_stream.socket()))
+    {
+        return false;
+    }
+    const bool has_room = hold_unread(peer);
+    if (!has_room)
+    {
+        close_for_memory(peer);
+    }
+    return has_room;
+}
+
+void check_unread_connection(connection& peer, const std::shared_ptr<peer_watch>& watch)
+{
+    if (!is_kept(peer))
+    {
+        watch->m_ended = true;
+        watch->m_callback();
+        return;
+    }
+    watch->m_timer.expires_after(unread_check_interval);
     watch->m_timer.async_wait(
-        [&socket, watch](beast::error_code error)
+        [&peer, watch](beast::error_code error)
         {
-            if (watch->m_ended || error)
-            {
-                return;
-            }
-            if (has_hung_up(socket))
+            if (!watch->m_ended && !error)
             {
-                watch->m_ended = true;
-                watch->m_callback();
-                return;
+                check_unread_connection(peer, watch);
             }
-            check_unread_connection(socket, watch);
         });
 }
 
-void watch_peer(tcp::socket& socket, const std::shared_ptr<peer_watch>& watch)
+void watch_peer(connection& peer, const std::shared_ptr<peer_watch>& watch)
 {
-    auto on_readable = [&socket, watch](beast::error_code error)
+    auto on_readable = [&peer, watch](beast::error_code error)
     {
         if (watch->m_ended || error == asio::error::operation_aborted)
         {
             return;
         }
-        if (error.failed() || peer_has_closed(socket))
+        if (error.failed() || peer_has_closed(peer.m_stream.socket()))
         {
             watch->m_ended = true;
             watch->m_callback();
             return;
         }
-        check_unread_connection(socket, watch);
+        check_unread_connection(peer, watch);
     };
-    socket.async_wait(tcp::socket::wait_read,
-                      asio::bind_cancellation_slot(watch->m_cancel.slot(), on_readable));
+    peer.m_stream.socket().async_wait(
+        tcp::socket::wait_read,
+        asio::bind_cancellation_slot(watch->m_cancel.slot(), on_readable));
 }
 
 } // namespace
 
-beast_exchange::beast_exchange(beast::tcp_stream& stream, http_request request,
-                               bool keep_alive, const http_limits& limits,
-                               const bool& draining)
-    : m_stream{stream}
+beast_exchange::beast_exchange(connection& peer, http_request request, bool keep_alive,
+                               const http_limits& limits, const bool& draining)
+    : m_peer{peer}
+    , m_stream{peer.m_stream}
     , m_request{std::make_shared<const http_request>(std::move(request))}
     , m_keep_alive{keep_alive}
     , m_limits{limits}
@@ -287,7 +312,7 @@
 {
     m_watch = std::make_shared<peer_watch>(m_stream.get_executor());
     m_watch->m_callback = std::move(callback);
-    watch_peer(m_stream.socket(), m_watch);
+    watch_peer(m_peer, m_watch);
 }
 
 void beast_exchange::begin_response()
--- a/src/net/http_exchange.hpp
+++ b/src/net/http_exchange.hpp
@@ -8,6 +8,7 @@
 namespace geraniumdoor
 {
 
+struct connection;
 struct peer_watch;
 
 /// Exchange on a connection of http_server.
@@ -16,8 +17,8 @@
 public:
     /// @param draining whether the server stops, in which case no further request may
     /// follow on the connection; read when the answer begins
-    beast_exchange(boost::beast::tcp_stream& stream, http_request request,
-                   bool keep_alive, const http_limits& limits, const bool& draining);
+    beast_exchange(connection& peer, http_request request, bool keep_alive,
+                   const http_limits& limits, const bool& draining);
     ~beast_exchange() override;
     beast_exchange(const beast_exchange&) = delete;
     beast_exchange& operator=(const beast_exchange&) = delete;
@@ -58,6 +59,7 @@
     void note_written(boost::beast::error_code error);
     void end_watch();
 
+    connection& m_peer;
     boost::beast::tcp_stream& m_stream;
     std::shared_ptr<const http_request> m_request;
     bool m_keep_alive;
--- a/src/net/http_server.cpp
+++ b/src/net/http_server.cpp
@@ -283,7 +283,8 @@
     peer.m_answered_last = false;
     std::optional<request_parser> parser{std::in_place};
     beast::error_code error = co_await read_request(peer, *parser, m_limits);
-    if (!error && !hold(peer, bytes_while_answered(peer, *parser)))
+    peer.m_answering_bytes = error ? 0 : bytes_while_answered(peer, *parser);
+    if (!error && !hold(peer, peer.m_answering_bytes))
     {
         error = make_error_code(beast::errc::not_enough_memory);
     }
@@ -330,8 +331,7 @@
 asio::awaitable<bool>
 http_server::state::run_handler(connection& peer, http_request request, bool keep_alive)
 {
-    beast_exchange exchange{peer.m_stream, std::move(request), keep_alive, m_limits,
-                            m_draining};
+    beast_exchange exchange{peer, std::move(request), keep_alive, m_limits, m_draining};
     ++m_active;
     std::string fault;
     try
