Show that large requests are served by entry daemons, and all kinds of answers at once

Change: a test of three entry daemons on machines of 32 MB, each of which serves a request of 900 KB, through the daemon that owns the upstream; a crowd of 270 callers at an edge host that is told 32 MB, a third each with documents that nobody reads, events that do not end, and bodies without end behind heads of 6,400 fields. Both are guards.

--- a/tests/crowd/crowd_test.cpp
+++ b/tests/crowd/crowd_test.cpp
@@ -254,6 +254,22 @@
     expect_faulty_endured(26670, {"", std::string(65536, 'a')});
 }
 
+// Guards against answers that are within the machine's memory one kind at a time.
+Test(crowd, answers_of_all_kinds_at_once_that_nobody_reads)
+{
+    crowd_story story{26680, many_connections};
+    cr_assert(story.host().is_alive());
+    story.plain_worker().m_mode = worker_mode::document;
+    story.engine().m_mode = worker_mode::endless_event;
+    story.faulty().set_answer(
+        {status_line + proof + many_fields(32'000) + "\r\n", std::string(65536, 'a')});
+    story.begin({90, body_manner::whole, 0, 0, 16384});
+    story.begin({90, body_manner::whole, 0, 0, 16384}, edge_port::callers,
+                "/resume/flow/");
+    story.begin({90, body_manner::whole, 0, 0, 16384}, edge_port::callers, "/odd/");
+    expect_sound(story);
+}
+
 // Guards against strangers at the listener for other hosts, before and after a greeting.
 Test(crowd, messages_of_strangers_that_stop_short_of_their_end)
 {
--- a/tests/daemon/serving_test.cpp
+++ b/tests/daemon/serving_test.cpp
@@ -334,3 +334,22 @@
                   each->m_body.c_str(), each->m_connection.bytes().c_str());
     }
 }
+
+// Guards against limits of memory that a single request within the limits of the daemons
+// meets: between the caller, the daemon that takes it, that which owns the upstream, and
+// the upstream.
+Test(serving, a_single_large_request_is_served_in_calm_on_small_machines)
+{
+    serving_world world{25900, 32'000'000};
+    world.start();
+    const std::string input(900'000, 'a');
+    for (std::size_t daemon = 0; daemon < world.m_daemons.size(); ++daemon)
+    {
+        const auto answer =
+            world.ask_with(daemon, "find", R"({"input":")" + input + "\"}");
+        cr_expect(answer.m_status == 200, "daemon %zu: status %u %s", daemon,
+                  answer.m_status, answer.m_body.substr(0, 200).c_str());
+        cr_expect(answer.m_body.size() > input.size());
+    }
+    EXPECT_EQUAL(world.ask(0, "find", 7).m_status, 200U);
+}
--- a/tests/daemon/serving_world.cpp
+++ b/tests/daemon/serving_world.cpp
@@ -75,8 +75,8 @@
     return error == nullptr ? "" : json::value_to<std::string>(error->at("ran"));
 }
 
-serving_world::serving_world(std::uint16_t first_port)
-    : m_port{first_port}, m_client{m_io.get_executor(), {}}
+serving_world::serving_world(std::uint16_t first_port, std::size_t memory_bytes)
+    : m_port{first_port}, m_memory_bytes{memory_bytes}, m_client{m_io.get_executor(), {}}
 {
     set_log_sink([](std::string_view) {});
     m_rows.m_rows["config/current"] = {++m_rows.m_last_version,
@@ -148,6 +148,7 @@
     settings.m_address_keep = 1s;
     settings.m_host_list_poll = 200ms;
     settings.m_requests.m_table_timeout = 300ms;
+    settings.m_memory_bytes = m_memory_bytes;
     m_daemons.push_back(std::make_unique<entry_daemon>(m_io, settings, incarnation{1}));
 }
 
@@ -223,6 +224,24 @@
     return *answer;
 }
 
+caller_answer serving_world::ask_with(std::size_t daemon, const std::string& pipeline,
+                                      std::string body)
+{
+    http_request request{"POST", "/v1/pipelines/" + pipeline, {}, std::move(body)};
+    request.m_fields = {{"X-Workspace", "riders"}, {"Content-Type", "application/json"}};
+    const auto answer = std::make_shared<caller_answer>();
+    asio::co_spawn(m_io,
+                   fetch(caller_endpoint(daemon).port(), std::move(request), answer),
+                   asio::detached);
+    run_until(
+        [&]
+        {
+            return answer->m_ended;
+        },
+        8000ms);
+    return *answer;
+}
+
 caller_answer serving_world::operate(std::size_t daemon, const std::string& target,
                                      const std::string& body)
 {
--- a/tests/daemon/serving_world.hpp
+++ b/tests/daemon/serving_world.hpp
@@ -38,7 +38,9 @@
 {
 public:
     /// Uses 30 ports from the given one.
-    explicit serving_world(std::uint16_t first_port);
+    /// @param memory_bytes memory of each daemon's machine
+    explicit serving_world(std::uint16_t first_port,
+                           std::size_t memory_bytes = daemon_settings{}.m_memory_bytes);
     ~serving_world();
 
     /// Runs until every daemon answers and every upstream has its lasting owner.
@@ -55,6 +57,9 @@
     /// The same, and waits for the answer.
     caller_answer ask(std::size_t daemon, const std::string& pipeline, int input,
                       const std::string& key = {}, bool streamed = false);
+    /// Sends this body, and waits for the answer.
+    caller_answer ask_with(std::size_t daemon, const std::string& pipeline,
+                           std::string body);
     /// Sends a request to the operator API of a daemon.
     caller_answer operate(std::size_t daemon, const std::string& target,
                           const std::string& body);
@@ -87,6 +92,7 @@
     bool is_serving();
 
     std::uint16_t m_port;
+    std::size_t m_memory_bytes;
     http_client m_client;
     std::unique_ptr<http_server> m_table_server;
     std::unique_ptr<http_server> m_host_server;
