Pass on no answer whose transfer coding is not decoded

Cause: Boost.Beast takes a list of codings that ends in "chunked" for "chunked" and any other coding for none, and believes the length beside it. The check that requests of callers have had was not made for answers.

Change: the function that reads the head of every answer, for callers, stages, the store and the entry daemon, fails unless there is no coding but one "chunked", and one length at most. Such an attempt is unusable: it goes to another upstream if it may be repeated, and ends with 502.

--- a/src/net/answer_reader.hpp
+++ b/src/net/answer_reader.hpp
@@ -162,8 +162,9 @@
 }
 
 /// Reads the head of the final answer, and whatever the parser takes with it. Interim
-/// responses are skipped; they count towards the limit as one head. Fails with
-/// not_enough_memory when the account refuses the head.
+/// responses are skipped; they count towards the limit as one head. Fails when the
+/// framing of the body is in doubt, and with not_enough_memory when the account refuses
+/// the head.
 /// @param prepare sets the limits of a new parser
 template<class Body, class Prepare>
 boost::asio::awaitable<boost::beast::error_code>
@@ -186,6 +187,10 @@
             error = co_await read_some(stream, reader, *parser, 0);
         }
         const unsigned status = parser->get().result_int();
+        if (!error && is_final_status(status) && !has_clear_framing(parser->get()))
+        {
+            co_return make_error_code(http::error::bad_transfer_encoding);
+        }
         if (error || is_final_status(status))
         {
             const bool is_granted = error.failed() || reader.hold(0);
--- a/src/net/http_connection.cpp
+++ b/src/net/http_connection.cpp
@@ -6,7 +6,6 @@
 #include <boost/asio/use_awaitable.hpp>
 
 #include <algorithm>
-#include <iterator>
 #include <string>
 #include <utility>
 
@@ -23,25 +22,6 @@
 
 constexpr auto use_tuple = asio::as_tuple(asio::use_awaitable);
 
-/// Whether the end of the request is beyond doubt. Beast takes a transfer coding that it
-/// does not know for none, and the body would be read as a second request.
-bool has_clear_framing(const http::request<http::string_body>& message)
-{
-    const auto count = [&](http::field name)
-    {
-        const auto [first, last] = message.equal_range(name);
-        return std::distance(first, last);
-    };
-    const auto codings = count(http::field::transfer_encoding);
-    const bool coding_known =
-        codings == 0 ||
-        (codings == 1 &&
-         beast::iequals(message[http::field::transfer_encoding], "chunked"));
-    const bool both = codings > 0 && count(http::field::content_length) > 0;
-    return coding_known && !both && count(http::field::content_length) <= 1 &&
-           count(http::field::host) <= 1;
-}
-
 /// Time in which a peer that has connected is expected to send its request.
 constexpr milliseconds first_request_time{1000};
 
@@ -289,7 +269,7 @@
     {
         co_return head_error;
     }
-    if (!has_clear_framing(parser.get()))
+    if (!has_clear_framing(parser.get()) || parser.get().count(http::field::host) > 1)
     {
         co_return make_error_code(http::error::bad_transfer_encoding);
     }
--- a/src/net/http_reading.hpp
+++ b/src/net/http_reading.hpp
@@ -18,6 +18,11 @@
 /// Memory that the fields of a head take.
 std::size_t bytes_of_fields(const boost::beast::http::fields& fields);
 
+/// Whether the end and the bytes of the body are beyond doubt: no transfer coding but one
+/// "chunked", and one length at most. Beast takes codings that it does not know for none,
+/// so that a body would be passed on as it was coded, or read as another message.
+bool has_clear_framing(const boost::beast::http::fields& fields);
+
 /// Bytes to read next: what fits, or three times what is there, so that a buffer is
 /// copied few times before it has reached its limit. Zero at the limit.
 std::size_t next_read_size(const boost::beast::flat_buffer& buffer);
