--- a/standins/edge_standins.cpp
+++ b/standins/edge_standins.cpp
@@ -297,6 +297,7 @@
                      {"maxConcurrency", 8},
                      {"state", state},
                      {"coldRemainingMs", 0},
+                     {"sequence", 1},
                      {"born", worker.m_born}});
 }
 
--- a/tests/platform/adapter_test.cpp
+++ b/tests/platform/adapter_test.cpp
@@ -32,7 +32,8 @@
 
 const std::string sample_entry =
     R"({"service":"e","address":"10.128.0.9:8080","zone":"z","version":"v1",)"
-    R"("maxConcurrency":64,"state":"ready","coldRemainingMs":120,"born":1790637736006})";
+    R"("maxConcurrency":64,"state":"ready","coldRemainingMs":120,"sequence":4,)"
+    R"("born":1790637736006})";
 
 http_request sample_request()
 {
@@ -104,11 +105,12 @@
     EXPECT_EQUAL(value_of(good).m_cold_remaining, 120ms);
     for (const char* bad :
          {"", "[]", "{}", R"({"service":1,"address":"1.1.1.1:1","zone":"z"})",
-          R"({"service":"e","address":"host:80","zone":"z","state":"ready"})",
+          R"({"service":"e","address":"host:80","zone":"z","state":"ready",)"
+          R"("version":"v1","coldRemainingMs":0,"sequence":1,"maxConcurrency":1})",
           R"({"service":"e","address":"1.1.1.1:1","zone":"z","state":"odd",)"
-          R"("maxConcurrency":1})",
+          R"("version":"v1","coldRemainingMs":0,"sequence":1,"maxConcurrency":1})",
           R"({"service":"e","address":"1.1.1.1:1","zone":"z","state":"ready",)"
-          R"("maxConcurrency":"64"})"})
+          R"("version":"v1","coldRemainingMs":0,"sequence":1,"maxConcurrency":"64"})"})
     {
         cr_expect(not is_ok(platform::decode_upstream_entry("i-2", bad)), "%s", bad);
     }
@@ -180,13 +182,13 @@
     {
         const std::string text =
             R"({"service":"s","address":"10.0.0.1:80","zone":"z","state":"ready",)"
-            R"("maxConcurrency":1)" +
+            R"("maxConcurrency":1,"coldRemainingMs":0,"sequence":1)" +
             field + '}';
         return value_of(platform::decode_upstream_entry("i", text)).m_version.m_value;
     };
     EXPECT_EQUAL(version_of(R"(,"version":"v1")"), "v1");
     EXPECT_EQUAL(version_of(R"(,"version":2)"), "2");
-    EXPECT_EQUAL(version_of(""), "");
+    EXPECT_EQUAL(version_of(R"(,"version":"")"), "");
     // A long name is told from others, and fits a datagram.
     const std::string longest =
         version_of(R"(,"version":")" + std::string(65, 'a') + '"');
--- a/tests/platform/odd_rows_test.cpp
+++ b/tests/platform/odd_rows_test.cpp
@@ -1,6 +1,7 @@
 #include <boost/json.hpp>
 
 #include <functional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -101,6 +102,38 @@
     }
 }
 
+// Guards against a payment that runs at a worker of another service: an entry of another
+// writer named the payments' service and the worker's address, and lacked the rest.
+Test(odd_rows, an_entry_that_lacks_a_field_or_has_it_with_another_type_names_no_upstream)
+{
+    // An entry may come without its upstream's start.
+    const std::set<std::string> optional{"born"};
+    // A version may be a number.
+    const std::set<std::string> text_or_number{"version"};
+    for (const auto& [name, sound] : sound_entry())
+    {
+        const std::string field{name};
+        json::object without = sound_entry();
+        without.erase(field);
+        cr_expect(accepts_entry(without) == optional.contains(field), "without %s",
+                  field.c_str());
+        for (const char* other :
+             {"null", "true", "[]", "{}", "[1]", "\"text\"", "7", "1.5"})
+        {
+            const json::value value = json::parse(other);
+            const bool is_same_type = value.is_number() == sound.is_number() &&
+                                      value.is_string() == sound.is_string();
+            const bool may_be = is_same_type ||
+                                (text_or_number.contains(field) && value.is_number()) ||
+                                (optional.contains(field) && value.is_null());
+            json::object entry = sound_entry();
+            entry[field] = value;
+            cr_expect(may_be || not accepts_entry(entry), "%s is %s", field.c_str(),
+                      other);
+        }
+    }
+}
+
 Test(odd_rows, a_cold_time_that_has_passed_counts_as_over)
 {
     json::object entry = sound_entry();
--- a/tests/standins/earlier_start_test.cpp
+++ b/tests/standins/earlier_start_test.cpp
@@ -166,7 +166,7 @@
     read.m_registry.m_rows.push_back(
         {"w1",
          R"({"service":"plain","address":"10.0.0.9:80","zone":"z1","maxConcurrency":8,)"
-         R"("state":"ready","coldRemainingMs":0,"born":1})",
+         R"("version":"v1","sequence":1,"state":"ready","coldRemainingMs":0,"born":1})",
          {10},
          false,
          false});
--- a/tests/standins/odd_entry_test.cpp
+++ b/tests/standins/odd_entry_test.cpp
@@ -29,7 +29,8 @@
 constexpr milliseconds time_to_follow{1200};
 
 const std::string sound_fields =
-    R"("service":"plain","zone":"z1","version":"v1","state":"ready","sequence":1)";
+    R"("service":"plain","zone":"z1","version":"v1","state":"ready","sequence":1,)"
+    R"("coldRemainingMs":0)";
 
 std::string entry_with(const std::string& fields)
 {
--- a/tests/standins/store_watch_test.cpp
+++ b/tests/standins/store_watch_test.cpp
@@ -22,7 +22,7 @@
 std::string registry_row(const std::string& state)
 {
     return R"({"service":"plain","address":"10.0.0.9:80","zone":"z1","maxConcurrency":8,)"
-           R"("state":")" +
+           R"("version":"v1","sequence":1,"state":")" +
            state + R"(","coldRemainingMs":0,"born":1})";
 }
 
