Blame no successor for memory that this host lacks

Cause: a successor to which a silent request is offered was counted as unreachable when its answer found no room in this host's account, unlike an upstream that has the request alone. A crowd of callers could have ejected sound upstreams in that way (by reading).

Change: a failed offer says nothing of the upstream when the host lacked a descriptor or memory.

Measured: the tests of silent_takeover pass; that a successor was ejected before is not shown by a test.

--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -432,7 +432,7 @@
         record_possible_crash(current, run_of(next.m_entry), weight_of_queued_request);
     }
     upstream* row = m_state.m_upstreams.m_rows.find(next.m_upstream);
-    if (row == nullptr)
+    if (row == nullptr || (!is_ok(response) && lacks_resources(error_of(response))))
     {
         return;
     }
