Show that readers are replaced too slowly when most hosts are cut off

Silent cuts of any number of hosts in the simulation: 6 of 1000 seeds of nine hosts have a host that reaches the store and holds an older version after configApplyMs (seeds 622, 690, 710, 854, 867 and 884), and seed 11 of twelve at 65 hosts.

--- a/tests/serving/configuration_fleet_test.cpp
+++ b/tests/serving/configuration_fleet_test.cpp
@@ -97,3 +97,23 @@
     }
     cr_expect(checks > 0);
 }
+
+// Guards against hosts that reach the store and wait for others, one set of readers after
+// the other, to take over the reading.
+Test(configuration_fleet, a_change_is_in_force_in_time_whatever_number_is_cut_off)
+{
+    int checks = 0;
+    for (const std::uint32_t seed : {622U, 690U, 710U, 854U, 867U, 884U})
+    {
+        is_in_time(seed, checks, {9, true, false});
+    }
+    cr_expect(checks > 0);
+}
+
+// The same for a fleet in which many sets of readers can be among those cut off.
+Test(configuration_fleet, a_change_is_in_force_in_time_in_a_fleet_of_many_hosts)
+{
+    int checks = 0;
+    is_in_time(11, checks, {65, true, false});
+    cr_expect(checks > 0);
+}
