Read the store for oneself when the own view of it grows old

What callers saw: an earlier configuration handled longer than configApplyMs after its successor had been confirmed, at hosts that reach the store.

Cause: a host that does not read the store relied on those that should, by their liveness and what they report. Readers are replaced three at a time. Readers whose reads are refused keep the role for 1.05 s, those whose reads are lost for 0.5 to 1 s, and their successors may be cut off, too. Nothing looked at the age of what the host itself holds.

A host whose view of a table is 1.35 to 1.6 s old now reads the table itself, on a new connection, at most every 2 s without success; if it succeeds, it is a candidate reader like any other. Both tables: configuration, registry.

Weighed: counting a refused read as a lost one, so that others take over at once. It makes up to 12 hosts ask a store that is down (bound: 6), and does not help when more sets of readers are cut off than fit into the time.

--- a/include/geraniumdoor/serving/store_readers.hpp
+++ b/include/geraniumdoor/serving/store_readers.hpp
@@ -46,6 +46,19 @@
 /// Most hosts that read the store while the reads of all hosts fail or wait.
 inline constexpr std::size_t max_failing_readers = store_reader_count + 2;
 
+/// Age of its view of a table from which a host reads the table itself, whoever else
+/// reads it. The view of a host that hears a reader is younger, and a read that begins
+/// then ends within the two seconds in which the platform wants a change in force.
+inline constexpr milliseconds max_followed_age{1350};
+
+/// Hosts reach that age one after the other within this time. The first ones that read
+/// with success tell the others.
+inline constexpr milliseconds followed_age_spread{250};
+
+/// Time between two reads of a host for itself. Bounds what an outage costs; shorter than
+/// the time that a host has after the store is back.
+inline constexpr milliseconds own_read_interval{2000};
+
 /// A host as a candidate for reading the store.
 struct reader_candidate
 {
@@ -107,6 +120,15 @@
 bool is_store_reader(const host_table& table, const host_report& own,
                      const row_pulls& pulls, time_point now);
 
+/// Whether a host that is not a reader reads a table for itself.
+///
+/// Load pattern: most hosts are cut off from the store at once, the readers among them.
+/// Readers are replaced a few at a time, and those that replace them may be cut off, too.
+/// A host that reaches the store does not wait for its turn longer than its view lasts.
+/// @param last_read when the last such read began
+bool reads_for_itself(const table_view& view, const node_id& own, time_point last_read,
+                      time_point now);
+
 /// Whether another live host reads the store with success.
 bool is_store_read_elsewhere(const host_table& table, time_point now);
 
--- a/src/edge/store_watch.cpp
+++ b/src/edge/store_watch.cpp
@@ -174,7 +174,12 @@
     while (!m_stopped)
     {
         update_access();
-        if (!is_reader())
+        const bool reads = is_reader();
+        if (!reads && reads_for_itself(table))
+        {
+            begin_own_read(table);
+        }
+        else if (!reads)
         {
             table.m_is_being_read = false;
             apply_due_changes();
@@ -194,6 +199,25 @@
     }
 }
 
+bool store_watch::reads_for_itself(const cached_table& table)
+{
+    return !has_no_data() &&
+           serving::reads_for_itself(view_of(table), m_state.m_own_report.m_node,
+                                     table.m_last_own_read, now());
+}
+
+void store_watch::begin_own_read(cached_table& table)
+{
+    const time_point at = now();
+    table.m_last_own_read = at;
+    table.m_is_being_read = false;
+    m_store.close_idle(table.m_name);
+    m_state.m_metrics.add("own_store_reads", {{"table", table.m_name}});
+    log_event{"own_store_read"}
+        .add("table", table.m_name)
+        .add("age_ms", serving::age_ms(view_of(table), at));
+}
+
 asio::awaitable<bool> store_watch::refresh_table(cached_table& table, milliseconds wait)
 {
     const time_point began = now();
--- a/src/edge/store_watch.hpp
+++ b/src/edge/store_watch.hpp
@@ -29,6 +29,8 @@
     serving::store_read_history m_history;
     /// The last read succeeded, and this host has been a reader since.
     bool m_is_being_read = false;
+    /// When this host last began to read the table for itself.
+    time_point m_last_own_read{};
     /// When the read in progress takes longer than usual; empty while there is none.
     std::optional<time_point> m_overdue_at;
 };
@@ -78,6 +80,9 @@
 private:
     boost::asio::awaitable<void> watch_table(cached_table& table, milliseconds wait,
                                              milliseconds pause);
+    /// Whether this host reads a table although it is not a reader.
+    bool reads_for_itself(const cached_table& table);
+    void begin_own_read(cached_table& table);
     boost::asio::awaitable<bool> refresh_table(cached_table& table, milliseconds wait);
     boost::asio::awaitable<bool> read_table(cached_table& table, milliseconds wait,
                                             time_point began);
--- a/src/serving/store_readers.cpp
+++ b/src/serving/store_readers.cpp
@@ -1,3 +1,4 @@
+#include <geraniumdoor/base/hash.hpp>
 #include <geraniumdoor/serving/store_readers.hpp>
 
 #include <algorithm>
@@ -157,6 +158,17 @@
                            others);
 }
 
+bool reads_for_itself(const table_view& view, const node_id& own, time_point last_read,
+                      time_point now)
+{
+    const auto position = static_cast<std::int64_t>(
+        stable_hash(own.m_value) %
+        static_cast<std::uint64_t>(followed_age_spread.count()));
+    return view.m_as_of &&
+           now - *view.m_as_of >= max_followed_age + milliseconds{position} &&
+           now - last_read >= own_read_interval;
+}
+
 bool is_store_read_elsewhere(const host_table& table, time_point now)
 {
     return std::any_of(table.m_hosts.begin(), table.m_hosts.end(),
--- a/tests/serving/configuration_fleet.hpp
+++ b/tests/serving/configuration_fleet.hpp
@@ -123,6 +123,8 @@
         /// When the host was last in trouble.
         time_point m_trouble{};
         table_copy m_copy;
+        table_view m_view;
+        time_point m_last_own_read{};
         std::uint64_t m_in_force = 0;
         std::uint64_t m_changes = 0;
         row_pulls m_pulls;
@@ -325,6 +327,9 @@
         report.m_changes = own.m_changes;
         report.m_interval_ms = 200;
         report.m_store_access = own.m_access;
+        report.m_sent_ms = static_cast<std::uint64_t>(
+            std::chrono::duration_cast<milliseconds>(m_now.time_since_epoch()).count());
+        report.m_operator_age_ms = age_ms(own.m_view, m_now);
         report.m_processor = 1;
         return report;
     }
@@ -363,7 +368,9 @@
     {
         host& own = m_hosts[at];
         apply_report(own.m_table, report, m_now);
-        own.m_table.m_hosts.at(report.m_node).m_reader_weight = m_hosts[from].m_weight;
+        peer_host& sender = own.m_table.m_hosts.at(report.m_node);
+        sender.m_reader_weight = m_hosts[from].m_weight;
+        confirm(at, sender);
         if (!begin_pull(own.m_pulls, report, has_data(at), false, m_now))
         {
             return;
@@ -382,6 +389,19 @@
              });
     }
 
+    /// Notes how current the copy of a host is, as a host does.
+    void confirm(std::size_t at, const peer_host& sender)
+    {
+        host& own = m_hosts[at];
+        const host_report& report = sender.m_report;
+        const auto told = view_of_age(report.m_operator_age_ms, sender.m_reported_at);
+        if (report.m_store_access == store_access::reading && has_data(at) &&
+            has_all_changes(own.m_pulls, report) && told.m_as_of)
+        {
+            confirm_view(own.m_view, *told.m_as_of);
+        }
+    }
+
     void push_to(std::size_t to, std::size_t from, store_version after,
                  std::uint64_t started)
     {
@@ -509,7 +529,18 @@
         {
             const bool is_reader = reads(at);
             own.m_is_being_read = own.m_is_being_read && is_reader;
-            if (is_reader && m_now >= own.m_next_read)
+            if (m_now < own.m_next_read)
+            {
+                return;
+            }
+            const node_id node{std::to_string(at)};
+            if (!is_reader && has_data(at) &&
+                reads_for_itself(own.m_view, node, own.m_last_own_read, m_now))
+            {
+                own.m_last_own_read = m_now;
+                begin_read(at);
+            }
+            else if (is_reader)
             {
                 begin_read(at);
             }
@@ -580,6 +611,7 @@
             rows.push_back(
                 {key, std::to_string(m_row.first), store_version_of_row(), false});
         }
+        confirm_view(own.m_view, ended.m_began);
         const std::uint64_t before = own.m_changes;
         const bool was_empty = !has_data(at);
         const merge_result merged =
--- a/tests/serving/store_readers_test.cpp
+++ b/tests/serving/store_readers_test.cpp
@@ -496,6 +496,35 @@
     EXPECT_EQUAL(fleet.readers().size(), store_reader_count);
 }
 
+// Guards against hosts that reach the store and wait for others to read it.
+Test(store_readers, a_host_reads_for_itself_when_its_view_grows_old)
+{
+    const node_id own{"host-1"};
+    table_view view;
+    cr_expect(not reads_for_itself(view, own, {}, start), "a host without data");
+    confirm_view(view, start);
+    const time_point young = start + max_followed_age - 1ms;
+    const time_point old = start + max_followed_age + followed_age_spread;
+    cr_expect(not reads_for_itself(view, own, {}, young));
+    cr_expect(reads_for_itself(view, own, {}, old));
+    // A read that was lost is not repeated at once.
+    cr_expect(not reads_for_itself(view, own, old, old + own_read_interval - 1ms));
+    cr_expect(reads_for_itself(view, own, old, old + own_read_interval));
+    confirm_view(view, old);
+    cr_expect(not reads_for_itself(view, own, {}, old + 1ms));
+}
+
+// A view that is followed up to its greatest age, and then read, is in time for the
+// platform's configApplyMs, with the checks and a read that takes a tenth of a second.
+Test(store_readers, a_host_that_reads_for_itself_is_in_time)
+{
+    constexpr milliseconds shortest_configuration_time{2000};
+    constexpr milliseconds checks_and_read{150};
+    cr_expect(max_followed_age + followed_age_spread + checks_and_read <
+              shortest_configuration_time);
+    cr_expect(max_followed_age + followed_age_spread < max_conclusive_age);
+}
+
 Test(store_readers, one_lost_response_does_not_move_the_role)
 {
     store_read_history history;
