Open connections to upstreams in one place, and show hosts that are cut off

What callers saw: hosts that had lost all paths to the upstreams refused requests, and the others lost the stages whose queue was at such a host.

All connections to upstreams (requests, successors, calls of pieces, releases, checks of starts) are now opened by upstream_dialer, which can be given a translation of addresses; the tests use it to cut one host off.

--- a/include/geraniumdoor/edge/edge_daemon.hpp
+++ b/include/geraniumdoor/edge/edge_daemon.hpp
@@ -10,11 +10,17 @@
 namespace geraniumdoor::edge
 {
 
+/// Returns the address at which a host reaches an upstream, from that of its registry
+/// entry. Networks that translate addresses differ by host.
+using address_translation = std::function<ip_endpoint(const ip_endpoint& registered)>;
+
 /// Edge host: proxies requests from callers to the upstreams of the users' platform.
 class edge_daemon
 {
 public:
-    edge_daemon(boost::asio::io_context& io, edge_settings settings, incarnation started);
+    /// @param translate empty if upstreams are reached at their registered addresses
+    edge_daemon(boost::asio::io_context& io, edge_settings settings, incarnation started,
+                address_translation translate = {});
     ~edge_daemon();
     edge_daemon(const edge_daemon&) = delete;
     edge_daemon& operator=(const edge_daemon&) = delete;
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -9,6 +9,7 @@
 #include "stage_client.hpp"
 #include "stage_scheduler.hpp"
 #include "store_watch.hpp"
+#include "upstream_dialer.hpp"
 #include "upstream_notices.hpp"
 
 #include <geraniumdoor/base/log.hpp>
@@ -133,7 +134,8 @@
 
 struct edge_daemon::parts
 {
-    parts(asio::io_context& io, edge_settings settings, incarnation started);
+    parts(asio::io_context& io, edge_settings settings, incarnation started,
+          address_translation translate);
 
     void start();
     void start_metrics();
@@ -170,6 +172,7 @@
     timer_service m_timers;
     edge_state m_state;
     node_transport m_transport;
+    upstream_dialer m_dialer;
     send_permits m_permits;
     origin_exchange m_origins;
     origin_store m_origin_store;
@@ -194,7 +197,7 @@
 };
 
 edge_daemon::parts::parts(asio::io_context& io, edge_settings settings,
-                          incarnation started)
+                          incarnation started, address_translation translate)
     : m_io{io}
     , m_timers{now()}
     , m_state{io.get_executor(), std::move(settings), m_timers}
@@ -205,6 +208,7 @@
                   transport_callbacks(),
                   std::make_shared<memory_pool>(memory_limits_of(
                       m_state.m_settings.m_memory_bytes, memory_purpose::peers))}
+    , m_dialer{m_state, std::move(translate)}
     , m_permits{m_state,
                 [this](const node_address& host, const datagram& message)
                 {
@@ -232,7 +236,10 @@
                     m_transport.send(host, std::move(message));
                 },
                 result_retention}
-    , m_scheduler{m_state, m_permits, m_rollouts,
+    , m_scheduler{m_state,
+                  m_dialer,
+                  m_permits,
+                  m_rollouts,
                   [this](const node_id& host, pieces_result result)
                   {
                       m_results.send(host, std::move(result));
@@ -255,7 +262,7 @@
               {
                   send_reports();
               }}
-    , m_relay{m_state, m_stages, m_scheduler, m_permits, m_origins, m_rollouts}
+    , m_relay{m_state, m_dialer, m_stages, m_scheduler, m_permits, m_origins, m_rollouts}
     , m_control_memory{std::make_shared<memory_pool>(
           memory_limits_of(m_state.m_settings.m_memory_bytes, memory_purpose::control))}
     , m_callers{io.get_executor(), to_tcp(m_state.m_settings.m_caller_endpoint),
@@ -970,8 +977,9 @@
 }
 
 edge_daemon::edge_daemon(asio::io_context& io, edge_settings settings,
-                         incarnation started)
-    : m_parts{std::make_unique<parts>(io, std::move(settings), started)}
+                         incarnation started, address_translation translate)
+    : m_parts{
+          std::make_unique<parts>(io, std::move(settings), started, std::move(translate))}
 {
 }
 
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -412,7 +412,6 @@
                                                             upstream_entry chosen)
 {
     const upstream_id id = chosen.m_id;
-    const ip_endpoint address = chosen.m_address;
     const takeover moved = std::exchange(current.m_takeover, {});
     const auto call = moved.m_head ? moved.m_call : make_upstream_call();
     current.m_upstream_call = call;
@@ -451,8 +450,8 @@
     result<done, http_error> connected = done{};
     if (!moved.m_head)
     {
-        connected = co_await call->connect(to_tcp(address),
-                                           std::min(connect_timeout, time_left(current)));
+        connected = co_await m_dialer.connect(
+            *call, chosen, std::min(connect_timeout, time_left(current)));
         current.m_progress.m_lacked_resources =
             !is_ok(connected) && lacks_resources(error_of(connected));
     }
--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -53,11 +53,12 @@
     reply->end();
 }
 
-asio::awaitable<void> open_connection(std::shared_ptr<http_call> call,
-                                      ip_endpoint address,
+asio::awaitable<void> open_connection(upstream_dialer& dialer,
+                                      std::shared_ptr<http_call> call,
+                                      upstream_entry entry,
                                       std::shared_ptr<upstream_reply<done>> reply)
 {
-    reply->m_result = co_await call->connect(to_tcp(address), connect_timeout);
+    reply->m_result = co_await dialer.connect(*call, entry, connect_timeout);
     reply->end();
 }
 
@@ -331,7 +332,7 @@
         next.m_connection = std::make_shared<upstream_reply<done>>();
         asio::co_spawn(
             m_state.m_executor,
-            open_connection(next.m_call, row.m_entry.m_address, next.m_connection),
+            open_connection(m_dialer, next.m_call, row.m_entry, next.m_connection),
             asio::detached);
         return false;
     }
--- a/src/edge/relay_versions.cpp
+++ b/src/edge/relay_versions.cpp
@@ -127,8 +127,7 @@
 asio::awaitable<void> request_relay::check_start(upstream_entry entry, time_point doubted)
 {
     const auto call = make_upstream_call();
-    const auto connected =
-        co_await call->connect(to_tcp(entry.m_address), min_restart_time);
+    const auto connected = co_await m_dialer.connect(*call, entry, min_restart_time);
     call->close();
     const time_point at = now();
     upstream* row = m_state.m_upstreams.m_rows.find(entry.m_id);
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -39,10 +39,12 @@
 
 } // namespace
 
-request_relay::request_relay(edge_state& state, stage_client& stages,
-                             const stage_scheduler& scheduler, send_permits& permits,
-                             origin_exchange& origins, rollout_exchange& rollouts)
+request_relay::request_relay(edge_state& state, upstream_dialer& dialer,
+                             stage_client& stages, const stage_scheduler& scheduler,
+                             send_permits& permits, origin_exchange& origins,
+                             rollout_exchange& rollouts)
     : m_state{state}
+    , m_dialer{dialer}
     , m_stage_client{stages}
     , m_scheduler{scheduler}
     , m_permits{permits}
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -7,6 +7,7 @@
 #include "stage_client.hpp"
 #include "stage_scheduler.hpp"
 #include "takeover.hpp"
+#include "upstream_dialer.hpp"
 
 #include <geraniumdoor/net/http_call.hpp>
 #include <geraniumdoor/net/http_server.hpp>
@@ -153,7 +154,7 @@
 class request_relay
 {
 public:
-    request_relay(edge_state& state, stage_client& stages,
+    request_relay(edge_state& state, upstream_dialer& dialer, stage_client& stages,
                   const stage_scheduler& scheduler, send_permits& permits,
                   origin_exchange& origins, rollout_exchange& rollouts);
 
@@ -438,6 +439,7 @@
     void handle_caller_gone(request& current);
 
     edge_state& m_state;
+    upstream_dialer& m_dialer;
     stage_client& m_stage_client;
     const stage_scheduler& m_scheduler;
     send_permits& m_permits;
--- a/src/edge/stage_results.cpp
+++ b/src/edge/stage_results.cpp
@@ -527,19 +527,18 @@
         if (row != nullptr)
         {
             record_send(row->m_sends, now());
-            asio::co_spawn(
-                m_state.m_executor,
-                send_release(upstream, row->m_entry.m_address, std::move(handles)),
-                asio::detached);
+            asio::co_spawn(m_state.m_executor,
+                           send_release(row->m_entry, std::move(handles)),
+                           asio::detached);
         }
     }
     state.m_pending_releases = std::move(kept);
 }
 
-asio::awaitable<void> stage_scheduler::send_release(upstream_id upstream,
-                                                    ip_endpoint address,
+asio::awaitable<void> stage_scheduler::send_release(upstream_entry entry,
                                                     std::vector<std::string> handles)
 {
+    const upstream_id& upstream = entry.m_id;
     constexpr milliseconds limit{1000};
     http_call_options options;
     options.m_timeout = limit;
@@ -554,14 +553,14 @@
     };
     const time_point began = now();
     auto answer =
-        co_await m_http.send(to_tcp(address), platform::encode_release(handles), options);
+        co_await m_dialer.send(m_http, entry, platform::encode_release(handles), options);
     const bool may_be_lost = !is_ok(answer) && error_of(answer).m_sent;
     if (may_be_lost && !options.m_fresh_connection)
     {
         // A kept connection may be silent. A release has no effect the second time.
         options.m_fresh_connection = true;
-        answer = co_await m_http.send(to_tcp(address), platform::encode_release(handles),
-                                      options);
+        answer = co_await m_dialer.send(m_http, entry, platform::encode_release(handles),
+                                        options);
     }
     if (is_ok(answer) && value_of(answer).m_status != wrong_upstream_status)
     {
@@ -572,7 +571,7 @@
     {
         // The results occupy the memory of the upstream until they expire.
         log_event{"release_failed"}
-            .add("address", to_text(address))
+            .add("address", to_text(entry.m_address))
             .add("results", handles.size())
             .add("reason", geraniumdoor::to_text(error_of(answer).m_kind));
     }
--- a/src/edge/stage_scheduler.cpp
+++ b/src/edge/stage_scheduler.cpp
@@ -45,10 +45,11 @@
 
 } // namespace
 
-stage_scheduler::stage_scheduler(edge_state& state, send_permits& permits,
-                                 rollout_exchange& rollouts, result_sender send_result,
-                                 forecast_sender send_forecast)
+stage_scheduler::stage_scheduler(edge_state& state, upstream_dialer& dialer,
+                                 send_permits& permits, rollout_exchange& rollouts,
+                                 result_sender send_result, forecast_sender send_forecast)
     : m_state{state}
+    , m_dialer{dialer}
     , m_permits{permits}
     , m_rollouts{rollouts}
     , m_send_result{std::move(send_result)}
@@ -357,14 +358,12 @@
     state.m_calls[upstream] = std::move(begun);
     count_call(pool, state, *row);
     record_send(row->m_sends, at);
-    asio::co_spawn(
-        m_state.m_executor,
-        run_call(pool, upstream, row->m_entry.m_address, std::move(request), expected),
-        asio::detached);
+    asio::co_spawn(m_state.m_executor,
+                   run_call(row->m_entry, std::move(request), expected), asio::detached);
 }
 
-asio::awaitable<void> stage_scheduler::run_call(pool_id pool, upstream_id upstream,
-                                                ip_endpoint address, http_request request,
+asio::awaitable<void> stage_scheduler::run_call(upstream_entry entry,
+                                                http_request request,
                                                 milliseconds expected)
 {
     http_call_options options;
@@ -378,9 +377,9 @@
     };
     const time_point began = now();
     const auto answer =
-        co_await m_http.send(to_tcp(address), std::move(request), options);
+        co_await m_dialer.send(m_http, entry, std::move(request), options);
     const auto took = std::chrono::duration_cast<milliseconds>(now() - began);
-    finish_call(pool, upstream, answer, took, expected);
+    finish_call(entry.m_pool, entry.m_id, answer, took, expected);
 }
 
 std::vector<pool_wait> stage_scheduler::wait_times() const
--- a/src/edge/stage_scheduler.hpp
+++ b/src/edge/stage_scheduler.hpp
@@ -4,6 +4,7 @@
 #include "host_status.hpp"
 #include "rollout_exchange.hpp"
 #include "send_permits.hpp"
+#include "upstream_dialer.hpp"
 
 #include <geraniumdoor/cluster/messages.hpp>
 #include <geraniumdoor/net/http_client.hpp>
@@ -36,8 +37,9 @@
     using forecast_sender =
         std::function<void(const node_id& host, pieces_forecast forecast)>;
 
-    stage_scheduler(edge_state& state, send_permits& permits, rollout_exchange& rollouts,
-                    result_sender send_result, forecast_sender send_forecast);
+    stage_scheduler(edge_state& state, upstream_dialer& dialer, send_permits& permits,
+                    rollout_exchange& rollouts, result_sender send_result,
+                    forecast_sender send_forecast);
 
     /// Starts the periodic checks of the queues.
     void start();
@@ -129,9 +131,8 @@
     bool may_call(const pool_id& pool, const upstream_id& id);
     void start_call(const pool_id& pool, pool_state& state, const upstream_id& upstream,
                     std::vector<serving::piece_ref> pieces);
-    boost::asio::awaitable<void> run_call(pool_id pool, upstream_id upstream,
-                                          ip_endpoint address, http_request request,
-                                          milliseconds expected);
+    boost::asio::awaitable<void> run_call(serving::upstream_entry entry,
+                                          http_request request, milliseconds expected);
     void finish_call(const pool_id& pool, const upstream_id& upstream,
                      const result<http_response, http_error>& answer, milliseconds took,
                      milliseconds expected);
@@ -154,7 +155,7 @@
     /// needs it; results expire by themselves.
     bool may_release(const pool_state& state, const upstream_id& upstream,
                      const std::vector<std::string>& handles);
-    boost::asio::awaitable<void> send_release(upstream_id upstream, ip_endpoint address,
+    boost::asio::awaitable<void> send_release(serving::upstream_entry entry,
                                               std::vector<std::string> handles);
     void run_checks(const pool_id& pool, pool_state& state);
     void log_queue(const pool_id& pool, pool_state& state);
@@ -163,6 +164,7 @@
     void expire_results(pool_state& state);
 
     edge_state& m_state;
+    upstream_dialer& m_dialer;
     send_permits& m_permits;
     rollout_exchange& m_rollouts;
     result_sender m_send_result;
--- a/tests/standins/edge_cluster.hpp
+++ b/tests/standins/edge_cluster.hpp
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -57,6 +58,14 @@
 
     void begin_stop(int host, std::function<void()> done);
 
+    /// Partitions a host from all workers: its new connections to them go to another
+    /// address, which refuses them or does not answer.
+    void cut_from_workers(int host, const boost::asio::ip::tcp::endpoint& instead);
+    void heal(int host);
+
+    /// An address at which nobody listens.
+    boost::asio::ip::tcp::endpoint closed_endpoint() const;
+
     boost::asio::ip::tcp::endpoint caller_endpoint(int host) const;
     boost::asio::ip::tcp::endpoint readiness_endpoint(int host) const;
     boost::asio::ip::tcp::endpoint directory_endpoint(int host) const;
@@ -83,6 +92,8 @@
                                 http_request request, milliseconds timeout);
 
     std::uint16_t m_first_port;
+    /// Hosts that are partitioned from all workers, and where their connections go.
+    std::map<int, boost::asio::ip::tcp::endpoint> m_cut_hosts;
     std::unique_ptr<http_server> m_store_server;
     std::vector<std::unique_ptr<edge::edge_daemon>> m_hosts;
     std::uint64_t m_incarnation = 1;
