Reach upstreams through other hosts while this one is cut off

The other hosts suffered, too: a pool's queue stays at the host that its weight names, and gave forecasts of 60 s when it reached no worker.

Cause: to be alive was taken for reaching the upstreams. Callers and roles go to hosts by liveness, and the only way to an upstream was the direct one.

A host for which connections to two upstreams of a pool fail, with none accepted in between, counts as cut off from it. It says so in its report and connects through a host of the region that reaches the pool: HTTP CONNECT on a port between hosts, to registered addresses alone. Requests, calls of pieces, takeovers and permits all pass. A broken tunnel is no evidence that the upstream crashed, and a host that is cut off doubts no start. One direct connection each half second finds out that the path is back.

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -247,6 +247,9 @@
 /// weight for it.
 constexpr std::size_t max_reported_queues = 16;
 
+/// Most pools in one report that its host does not reach.
+constexpr std::size_t max_reported_unreached = 16;
+
 /// State of a host, sent to all others a few times a second.
 struct host_report
 {
@@ -280,6 +283,12 @@
     std::vector<pool_wait> m_waits;
     /// First 32 bits of the stable hash of each pool whose queue the host runs.
     std::vector<std::uint32_t> m_queues;
+    region_id m_region;
+    /// Port of the host's peer address at which it opens tunnels for others; zero for
+    /// none.
+    std::uint16_t m_tunnel_port = 0;
+    /// The same of each pool whose upstreams the host does not reach.
+    std::vector<std::uint32_t> m_unreached;
 
     bool operator==(const host_report&) const = default;
 
@@ -289,7 +298,8 @@
         archive(short_text{m_node.m_value}, m_incarnation, m_sequence,
                 short_text{m_data_centre.m_value}, m_peer, m_caller, m_ready, m_stopping,
                 m_changes, m_sent_ms, m_operator_age_ms, m_registry_age_ms, m_live_hosts,
-                m_processor, m_interval_ms, m_store_access, m_loads, m_waits, m_queues);
+                m_processor, m_interval_ms, m_store_access, m_loads, m_waits, m_queues,
+                short_text{m_region.m_value}, m_tunnel_port, m_unreached);
     }
 };
 
--- a/include/geraniumdoor/edge/edge_settings.hpp
+++ b/include/geraniumdoor/edge/edge_settings.hpp
@@ -32,6 +32,9 @@
     ip_endpoint m_directory_endpoint;
     /// Listener for other hosts, over TCP and UDP.
     ip_endpoint m_peer_endpoint;
+    /// Listener for other hosts that reach upstreams through this one, at the address of
+    /// m_peer_endpoint; port zero for none.
+    ip_endpoint m_tunnel_endpoint;
     ip_endpoint m_store_endpoint;
     /// Hosts contacted for discovery; any of them may be down.
     std::vector<ip_endpoint> m_seeds;
--- a/include/geraniumdoor/net/http_call.hpp
+++ b/include/geraniumdoor/net/http_call.hpp
@@ -56,6 +56,13 @@
     boost::asio::awaitable<result<done, http_error>>
     connect(boost::asio::ip::tcp::endpoint endpoint, milliseconds limit);
 
+    /// Connects through a tunnel server, which connects to the endpoint. May follow a
+    /// connect that has failed. Calls through a tunnel end with tunnel_closed rather than
+    /// closed, and an answer that its connection ends is not complete.
+    boost::asio::awaitable<result<done, http_error>>
+    connect_through(boost::asio::ip::tcp::endpoint server,
+                    boost::asio::ip::tcp::endpoint endpoint, milliseconds limit);
+
     /// Starts to send the request and waits for the head of the final answer.
     /// Precondition: connect succeeded.
     boost::asio::awaitable<result<http_answer_head, http_error>>
--- a/include/geraniumdoor/net/http_client.hpp
+++ b/include/geraniumdoor/net/http_client.hpp
@@ -10,6 +10,7 @@
 
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -38,6 +39,11 @@
 struct http_call_options
 {
     milliseconds m_timeout{3000};
+    /// Time for a new connection; zero for none apart from m_timeout.
+    milliseconds m_connect_timeout{0};
+    /// Tunnel server through which to connect. The connection is new and is not kept, and
+    /// a call that it ends fails with tunnel_closed.
+    std::optional<boost::asio::ip::tcp::endpoint> m_tunnel_server;
     /// Use a new connection, so that a stale one cannot make the outcome unknown.
     bool m_fresh_connection = false;
     /// Receives each line of the body of an answer with status 200, without line feed, as
--- a/include/geraniumdoor/net/http_types.hpp
+++ b/include/geraniumdoor/net/http_types.hpp
@@ -42,6 +42,8 @@
     timeout,
     /// The peer closed the connection, or the connection broke.
     closed,
+    /// A connection through another host ended; that host or the peer may have ended it.
+    tunnel_closed,
     malformed,
     too_large,
     /// The account of memory refuses what the answer takes.
--- a/src/cluster/codec.cpp
+++ b/src/cluster/codec.cpp
@@ -127,6 +127,7 @@
     return message.m_loads.size() <= max_reported_loads &&
            message.m_waits.size() <= max_reported_waits &&
            message.m_queues.size() <= max_reported_queues &&
+           message.m_unreached.size() <= max_reported_unreached &&
            message.m_store_access <= store_access::retrying;
 }
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -16,6 +16,7 @@
 #include <geraniumdoor/edge/edge_daemon.hpp>
 #include <geraniumdoor/net/http_server.hpp>
 #include <geraniumdoor/net/node_transport.hpp>
+#include <geraniumdoor/net/tunnel.hpp>
 
 #include <boost/asio/steady_timer.hpp>
 #include <boost/json/serialize.hpp>
@@ -86,6 +87,8 @@
     report.m_data_centre = settings.m_data_centre;
     report.m_peer = to_node_address(settings.m_peer_endpoint);
     report.m_caller = to_node_address(settings.m_caller_endpoint);
+    report.m_region = settings.m_region;
+    report.m_tunnel_port = settings.m_tunnel_endpoint.m_port;
     report.m_processor =
         static_cast<std::uint32_t>(settings.m_cpu_cores * millicores_per_core);
     return report;
@@ -107,8 +110,19 @@
 /// Part of the descriptors that a listener for small requests may use: checks and
 /// operators are few, address queries come from all callers.
 constexpr std::uint32_t service_connections_divisor = 32;
+
+/// Part of the descriptors for tunnels of other hosts, which take two each.
+constexpr std::uint32_t tunnels_divisor = 12;
+
 constexpr std::uint32_t directory_connections_divisor = 6;
 
+tunnel_limits tunnel_limits_for(std::uint32_t max_open_files)
+{
+    tunnel_limits limits;
+    limits.m_tunnels = max_open_files / tunnels_divisor;
+    return limits;
+}
+
 http_limits small_request_limits(std::uint32_t connections)
 {
     http_limits limits;
@@ -188,6 +202,7 @@
     http_server m_admin;
     http_server m_metrics;
     http_server m_directory;
+    tunnel_server m_tunnels;
     asio::steady_timer m_timer_driver;
     time_point m_last_report{};
     time_point m_last_notice_report{};
@@ -208,7 +223,11 @@
                   transport_callbacks(),
                   std::make_shared<memory_pool>(memory_limits_of(
                       m_state.m_settings.m_memory_bytes, memory_purpose::peers))}
-    , m_dialer{m_state, std::move(translate)}
+    , m_dialer{m_state, std::move(translate),
+               [this]
+               {
+                   send_reports();
+               }}
     , m_permits{m_state,
                 [this](const node_address& host, const datagram& message)
                 {
@@ -296,6 +315,13 @@
                       return serve_directory(exchange);
                   },
                   m_state.m_memory}
+    , m_tunnels{io.get_executor(), to_tcp(m_state.m_settings.m_tunnel_endpoint),
+                tunnel_limits_for(m_state.m_settings.m_max_open_files),
+                [this](const asio::ip::tcp::endpoint& target)
+                {
+                    return m_dialer.target_of(target);
+                },
+                m_state.m_memory}
     , m_timer_driver{io}
 {
     m_state.m_own_report = initial_report(m_state.m_settings, started);
@@ -380,6 +406,11 @@
 void edge_daemon::parts::start()
 {
     m_transport.start();
+    if (m_state.m_settings.m_tunnel_endpoint.m_port != 0)
+    {
+        m_tunnels.start();
+    }
+    m_dialer.start();
     m_callers.start();
     m_admin.start();
     start_metrics();
@@ -894,6 +925,7 @@
     {
         server->begin_drain();
     }
+    m_tunnels.begin_drain();
     send_reports();
     log_owed("stopping", owed_work());
     m_timers.every(shutdown_check_interval,
@@ -907,7 +939,8 @@
 {
     serving::owed_work owed;
     owed.m_caller_connections = m_callers.owed_count();
-    owed.m_requests = m_relay.active();
+    // Requests that other hosts have passed on through this one are as much.
+    owed.m_requests = m_relay.active() + m_tunnels.open_count();
     owed.m_jobs = m_scheduler.open_job_count();
     owed.m_unsent_peers = m_transport.unsent_peer_count();
     owed.m_service_connections =
--- a/src/edge/edge_settings.cpp
+++ b/src/edge/edge_settings.cpp
@@ -50,6 +50,10 @@
     settings.m_metrics_endpoint = read_endpoint(reader, "metrics");
     settings.m_directory_endpoint = read_endpoint(reader, "directory");
     settings.m_peer_endpoint = read_endpoint(reader, "peers");
+    if (reader.has("tunnels"))
+    {
+        settings.m_tunnel_endpoint = read_endpoint(reader, "tunnels");
+    }
     settings.m_store_endpoint = read_endpoint(reader, "store");
     reader.each_text("seeds", max_seeds,
                      [&](const std::string& item, const std::string& path)
--- a/src/edge/edge_state.hpp
+++ b/src/edge/edge_state.hpp
@@ -16,6 +16,7 @@
 #include <geraniumdoor/serving/stage_queue.hpp>
 #include <geraniumdoor/serving/stream_origins.hpp>
 #include <geraniumdoor/serving/table_view.hpp>
+#include <geraniumdoor/serving/upstream_reach.hpp>
 #include <geraniumdoor/serving/upstreams.hpp>
 
 #include <boost/asio/any_io_executor.hpp>
@@ -54,6 +55,8 @@
     std::shared_ptr<const serving::routing_config> m_routing;
     serving::upstream_table m_upstreams;
     bool m_registry_loaded = false;
+    /// Pools to whose upstreams connections of this host have failed.
+    std::map<pool_id, serving::pool_reach> m_reach;
     /// As of when this host's copies of the store's tables are complete.
     serving::table_view m_operator_view;
     serving::table_view m_registry_view;
--- a/src/edge/relay_attempts.cpp
+++ b/src/edge/relay_attempts.cpp
@@ -447,13 +447,14 @@
     current.m_usual_first_token_ms = usual_first_token_of(current, id);
     update_running(true);
     current.m_progress = {};
-    result<done, http_error> connected = done{};
+    result<node_id, http_error> connected = node_id{};
     if (!moved.m_head)
     {
         connected = co_await m_dialer.connect(
             *call, chosen, std::min(connect_timeout, time_left(current)));
         current.m_progress.m_lacked_resources =
             !is_ok(connected) && lacks_resources(error_of(connected));
+        current.m_tunnel_host = is_ok(connected) ? value_of(connected) : node_id{};
     }
     if (upstream* row = m_state.m_upstreams.m_rows.find(id); row && is_ok(connected))
     {
--- a/src/edge/relay_takeover.cpp
+++ b/src/edge/relay_takeover.cpp
@@ -58,7 +58,15 @@
                                       upstream_entry entry,
                                       std::shared_ptr<upstream_reply<done>> reply)
 {
-    reply->m_result = co_await dialer.connect(*call, entry, connect_timeout);
+    const auto connected = co_await dialer.connect(*call, entry, connect_timeout);
+    if (is_ok(connected))
+    {
+        reply->m_result = done{};
+    }
+    else
+    {
+        reply->m_result = error_of(connected);
+    }
     reply->end();
 }
 
--- a/src/edge/relay_versions.cpp
+++ b/src/edge/relay_versions.cpp
@@ -120,6 +120,11 @@
 {
     const time_point at = now();
     record_unreachable(row, at);
+    if (m_dialer.is_cut_off(row.m_entry.m_pool))
+    {
+        // The path broke, which says nothing of the process.
+        return;
+    }
     doubt_start(row, at);
     asio::co_spawn(m_state.m_executor, check_start(row.m_entry, at), asio::detached);
 }
@@ -127,7 +132,8 @@
 asio::awaitable<void> request_relay::check_start(upstream_entry entry, time_point doubted)
 {
     const auto call = make_upstream_call();
-    const auto connected = co_await m_dialer.connect(*call, entry, min_restart_time);
+    const auto connected =
+        co_await m_dialer.connect_directly(*call, entry, min_restart_time);
     call->close();
     const time_point at = now();
     upstream* row = m_state.m_upstreams.m_rows.find(entry.m_id);
@@ -135,6 +141,10 @@
     {
         co_return;
     }
+    if (!is_ok(connected) && m_dialer.is_cut_off(entry.m_pool))
+    {
+        co_return;
+    }
     if (!is_ok(connected))
     {
         row->m_doubted_here_at = doubted;
--- a/src/edge/request_relay.cpp
+++ b/src/edge/request_relay.cpp
@@ -445,6 +445,10 @@
         line.add("sent_ms",
                  ms_between(current.m_arrived_at, current.m_last_sent_at).count());
     }
+    if (!current.m_tunnel_host.m_value.empty())
+    {
+        line.add("through", current.m_tunnel_host);
+    }
     if (!current.m_reason.empty())
     {
         line.add("reason", current.m_reason);
--- a/src/edge/request_relay.hpp
+++ b/src/edge/request_relay.hpp
@@ -110,6 +110,8 @@
     std::vector<upstream_id> m_tried_upstreams;
     std::shared_ptr<http_call> m_upstream_call;
     upstream_id m_upstream;
+    /// Host through which the latest attempt was connected; empty if it was directly.
+    node_id m_tunnel_host;
     /// Process of that upstream when the attempt began.
     upstream_run m_upstream_run;
     /// Software version of that upstream.
--- a/src/net/http_call.cpp
+++ b/src/net/http_call.cpp
@@ -2,6 +2,7 @@
 #include "socket_support.hpp"
 
 #include <geraniumdoor/net/http_call.hpp>
+#include <geraniumdoor/net/tunnel.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
@@ -102,6 +103,7 @@
     std::shared_ptr<const std::string> m_request_body;
     std::array<char, part_bytes> m_part{};
     bool m_closed = false;
+    bool m_is_tunnelled = false;
     /// Bytes of the request may have left this process.
     bool m_sent = false;
     /// All of them have.
@@ -129,10 +131,14 @@
     {
         failure.m_kind = http_error_kind::malformed;
     }
-    else
+    else if (m_sent)
     {
         failure.m_kind =
-            m_sent ? http_error_kind::closed : http_error_kind::connect_failed;
+            m_is_tunnelled ? http_error_kind::tunnel_closed : http_error_kind::closed;
+    }
+    else
+    {
+        failure.m_kind = http_error_kind::connect_failed;
     }
     return failure;
 }
@@ -189,6 +195,32 @@
     co_return done{};
 }
 
+asio::awaitable<result<done, http_error>>
+http_call::connect_through(tcp::endpoint server, tcp::endpoint endpoint,
+                           milliseconds limit)
+{
+    const auto self = m_state;
+    if (self->m_closed)
+    {
+        co_return self->error_from(asio::error::operation_aborted);
+    }
+    beast::error_code ignored;
+    self->m_stream.socket().close(ignored);
+    auto connected = co_await connect(server, limit);
+    if (!is_ok(connected))
+    {
+        co_return connected;
+    }
+    self->m_stream.expires_after(limit);
+    const auto error = co_await open_tunnel(self->m_stream, endpoint);
+    if (error || self->m_closed)
+    {
+        co_return self->error_from(error);
+    }
+    self->m_is_tunnelled = true;
+    co_return done{};
+}
+
 asio::awaitable<result<http_answer_head, http_error>>
 http_call::send(http_request request, milliseconds limit)
 {
@@ -269,13 +301,18 @@
     }
     const bool has_taken_request =
         self->m_is_written && unacknowledged_bytes(self->m_stream.socket()) == 0;
-    if (self->m_parser->need_eof() && !has_taken_request)
+    if (self->m_parser->need_eof() && (!has_taken_request || self->m_is_tunnelled))
     {
-        // The peer ended the connection before it had the request: the end of such an
-        // answer cannot be told from a crash.
+        // The peer ended the connection before it had the request, or the host between
+        // ended: the end of such an answer cannot be told from a crash.
         http_error failure;
+        failure.m_kind = self->m_is_tunnelled ? http_error_kind::tunnel_closed
+                                              : http_error_kind::closed;
         failure.m_sent = true;
-        failure.m_detail = "the peer ended the connection before it had the request";
+        failure.m_detail =
+            self->m_is_tunnelled
+                ? "the tunnel ended an answer without length"
+                : "the peer ended the connection before it had the request";
         co_return failure;
     }
     co_return std::string{};
--- a/src/net/http_client.cpp
+++ b/src/net/http_client.cpp
@@ -3,6 +3,7 @@
 
 #include <geraniumdoor/base/log.hpp>
 #include <geraniumdoor/net/http_client.hpp>
+#include <geraniumdoor/net/tunnel.hpp>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -109,9 +110,14 @@
     {
         result.m_kind = http_error_kind::malformed;
     }
+    else if (sent)
+    {
+        result.m_kind = options.m_tunnel_server ? http_error_kind::tunnel_closed
+                                                : http_error_kind::closed;
+    }
     else
     {
-        result.m_kind = sent ? http_error_kind::closed : http_error_kind::connect_failed;
+        result.m_kind = http_error_kind::connect_failed;
     }
     return result;
 }
@@ -289,15 +295,29 @@
 {
     if (!connected)
     {
-        if (const auto error = open_for(stream.socket(), endpoint))
+        const tcp::endpoint first_hop = options.m_tunnel_server.value_or(endpoint);
+        if (const auto error = open_for(stream.socket(), first_hop))
         {
             co_return exchange_end{error, false, false, true};
         }
-        const auto [error] = co_await stream.async_connect(endpoint, use_tuple);
+        const bool has_limit = options.m_connect_timeout > milliseconds{0};
+        stream.expires_after(has_limit
+                                 ? std::min(options.m_connect_timeout, options.m_timeout)
+                                 : options.m_timeout);
+        const auto [error] = co_await stream.async_connect(first_hop, use_tuple);
         if (error)
         {
             co_return exchange_end{error, false, false};
         }
+        if (options.m_tunnel_server)
+        {
+            const beast::error_code refused = co_await open_tunnel(stream, endpoint);
+            if (refused)
+            {
+                co_return exchange_end{refused, false, false};
+            }
+        }
+        stream.expires_after(options.m_timeout);
         beast::error_code ignored;
         stream.socket().set_option(tcp::no_delay{true}, ignored);
     }
@@ -335,7 +355,9 @@
         co_return http_error{http_error_kind::aborted, false,
                              "aborted before it was sent"};
     }
-    stream_ptr stream = options.m_fresh_connection ? nullptr : self->take_idle(endpoint);
+    const bool may_keep = !options.m_tunnel_server;
+    stream_ptr stream =
+        options.m_fresh_connection || !may_keep ? nullptr : self->take_idle(endpoint);
     const bool connected = stream != nullptr;
     if (!connected)
     {
@@ -375,7 +397,7 @@
                             !is_refusal(parser->get().result_int());
     http_response response = to_response(parser->release());
     const bool trusted = !options.m_may_reuse || options.m_may_reuse(response);
-    if (keep_alive && trusted)
+    if (keep_alive && trusted && may_keep)
     {
         self->keep_idle(endpoint, std::move(stream));
     }
--- a/src/net/http_types.cpp
+++ b/src/net/http_types.cpp
@@ -52,6 +52,8 @@
         return "timeout";
     case http_error_kind::closed:
         return "closed";
+    case http_error_kind::tunnel_closed:
+        return "tunnel_closed";
     case http_error_kind::malformed:
         return "malformed";
     case http_error_kind::too_large:
--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -132,6 +132,9 @@
     report.m_interval_ms = 400;
     report.m_store_access = store_access::reading;
     report.m_queues.push_back(19);
+    report.m_region = region_id{"r"};
+    report.m_tunnel_port = 7741;
+    report.m_unreached.push_back(20);
     return report;
 }
 
--- a/tests/standins/edge_cluster.cpp
+++ b/tests/standins/edge_cluster.cpp
@@ -76,6 +76,7 @@
     settings.m_metrics_endpoint = endpoint(4);
     settings.m_directory_endpoint = endpoint(2);
     settings.m_peer_endpoint = endpoint(3);
+    settings.m_tunnel_endpoint = endpoint(5);
     settings.m_store_endpoint = {platform_address(), m_store_port};
     settings.m_max_open_files = 300;
     settings.m_retry_limits = m_retry_limits;
--- a/tests/standins/repeated_answer_test.cpp
+++ b/tests/standins/repeated_answer_test.cpp
@@ -131,7 +131,7 @@
     repeating_server m_server;
     timer_service m_timers{now()};
     edge_state m_state{m_io.get_executor(), {}, m_timers};
-    upstream_dialer m_dialer{m_state, {}};
+    upstream_dialer m_dialer{m_state, {}, [] {}};
     send_permits m_permits;
     rollout_exchange m_rollouts;
     std::vector<pieces_result> m_results;
