Reach single upstreams through other hosts, too

A host that had lost the paths to all upstreams of a pool but one went back and forth: two failures made it use tunnels, the next success at the one that it still reached made it forget all, and each further attempt waited 350 ms for a connection. A pool whose queue it ran stayed slow for all hosts.

Cause: reachability was kept by pool, while paths break one by one.

A direct connection that fails is followed in the background by one through another host; if that one opens, the upstream is reached that way until a direct connection is accepted again, and its ejection ends: the path had failed. Reports name single upstreams, and a host that opens connections for others learns from them. A start is in doubt for all hosts only if the upstream is reached neither way, which takes the place of the special case of pools that are cut off.

cut_host/a_host_that_reaches_one_upstream_uses_the_others_too failed before (3 of 3).

--- a/include/geraniumdoor/cluster/datagrams.hpp
+++ b/include/geraniumdoor/cluster/datagrams.hpp
@@ -247,8 +247,8 @@
 /// weight for it.
 constexpr std::size_t max_reported_queues = 16;
 
-/// Most pools in one report that its host does not reach.
-constexpr std::size_t max_reported_unreached = 16;
+/// Most pools and upstreams in one report that its host does not reach.
+constexpr std::size_t max_reported_unreached = 32;
 
 /// State of a host, sent to all others a few times a second.
 struct host_report
@@ -287,7 +287,8 @@
     /// Port of the host's peer address at which it opens tunnels for others; zero for
     /// none.
     std::uint16_t m_tunnel_port = 0;
-    /// The same of each pool whose upstreams the host does not reach.
+    /// The same of each pool of which the host reaches no upstream, and of single
+    /// upstreams that it does not reach.
     std::vector<std::uint32_t> m_unreached;
 
     bool operator==(const host_report&) const = default;
--- a/include/geraniumdoor/net/tunnel.hpp
+++ b/include/geraniumdoor/net/tunnel.hpp
@@ -37,19 +37,26 @@
     milliseconds m_idle_timeout{60000};
 };
 
+struct tunnel_callbacks
+{
+    /// Returns the address at which a target is reached; a port of zero refuses it.
+    std::function<boost::asio::ip::tcp::endpoint(
+        const boost::asio::ip::tcp::endpoint& target)>
+        m_find_target;
+    /// A target has accepted a connection, or has not.
+    std::function<void(const boost::asio::ip::tcp::endpoint& target, bool is_reached)>
+        m_on_connect;
+};
+
 /// Connects other hosts to targets that this process reaches, and passes bytes on both
 /// ways. The end of one side closes the other one; a side that broke is reset at the
 /// other, so that an answer which its connection ends is not taken for complete.
 class tunnel_server
 {
 public:
-    /// Returns the address at which a target is reached; a port of zero refuses it.
-    using target_filter = std::function<boost::asio::ip::tcp::endpoint(
-        const boost::asio::ip::tcp::endpoint& target)>;
-
     tunnel_server(boost::asio::any_io_executor executor,
                   boost::asio::ip::tcp::endpoint endpoint, tunnel_limits limits,
-                  target_filter filter, std::shared_ptr<memory_pool> memory);
+                  tunnel_callbacks callbacks, std::shared_ptr<memory_pool> memory);
     ~tunnel_server();
     tunnel_server(const tunnel_server&) = delete;
     tunnel_server& operator=(const tunnel_server&) = delete;
--- a/include/geraniumdoor/serving/upstreams.hpp
+++ b/include/geraniumdoor/serving/upstreams.hpp
@@ -220,6 +220,9 @@
 /// upstream for a time that doubles with each consecutive failure.
 void record_unreachable(upstream& row, time_point now);
 
+/// Ends the ejection of an upstream that turned out not to have failed.
+void clear_ejection(upstream& row);
+
 /// Returns the ratio of the requests in progress from all hosts to the slots.
 double load_ratio(const upstream& row);
 
--- a/src/edge/edge_daemon.cpp
+++ b/src/edge/edge_daemon.cpp
@@ -317,10 +317,15 @@
                   m_state.m_memory}
     , m_tunnels{io.get_executor(), to_tcp(m_state.m_settings.m_tunnel_endpoint),
                 tunnel_limits_for(m_state.m_settings.m_max_open_files),
-                [this](const asio::ip::tcp::endpoint& target)
-                {
-                    return m_dialer.target_of(target);
-                },
+                tunnel_callbacks{
+                    [this](const asio::ip::tcp::endpoint& target)
+                    {
+                        return m_dialer.target_of(target);
+                    },
+                    [this](const asio::ip::tcp::endpoint& target, bool is_reached)
+                    {
+                        m_dialer.record_target(target, is_reached);
+                    }},
                 m_state.m_memory}
     , m_timer_driver{io}
 {
--- a/src/edge/relay_versions.cpp
+++ b/src/edge/relay_versions.cpp
@@ -120,32 +120,20 @@
 {
     const time_point at = now();
     record_unreachable(row, at);
-    if (m_dialer.is_cut_off(row.m_entry.m_pool))
-    {
-        // The path broke, which says nothing of the process.
-        return;
-    }
     doubt_start(row, at);
     asio::co_spawn(m_state.m_executor, check_start(row.m_entry, at), asio::detached);
 }
 
 asio::awaitable<void> request_relay::check_start(upstream_entry entry, time_point doubted)
 {
-    const auto call = make_upstream_call();
-    const auto connected =
-        co_await m_dialer.connect_directly(*call, entry, min_restart_time);
-    call->close();
+    const bool is_there = co_await m_dialer.check(entry, min_restart_time);
     const time_point at = now();
     upstream* row = m_state.m_upstreams.m_rows.find(entry.m_id);
     if (row == nullptr || row->m_run != run_of(entry))
     {
         co_return;
     }
-    if (!is_ok(connected) && m_dialer.is_cut_off(entry.m_pool))
-    {
-        co_return;
-    }
-    if (!is_ok(connected))
+    if (!is_there)
     {
         row->m_doubted_here_at = doubted;
         m_state.m_doubts_changed = true;
--- a/src/edge/upstream_dialer.cpp
+++ b/src/edge/upstream_dialer.cpp
@@ -51,26 +51,36 @@
                            });
 }
 
-bool upstream_dialer::is_cut_off(const pool_id& pool) const
-{
-    const auto reach = m_state.m_reach.find(pool);
-    return reach != m_state.m_reach.end() && reach->second.m_is_cut_off;
-}
-
 tcp::endpoint upstream_dialer::address_of(const ip_endpoint& registered) const
 {
     return to_tcp(m_translate ? m_translate(registered) : registered);
 }
 
-tcp::endpoint upstream_dialer::target_of(const tcp::endpoint& registered) const
+const upstream* upstream_dialer::upstream_at(const tcp::endpoint& registered) const
 {
     const ip_endpoint asked{registered.address(), registered.port()};
-    bool is_known = false;
     for (const auto& [id, row] : m_state.m_upstreams.m_rows)
     {
-        is_known = is_known || row.m_entry.m_address == asked;
+        if (row.m_entry.m_address == asked)
+        {
+            return &row;
+        }
+    }
+    return nullptr;
+}
+
+tcp::endpoint upstream_dialer::target_of(const tcp::endpoint& registered) const
+{
+    const upstream* const row = upstream_at(registered);
+    return row != nullptr ? address_of(row->m_entry.m_address) : tcp::endpoint{};
+}
+
+void upstream_dialer::record_target(const tcp::endpoint& registered, bool is_reached)
+{
+    if (const upstream* const row = upstream_at(registered))
+    {
+        record_connect(row->m_entry, is_reached);
     }
-    return is_known ? address_of(asked) : tcp::endpoint{};
 }
 
 asio::awaitable<result<done, http_error>>
@@ -85,12 +95,34 @@
     co_return connected;
 }
 
+asio::awaitable<std::optional<result<node_id, http_error>>>
+upstream_dialer::connect_through_host(http_call& call, const upstream_entry& entry,
+                                      milliseconds limit)
+{
+    const auto host = next_tunnel_host(entry);
+    if (!host)
+    {
+        co_return std::nullopt;
+    }
+    const auto connected = co_await call.connect_through(tunnel_server_of(*host),
+                                                         to_tcp(entry.m_address), limit);
+    const bool is_open = is_ok(connected);
+    if (is_open || is_unreached(error_of(connected)))
+    {
+        record_tunnel(entry, *host, is_open);
+    }
+    if (!is_open)
+    {
+        co_return error_of(connected);
+    }
+    co_return *host;
+}
+
 asio::awaitable<result<node_id, http_error>>
 upstream_dialer::connect(http_call& call, const upstream_entry& entry, milliseconds limit)
 {
-    const pool_id pool = entry.m_pool;
     std::optional<http_error> failure;
-    if (!is_cut_off(pool))
+    if (!uses_detour(entry))
     {
         const auto connected = co_await connect_directly(call, entry, limit);
         if (is_ok(connected))
@@ -98,34 +130,24 @@
             co_return node_id{};
         }
         failure = error_of(connected);
-        if (!is_unreached(*failure))
-        {
-            co_return *failure;
-        }
     }
-    for (int asked = 0; asked < max_tunnel_hosts && is_cut_off(pool); ++asked)
+    const bool has_detour = uses_detour(entry);
+    for (int asked = 0; asked < max_tunnel_hosts && has_detour; ++asked)
     {
-        const auto host = next_tunnel_host(pool);
-        if (!host)
+        if (failure && !is_unreached(*failure))
         {
             break;
         }
-        const auto connected = co_await call.connect_through(
-            tunnel_server_of(*host), to_tcp(entry.m_address), limit);
-        const bool is_open = is_ok(connected);
-        if (is_open || is_unreached(error_of(connected)))
-        {
-            record_tunnel(pool, *host, is_open);
-        }
-        if (is_open)
+        auto connected = co_await connect_through_host(call, entry, limit);
+        if (!connected)
         {
-            co_return *host;
+            break;
         }
-        failure = error_of(connected);
-        if (!is_unreached(*failure))
+        if (is_ok(*connected))
         {
-            co_return *failure;
+            co_return std::move(*connected);
         }
+        failure = error_of(*connected);
     }
     if (failure)
     {
@@ -139,30 +161,47 @@
     co_return node_id{};
 }
 
+asio::awaitable<bool> upstream_dialer::check(upstream_entry entry, milliseconds limit)
+{
+    const auto reach = m_state.m_reach.find(entry.m_pool);
+    const bool has_failed =
+        reach != m_state.m_reach.end() && reach->second.m_paths.contains(entry.m_id);
+    http_call direct{m_state.m_executor, {}};
+    if (!has_failed && is_ok(co_await connect_directly(direct, entry, limit)))
+    {
+        co_return true;
+    }
+    http_call through_host{m_state.m_executor, {}};
+    const auto connected = co_await connect_through_host(through_host, entry, limit);
+    if (connected && is_ok(*connected))
+    {
+        co_return true;
+    }
+    co_return has_failed&& is_ok(co_await connect_directly(direct, entry, limit));
+}
+
 asio::awaitable<result<http_response, http_error>>
 upstream_dialer::send(http_client& client, const upstream_entry& entry,
                       http_request request, http_call_options options)
 {
-    const pool_id pool = entry.m_pool;
     options.m_connect_timeout = connect_timeout;
-    const bool was_cut_off = is_cut_off(pool);
     std::optional<result<http_response, http_error>> answer;
-    if (!was_cut_off)
+    const auto may_go_on = [&answer]
     {
-        answer = co_await client.send(address_of(entry.m_address), request, options);
-        const bool is_reached = is_ok(*answer) || error_of(*answer).m_sent;
-        if (is_reached || is_unreached(error_of(*answer)))
-        {
-            record_connect(entry, is_reached);
-        }
-        if (is_reached || !is_unreached(error_of(*answer)))
-        {
-            co_return std::move(*answer);
-        }
+        return !answer || (!is_ok(*answer) && is_unreached(error_of(*answer)));
+    };
+    if (!uses_detour(entry))
+    {
+        answer = co_await send_directly(client, entry, request, options);
+    }
+    const bool has_detour = uses_detour(entry);
+    if (answer && may_go_on() && !has_detour)
+    {
+        asio::co_spawn(m_state.m_executor, check(entry, connect_timeout), asio::detached);
     }
-    for (int asked = 0; asked < max_tunnel_hosts && is_cut_off(pool); ++asked)
+    for (int asked = 0; asked < max_tunnel_hosts && has_detour && may_go_on(); ++asked)
     {
-        const auto host = next_tunnel_host(pool);
+        const auto host = next_tunnel_host(entry);
         if (!host)
         {
             break;
@@ -172,59 +211,65 @@
         const bool is_open = is_ok(*answer) || error_of(*answer).m_sent;
         if (is_open || is_unreached(error_of(*answer)))
         {
-            record_tunnel(pool, *host, is_open);
-        }
-        if (is_open || !is_unreached(error_of(*answer)))
-        {
-            co_return std::move(*answer);
+            record_tunnel(entry, *host, is_open);
         }
     }
     if (!answer)
     {
         options.m_tunnel_server.reset();
-        answer = co_await client.send(address_of(entry.m_address), std::move(request),
-                                      options);
-        record_connect(entry, is_ok(*answer) || error_of(*answer).m_sent);
+        answer = co_await send_directly(client, entry, std::move(request), options);
     }
     co_return std::move(*answer);
 }
 
+asio::awaitable<result<http_response, http_error>>
+upstream_dialer::send_directly(http_client& client, const upstream_entry& entry,
+                               http_request request, const http_call_options& options)
+{
+    auto answer =
+        co_await client.send(address_of(entry.m_address), std::move(request), options);
+    // A request may be sent on a kept connection whose path has broken.
+    const bool is_reached =
+        is_ok(answer) || (error_of(answer).m_sent && options.m_fresh_connection);
+    if (is_reached || is_unreached(error_of(answer)))
+    {
+        record_connect(entry, is_reached);
+    }
+    co_return answer;
+}
+
+bool upstream_dialer::uses_detour(const upstream_entry& entry) const
+{
+    const auto reach = m_state.m_reach.find(entry.m_pool);
+    return reach != m_state.m_reach.end() &&
+           serving::uses_detour(reach->second, entry.m_id);
+}
+
 void upstream_dialer::record_connect(const upstream_entry& entry, bool is_reached)
 {
     const auto known = m_state.m_reach.find(entry.m_pool);
-    if (is_reached)
+    if (is_reached && known == m_state.m_reach.end())
     {
-        if (known != m_state.m_reach.end() && record_direct_success(known->second))
-        {
-            log_event{"pool_reached"}.add("pool", entry.m_pool);
-            update_report();
-        }
         return;
     }
+    const time_point at = now();
     auto& reach = m_state.m_reach[entry.m_pool];
     const std::size_t usable = count_usable(m_state.m_upstreams, entry.m_pool);
-    if (!record_direct_failure(reach, entry.m_id, usable, now()))
+    const bool has_changed = is_reached
+                                 ? record_direct_success(reach, entry.m_id, at)
+                                 : record_direct_failure(reach, entry.m_id, usable, at);
+    m_state.m_own_report.m_unreached = unreached_hashes(m_state.m_reach);
+    if (!has_changed)
     {
         return;
     }
-    log_event{"pool_unreached"}
+    log_event{is_reached ? "pool_reached" : "pool_unreached"}
         .add("pool", entry.m_pool)
-        .add("failed", reach.m_failed.size())
+        .add("failed", reach.m_paths.size())
         .add("upstreams", usable);
-    m_state.m_metrics.add("pools_unreached", {{"pool", entry.m_pool.m_value}});
-    update_report();
-}
-
-void upstream_dialer::update_report()
-{
-    auto& unreached = m_state.m_own_report.m_unreached;
-    unreached.clear();
-    for (const auto& [pool, reach] : m_state.m_reach)
+    if (!is_reached)
     {
-        if (reach.m_is_cut_off && unreached.size() < max_reported_unreached)
-        {
-            unreached.push_back(id_hash(pool.m_value));
-        }
+        m_state.m_metrics.add("pools_unreached", {{"pool", entry.m_pool.m_value}});
     }
     m_on_change();
 }
@@ -234,6 +279,7 @@
     const time_point at = now();
     for (auto& [pool, reach] : m_state.m_reach)
     {
+        forget_paths(reach, m_state.m_upstreams, at);
         const upstream* next = next_reach_probe(reach, m_state.m_upstreams, pool, at);
         if (next != nullptr)
         {
@@ -249,11 +295,11 @@
     co_await connect_directly(call, entry, connect_timeout);
 }
 
-std::optional<node_id> upstream_dialer::next_tunnel_host(const pool_id& pool)
+std::optional<node_id> upstream_dialer::next_tunnel_host(const upstream_entry& entry)
 {
-    pool_reach& reach = m_state.m_reach[pool];
+    pool_reach& reach = m_state.m_reach[entry.m_pool];
     const peer_host* const host =
-        choose_tunnel_host(m_state.m_hosts, m_state.m_own_report, reach, pool, now());
+        choose_tunnel_host(m_state.m_hosts, m_state.m_own_report, reach, entry, now());
     if (host == nullptr)
     {
         return std::nullopt;
@@ -269,14 +315,23 @@
     return {asio::ip::make_address(report.m_peer.m_ip, ignored), report.m_tunnel_port};
 }
 
-void upstream_dialer::record_tunnel(const pool_id& pool, const node_id& host,
+void upstream_dialer::record_tunnel(const upstream_entry& entry, const node_id& host,
                                     bool is_open)
 {
+    const bool was_detoured = uses_detour(entry);
+    serving::record_tunnel(m_state.m_reach[entry.m_pool], entry.m_id, host, is_open,
+                           now());
     m_state.m_metrics.add("tunnels", {{"end", is_open ? "opened" : "failed"}});
     if (!is_open)
     {
-        m_state.m_reach[pool].m_failed_hosts[host] = now();
-        log_event{"tunnel_failed"}.add("pool", pool).add("host", host);
+        log_event{"tunnel_failed"}.add("upstream", entry.m_id).add("host", host);
+        return;
+    }
+    upstream* const row = m_state.m_upstreams.m_rows.find(entry.m_id);
+    if (!was_detoured && row != nullptr)
+    {
+        // The path has failed, and not the upstream.
+        clear_ejection(*row);
     }
 }
 
--- a/src/edge/upstream_dialer.hpp
+++ b/src/edge/upstream_dialer.hpp
@@ -9,6 +9,7 @@
 #include <boost/asio/awaitable.hpp>
 
 #include <functional>
+#include <optional>
 
 namespace geraniumdoor::edge
 {
@@ -31,35 +32,48 @@
     boost::asio::awaitable<result<node_id, http_error>>
     connect(http_call& call, const serving::upstream_entry& entry, milliseconds limit);
 
-    /// The same without other hosts, to find out whether the upstream is there.
-    boost::asio::awaitable<result<done, http_error>>
-    connect_directly(http_call& call, const serving::upstream_entry& entry,
-                     milliseconds limit);
-
     /// Sends a request to an upstream and returns the whole answer. The entry has to
     /// outlive the operation.
     boost::asio::awaitable<result<http_response, http_error>>
     send(http_client& client, const serving::upstream_entry& entry, http_request request,
          http_call_options options);
 
-    /// Whether this host reaches no upstream of a pool itself.
-    bool is_cut_off(const pool_id& pool) const;
+    /// Whether the upstream accepts a connection, directly or through another host.
+    /// @param limit time for each of the two
+    boost::asio::awaitable<bool> check(serving::upstream_entry entry, milliseconds limit);
 
     /// Address at which this host reaches the upstream with a registered address; port
     /// zero if there is none. For tunnels of other hosts.
     boost::asio::ip::tcp::endpoint
     target_of(const boost::asio::ip::tcp::endpoint& registered) const;
 
+    /// Records that the upstream with a registered address has accepted a connection for
+    /// another host, or has not.
+    void record_target(const boost::asio::ip::tcp::endpoint& registered, bool is_reached);
+
 private:
     boost::asio::ip::tcp::endpoint address_of(const ip_endpoint& registered) const;
+    bool uses_detour(const serving::upstream_entry& entry) const;
+    boost::asio::awaitable<result<done, http_error>>
+    connect_directly(http_call& call, const serving::upstream_entry& entry,
+                     milliseconds limit);
+    /// Connects through the next host; empty if there is none.
+    boost::asio::awaitable<std::optional<result<node_id, http_error>>>
+    connect_through_host(http_call& call, const serving::upstream_entry& entry,
+                         milliseconds limit);
+    boost::asio::awaitable<result<http_response, http_error>>
+    send_directly(http_client& client, const serving::upstream_entry& entry,
+                  http_request request, const http_call_options& options);
+    const serving::upstream*
+    upstream_at(const boost::asio::ip::tcp::endpoint& registered) const;
     void record_connect(const serving::upstream_entry& entry, bool is_reached);
-    void update_report();
     void start_probes();
     boost::asio::awaitable<void> probe(serving::upstream_entry entry);
     /// Returns the host to connect through, and counts the connection.
-    std::optional<node_id> next_tunnel_host(const pool_id& pool);
+    std::optional<node_id> next_tunnel_host(const serving::upstream_entry& entry);
     boost::asio::ip::tcp::endpoint tunnel_server_of(const node_id& host) const;
-    void record_tunnel(const pool_id& pool, const node_id& host, bool is_open);
+    void record_tunnel(const serving::upstream_entry& entry, const node_id& host,
+                       bool is_open);
 
     edge_state& m_state;
     address_translation m_translate;
--- a/src/net/tunnel.cpp
+++ b/src/net/tunnel.cpp
@@ -201,11 +201,11 @@
 struct tunnel_server::state : std::enable_shared_from_this<tunnel_server::state>
 {
     state(asio::any_io_executor executor, tcp::endpoint endpoint, tunnel_limits limits,
-          target_filter filter, std::shared_ptr<memory_pool> memory)
+          tunnel_callbacks callbacks, std::shared_ptr<memory_pool> memory)
         : m_executor{std::move(executor)}
         , m_endpoint{endpoint}
         , m_limits{limits}
-        , m_filter{std::move(filter)}
+        , m_callbacks{std::move(callbacks)}
         , m_memory{std::move(memory)}
         , m_acceptor{m_executor}
         , m_pause{m_executor}
@@ -220,7 +220,7 @@
     asio::any_io_executor m_executor;
     tcp::endpoint m_endpoint;
     tunnel_limits m_limits;
-    target_filter m_filter;
+    tunnel_callbacks m_callbacks;
     std::shared_ptr<memory_pool> m_memory;
     tcp::acceptor m_acceptor;
     asio::steady_timer m_pause;
@@ -265,7 +265,8 @@
         co_return http::status::bad_request;
     }
     const tcp::endpoint asked = parse_authority(parser.get().target());
-    const tcp::endpoint target = asked.port() == 0 ? asked : m_filter(asked);
+    const tcp::endpoint target =
+        asked.port() == 0 ? asked : m_callbacks.m_find_target(asked);
     if (target.port() == 0)
     {
         co_return http::status::forbidden;
@@ -277,6 +278,7 @@
     set_options(open.m_target.socket());
     open.m_target.expires_after(m_limits.m_connect_timeout);
     const auto [error] = co_await open.m_target.async_connect(target, use_tuple);
+    m_callbacks.m_on_connect(asked, !error);
     co_return error ? http::status::bad_gateway : http::status::ok;
 }
 
@@ -301,10 +303,10 @@
 }
 
 tunnel_server::tunnel_server(asio::any_io_executor executor, tcp::endpoint endpoint,
-                             tunnel_limits limits, target_filter filter,
+                             tunnel_limits limits, tunnel_callbacks callbacks,
                              std::shared_ptr<memory_pool> memory)
     : m_state{std::make_shared<state>(std::move(executor), endpoint, limits,
-                                      std::move(filter), std::move(memory))}
+                                      std::move(callbacks), std::move(memory))}
 {
 }
 
--- a/src/serving/upstreams.cpp
+++ b/src/serving/upstreams.cpp
@@ -211,8 +211,7 @@
 void record_response(upstream_table& table, upstream& row, bool succeeded,
                      double slowness)
 {
-    row.m_consecutive_failures = 0;
-    row.m_ejected_until = {};
+    clear_ejection(row);
     const observed_quality before = quality_of(row);
     const double failure = succeeded ? 0 : 1;
     row.m_failure_share =
@@ -242,6 +241,12 @@
         now + std::min<milliseconds>(first_ejection * (1U << doublings), max_ejection);
 }
 
+void clear_ejection(upstream& row)
+{
+    row.m_consecutive_failures = 0;
+    row.m_ejected_until = {};
+}
+
 double load_ratio(const upstream& row)
 {
     const double slots = std::max<std::uint32_t>(1, row.m_entry.m_concurrency);
--- a/tests/net/tunnel_test.cpp
+++ b/tests/net/tunnel_test.cpp
@@ -11,6 +11,7 @@
 #include <array>
 #include <optional>
 #include <string>
+#include <vector>
 
 // clang-format off: this header stays last.
 #include "testing.hpp"
@@ -43,10 +44,14 @@
         , m_server{m_io.get_executor(),
                    free_endpoint(),
                    {},
-                   [this](const tcp::endpoint& asked)
-                   {
-                       return m_is_known ? asked : tcp::endpoint{};
-                   },
+                   {[this](const tcp::endpoint& asked)
+                    {
+                        return m_is_known ? asked : tcp::endpoint{};
+                    },
+                    [this](const tcp::endpoint&, bool is_reached)
+                    {
+                        m_connections.push_back(is_reached);
+                    }},
                    m_memory}
     {
         m_server.start();
@@ -127,6 +132,8 @@
     tcp::endpoint m_server_endpoint;
     std::shared_ptr<memory_pool> m_memory;
     bool m_is_known = true;
+    /// Whether the target accepted each connection.
+    std::vector<bool> m_connections;
     tunnel_server m_server;
     std::string m_request;
     bool m_target_saw_end = false;
@@ -195,6 +202,25 @@
     story.run(answer_with_length, target_end::close);
     cr_expect(not story.m_is_connected);
     cr_expect(story.m_request.empty());
+    cr_expect(story.m_connections.empty());
+}
+
+// Guards against hosts that are asked again and again for targets that they do not reach,
+// because they have no work of their own for them.
+Test(tunnel, the_server_learns_which_targets_it_does_not_reach)
+{
+    tunnel_story story;
+    story.run(answer_with_length, target_end::close);
+    cr_expect(story.m_connections == std::vector<bool>{true});
+    const auto target = story.m_target.local_endpoint();
+    story.m_target.close();
+    http_call call{story.m_io.get_executor(), {}};
+    asio::co_spawn(story.m_io, call.connect_through(story.m_server_endpoint, target, 1s),
+                   asio::detached);
+    story.m_io.restart();
+    story.m_io.run_for(500ms);
+    const std::vector<bool> expected{true, false};
+    cr_expect(story.m_connections == expected);
 }
 
 Test(tunnel, a_server_that_drains_opens_no_tunnel)
--- a/tests/serving/upstream_reach_test.cpp
+++ b/tests/serving/upstream_reach_test.cpp
@@ -49,6 +49,14 @@
         return m_table.m_hosts.at(node_id{node}).m_report;
     }
 
+    static upstream_entry target()
+    {
+        upstream_entry entry;
+        entry.m_id.m_value = "u1";
+        entry.m_pool = encoder;
+        return entry;
+    }
+
     /// Chooses that many times. Returns how often each host was chosen.
     std::map<std::string, int> choose(int count, time_point at = start)
     {
@@ -56,7 +64,7 @@
         for (int done = 0; done < count; ++done)
         {
             const peer_host* const host =
-                choose_tunnel_host(m_table, m_own, m_reach, encoder, at);
+                choose_tunnel_host(m_table, m_own, m_reach, target(), at);
             if (host != nullptr)
             {
                 ++chosen[host->m_report.m_node.m_value];
@@ -97,7 +105,7 @@
     cr_expect(record_direct_failure(reach, upstream_id{"u2"}, 3, start));
     cr_expect(reach.m_is_cut_off);
     cr_expect(not record_direct_failure(reach, upstream_id{"u3"}, 3, start));
-    cr_expect(record_direct_success(reach));
+    cr_expect(record_direct_success(reach, upstream_id{"u2"}, start));
     cr_expect(not reach.m_is_cut_off);
     // What failed before counts no more.
     cr_expect(not record_direct_failure(reach, upstream_id{"u3"}, 3, start));
@@ -129,6 +137,50 @@
     EXPECT_EQUAL(next->m_entry.m_id.m_value, "u0");
 }
 
+// Guards against a host that loses the path to most upstreams of a pool and sends all its
+// work to the others.
+Test(upstream_reach, upstreams_that_others_reach_are_in_use_beside_those_of_direct_paths)
+{
+    pool_reach reach;
+    const upstream_id near{"u0"};
+    const upstream_id first{"u1"};
+    const upstream_id second{"u2"};
+    const upstream_id third{"u3"};
+    const node_id host{"a"};
+    record_direct_failure(reach, first, 4, start);
+    record_direct_failure(reach, second, 4, start);
+    cr_expect(uses_detour(reach, third), "no path is known to be there");
+    record_tunnel(reach, first, host, true, start);
+    record_tunnel(reach, second, host, true, start);
+    record_direct_success(reach, near, start);
+    cr_expect(not uses_detour(reach, near));
+    cr_expect(not uses_detour(reach, third));
+    cr_expect(uses_detour(reach, first));
+    cr_expect(uses_detour(reach, second));
+    // The detours are no reason to take the other paths for broken.
+    cr_expect(not record_direct_failure(reach, first, 4, start + 1s));
+    cr_expect(not record_direct_failure(reach, third, 4, start + 1s));
+    record_tunnel(reach, third, host, true, start + 1s);
+    cr_expect(not reach.m_is_cut_off);
+    cr_expect(record_direct_failure(reach, near, 4, start + 2s), "it was the last path");
+    // Paths that are back are in use one by one.
+    cr_expect(record_direct_success(reach, first, start + 2s));
+    cr_expect(not uses_detour(reach, first));
+    cr_expect(uses_detour(reach, second));
+}
+
+// Guards against connections through other hosts to an upstream that has crashed.
+Test(upstream_reach, an_upstream_that_nobody_reaches_is_not_detoured)
+{
+    pool_reach reach;
+    const upstream_id upstream{"u1"};
+    record_direct_failure(reach, upstream, 3, start);
+    record_tunnel(reach, upstream, node_id{"a"}, true, start);
+    cr_expect(uses_detour(reach, upstream));
+    record_tunnel(reach, upstream, node_id{"a"}, false, start + 1s);
+    cr_expect(not uses_detour(reach, upstream));
+}
+
 // Guards against one small host that carries the connections of all that are cut off.
 Test(upstream_reach, hosts_carry_connections_by_their_processor_time)
 {
@@ -142,10 +194,12 @@
 Test(upstream_reach, hosts_that_cannot_help_are_not_asked)
 {
     tunnel_fixture fixture;
-    fixture.report("a").m_unreached.push_back(id_hash(encoder.m_value));
+    fixture.report("a").m_unreached.push_back(
+        id_hash(tunnel_fixture::target().m_id.m_value));
     fixture.report("b").m_stopping = true;
     EXPECT_EQUAL(fixture.choose(3).at("c"), 3);
-    fixture.m_reach.m_failed_hosts[node_id{"c"}] = start;
+    record_tunnel(fixture.m_reach, tunnel_fixture::target().m_id, node_id{"c"}, false,
+                  start);
     cr_expect(fixture.choose(1).empty());
     fixture.m_table.m_hosts.at(node_id{"c"}).m_last_heard = start + failed_tunnel_hold;
     EXPECT_EQUAL(fixture.choose(1, start + failed_tunnel_hold).at("c"), 1);
@@ -163,3 +217,21 @@
     }
     cr_expect(fixture.choose(1).empty());
 }
+
+// Guards against connections through hosts that are cut off from most upstreams, too.
+Test(upstream_reach, a_report_names_the_pools_and_upstreams_that_its_host_does_not_reach)
+{
+    std::map<pool_id, pool_reach> reached;
+    const pool_id generator{"generator"};
+    record_direct_failure(reached[encoder], upstream_id{"u1"}, 3, start);
+    record_direct_failure(reached[generator], upstream_id{"v1"}, 3, start);
+    record_direct_failure(reached[generator], upstream_id{"v2"}, 3, start);
+    const std::vector<std::uint32_t> expected{id_hash(generator.m_value), id_hash("u1")};
+    cr_expect(unreached_hashes(reached) == expected);
+    for (int at = 0; at < 100; ++at)
+    {
+        record_tunnel(reached[encoder], upstream_id{"w" + std::to_string(at)},
+                      node_id{"a"}, true, start);
+    }
+    EXPECT_EQUAL(unreached_hashes(reached).size(), max_reported_unreached);
+}
--- a/tests/standins/cut_host_test.cpp
+++ b/tests/standins/cut_host_test.cpp
@@ -144,3 +144,30 @@
     story.m_cluster.run_for(1000ms);
     EXPECT_EQUAL(story.serve(0, 12), 12);
 }
+
+// Guards against a host that sends all its work to the one upstream that it still reaches
+// and waits for a connection at each of the others.
+Test(cut_host, a_host_that_reaches_one_upstream_uses_the_others_too)
+{
+    cut_story story{29720};
+    silent_listener silent{story.m_cluster};
+    story.m_cluster.cut_from_workers(0, silent.m_acceptor.local_endpoint(),
+                                     {"w3", "s2", "e2"});
+    story.serve(0, 12);
+    story.m_cluster.run_for(1000ms);
+    for (const auto& worker : story.m_cluster.m_workers)
+    {
+        worker->m_runs.clear();
+    }
+    const auto began = std::chrono::steady_clock::now();
+    EXPECT_EQUAL(story.serve(0, 24), 24);
+    const auto took = std::chrono::steady_clock::now() - began;
+    cr_expect(took < 1s, "24 requests wait for no connection");
+    std::size_t runs_behind_cut = 0;
+    for (const auto& worker : story.m_cluster.m_workers)
+    {
+        runs_behind_cut +=
+            worker->m_id == "w1" || worker->m_id == "w2" ? worker->m_runs.size() : 0;
+    }
+    cr_expect(runs_behind_cut > 0, "work goes to upstreams that others reach");
+}
--- a/tests/standins/edge_cluster.cpp
+++ b/tests/standins/edge_cluster.cpp
@@ -140,21 +140,38 @@
         settings.m_seeds.push_back(settings_of(other).m_peer_endpoint);
     }
     auto& daemon = m_hosts[static_cast<std::size_t>(host)];
-    daemon = std::make_unique<edge::edge_daemon>(
-        m_io, settings, incarnation{++m_incarnation},
-        [this, host](const ip_endpoint& registered)
-        {
-            const auto cut = m_cut_hosts.find(host);
-            return cut == m_cut_hosts.end()
-                       ? registered
-                       : ip_endpoint{cut->second.address(), cut->second.port()};
-        });
+    daemon =
+        std::make_unique<edge::edge_daemon>(m_io, settings, incarnation{++m_incarnation},
+                                            [this, host](const ip_endpoint& registered)
+                                            {
+                                                return address_from(host, registered);
+                                            });
     daemon->start();
 }
 
-void edge_cluster::cut_from_workers(int host, const tcp::endpoint& instead)
+ip_endpoint edge_cluster::address_from(int host, const ip_endpoint& registered) const
+{
+    const auto cut = m_cut_hosts.find(host);
+    if (cut == m_cut_hosts.end())
+    {
+        return registered;
+    }
+    for (const auto& worker : m_workers)
+    {
+        if (worker->m_port == registered.m_port &&
+            cut->second.m_spared.contains(worker->m_id))
+        {
+            return registered;
+        }
+    }
+    const tcp::endpoint& instead = cut->second.m_instead;
+    return {instead.address(), instead.port()};
+}
+
+void edge_cluster::cut_from_workers(int host, const tcp::endpoint& instead,
+                                    const std::set<std::string>& spared)
 {
-    m_cut_hosts[host] = instead;
+    m_cut_hosts[host] = {instead, spared};
 }
 
 void edge_cluster::heal(int host)
--- a/tests/standins/edge_cluster.hpp
+++ b/tests/standins/edge_cluster.hpp
@@ -9,6 +9,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -58,9 +59,11 @@
 
     void begin_stop(int host, std::function<void()> done);
 
-    /// Partitions a host from all workers: its new connections to them go to another
-    /// address, which refuses them or does not answer.
-    void cut_from_workers(int host, const boost::asio::ip::tcp::endpoint& instead);
+    /// Partitions a host from workers: its new connections to them go to another address,
+    /// which refuses them or does not answer.
+    /// @param spared ids of the workers that the host still reaches
+    void cut_from_workers(int host, const boost::asio::ip::tcp::endpoint& instead,
+                          const std::set<std::string>& spared = {});
     void heal(int host);
 
     /// An address at which nobody listens.
@@ -92,8 +95,17 @@
                                 http_request request, milliseconds timeout);
 
     std::uint16_t m_first_port;
-    /// Hosts that are partitioned from all workers, and where their connections go.
-    std::map<int, boost::asio::ip::tcp::endpoint> m_cut_hosts;
+    struct cut_host
+    {
+        boost::asio::ip::tcp::endpoint m_instead;
+        std::set<std::string> m_spared;
+    };
+
+    /// Returns the address at which a host reaches a worker.
+    ip_endpoint address_from(int host, const ip_endpoint& registered) const;
+
+    /// Hosts that are partitioned from workers, and where their connections go.
+    std::map<int, cut_host> m_cut_hosts;
     std::unique_ptr<http_server> m_store_server;
     std::vector<std::unique_ptr<edge::edge_daemon>> m_hosts;
     std::uint64_t m_incarnation = 1;
