Raise the version of messages between hosts

Reports of hosts have three more fields since tunnels exist. A host of the earlier version would have taken such a report for a damaged one; it refuses it by its version now, as after earlier changes of the format.

--- a/include/geraniumdoor/cluster/codec.hpp
+++ b/include/geraniumdoor/cluster/codec.hpp
@@ -14,7 +14,7 @@
 {
 
 /// Version of the layout of frames and datagrams.
-constexpr std::uint8_t codec_version = 8;
+constexpr std::uint8_t codec_version = 9;
 
 /// Bytes of the big-endian length in front of the body of a frame.
 constexpr std::size_t frame_header_bytes = 4;
