Share tunnels by recent counts, and forget old failures in reports

Counts of the connections asked of each host grew without bound while a cut lasted, so that a host that came later got all connections until it had had as many as the others: counts are halved when one reaches 32. An upstream to which a connection had failed once stayed in the host's report until the next connection to its pool: the report follows when failures grow old. The number of upstreams is counted when a connection fails, not at each one.

upstream_reach/a_host_that_comes_later_gets_its_share_soon is new.

--- a/include/geraniumdoor/serving/upstream_reach.hpp
+++ b/include/geraniumdoor/serving/upstream_reach.hpp
@@ -26,6 +26,10 @@
 /// upstream is reached through others.
 inline constexpr milliseconds failed_path_lifetime{2000};
 
+/// Count of connections asked of a host at which the counts of all are halved, so that a
+/// host that has just come does not get all of them until it has had as many.
+inline constexpr std::uint32_t max_asked = 32;
+
 /// An upstream to which direct connections of this host fail.
 struct failed_path
 {
@@ -45,7 +49,7 @@
     /// When a direct connection was last accepted.
     time_point m_reached_at{};
     time_point m_last_probe{};
-    /// Connections that were asked of each host since the first path failed.
+    /// Connections that were lately asked of each host.
     std::map<node_id, std::uint32_t> m_asked;
 };
 
@@ -68,6 +72,9 @@
 void record_tunnel(pool_reach& reach, const upstream_id& upstream, const node_id& host,
                    bool is_open, time_point now);
 
+/// Counts a connection that is asked of a host.
+void count_tunnel(pool_reach& reach, const node_id& host);
+
 /// Whether to connect to an upstream through another host first.
 ///
 /// Load pattern: a host loses the path to most upstreams of a pool, and reaches the
--- a/src/edge/upstream_dialer.cpp
+++ b/src/edge/upstream_dialer.cpp
@@ -177,7 +177,11 @@
     {
         co_return true;
     }
-    co_return has_failed&& is_ok(co_await connect_directly(direct, entry, limit));
+    if (!has_failed)
+    {
+        co_return false;
+    }
+    co_return is_ok(co_await connect_directly(direct, entry, limit));
 }
 
 asio::awaitable<result<http_response, http_error>>
@@ -254,10 +258,11 @@
     }
     const time_point at = now();
     auto& reach = m_state.m_reach[entry.m_pool];
-    const std::size_t usable = count_usable(m_state.m_upstreams, entry.m_pool);
-    const bool has_changed = is_reached
-                                 ? record_direct_success(reach, entry.m_id, at)
-                                 : record_direct_failure(reach, entry.m_id, usable, at);
+    const bool has_changed =
+        is_reached
+            ? record_direct_success(reach, entry.m_id, at)
+            : record_direct_failure(reach, entry.m_id,
+                                    count_usable(m_state.m_upstreams, entry.m_pool), at);
     m_state.m_own_report.m_unreached = unreached_hashes(m_state.m_reach);
     if (!has_changed)
     {
@@ -266,7 +271,7 @@
     log_event{is_reached ? "pool_reached" : "pool_unreached"}
         .add("pool", entry.m_pool)
         .add("failed", reach.m_paths.size())
-        .add("upstreams", usable);
+        .add("upstreams", count_usable(m_state.m_upstreams, entry.m_pool));
     if (!is_reached)
     {
         m_state.m_metrics.add("pools_unreached", {{"pool", entry.m_pool.m_value}});
@@ -287,6 +292,7 @@
             asio::co_spawn(m_state.m_executor, probe(next->m_entry), asio::detached);
         }
     }
+    m_state.m_own_report.m_unreached = unreached_hashes(m_state.m_reach);
 }
 
 asio::awaitable<void> upstream_dialer::probe(upstream_entry entry)
@@ -304,7 +310,7 @@
     {
         return std::nullopt;
     }
-    ++reach.m_asked[host->m_report.m_node];
+    count_tunnel(reach, host->m_report.m_node);
     return host->m_report.m_node;
 }
 
--- a/src/serving/upstream_reach.cpp
+++ b/src/serving/upstream_reach.cpp
@@ -63,6 +63,18 @@
     }
 }
 
+void count_tunnel(pool_reach& reach, const node_id& host)
+{
+    if (++reach.m_asked[host] < max_asked)
+    {
+        return;
+    }
+    for (auto& [id, asked] : reach.m_asked)
+    {
+        asked /= 2;
+    }
+}
+
 bool uses_detour(const pool_reach& reach, const upstream_id& upstream)
 {
     const auto path = reach.m_paths.find(upstream);
--- a/tests/serving/upstream_reach_test.cpp
+++ b/tests/serving/upstream_reach_test.cpp
@@ -68,7 +68,7 @@
             if (host != nullptr)
             {
                 ++chosen[host->m_report.m_node.m_value];
-                ++m_reach.m_asked[host->m_report.m_node];
+                count_tunnel(m_reach, host->m_report.m_node);
             }
         }
         return chosen;
@@ -191,6 +191,18 @@
     EXPECT_EQUAL(chosen.at("c"), 30);
 }
 
+// Guards against a restarted host that gets all connections of a long cut until it has
+// had as many as the others.
+Test(upstream_reach, a_host_that_comes_later_gets_its_share_soon)
+{
+    tunnel_fixture fixture;
+    fixture.choose(5000);
+    apply_report(fixture.m_table, report_of("d", 300), start);
+    const auto chosen = fixture.choose(180);
+    cr_expect(chosen.at("d") < 120);
+    cr_expect(chosen.at("a") + chosen.at("b") > 30);
+}
+
 Test(upstream_reach, hosts_that_cannot_help_are_not_asked)
 {
     tunnel_fixture fixture;
