--- a/tests/cluster/codec_test.cpp
+++ b/tests/cluster/codec_test.cpp
@@ -101,7 +101,7 @@
     EXPECT_EQUAL(fault_of(body), codec_fault::malformed);
     body[1] = '\x7f';
     EXPECT_EQUAL(fault_of(body), codec_fault::unknown_type);
-    body[0] = '\x09';
+    body[0] = static_cast<char>(codec_version + 1);
     EXPECT_EQUAL(fault_of(body), codec_fault::unknown_version);
     EXPECT_EQUAL(fault_of(""), codec_fault::truncated);
 }
